--- /dev/null
+++ b/src/core/engine.cpp
@@ -0,0 +1,754 @@
+#include "core/engine.h"
+#include "core/visit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gentianspindle {
+
+namespace {
+
+// Two instances that point at each other, and a walk over all ranks, end
+// below this.
+constexpr uint8_t kMaxHops = 24;
+// Passed-on marks that an instance keeps per half-open flow it may keep.
+constexpr size_t kPassedPerHalfOpen = 4;
+
+bool
+ContainsServer(const Engine::Order& aOrder, ServerIndex aServer)
+{
+  return std::find(aOrder.begin(), aOrder.end(), aServer) != aOrder.end();
+}
+
+}
+
+Engine::Engine(const EngineOptions& aOptions, InstanceId aSelf)
+  : options(aOptions)
+  , self(aSelf)
+  , walkTokens(aOptions.walksPerSecond)
+{
+}
+
+void
+Engine::SetService(const Service& aService,
+                   int64_t aVersion,
+                   bool aFresh,
+                   Micros aNow)
+{
+  bool first = this->version == 0;
+  this->service = aService;
+  this->version = aVersion;
+  for (ServerState& server : this->servers) {
+    server.removed = true;
+    server.gone = true;
+  }
+  auto put = [&](const ServerRow& aRow, bool aCurrent) {
+    auto [place, isNew] = this->places.try_emplace(
+      aRow.address, static_cast<ServerIndex>(this->servers.size()));
+    if (isNew) {
+      this->servers.emplace_back();
+      this->servers.back().handedOver = aFresh || !first;
+      this->servers.back().row = aRow;
+      this->servers.back().removed = true;
+    }
+    ServerState& server = this->servers[place->second];
+    server.gone = false;
+    if (aCurrent) {
+      bool returns = server.removed || (server.row.draining && !aRow.draining);
+      if (returns && !first) {
+        server.rampFrom = aNow;
+      }
+      server.row = aRow;
+      server.removed = false;
+    }
+  };
+  auto rank = [&](const std::vector<ServerRow>& aRows) {
+    std::vector<RankedServer> ranked;
+    for (const ServerRow& row : aRows) {
+      ranked.push_back(
+        { row.address, row.weight, this->places.at(row.address) });
+    }
+    return Ranking::Make(aService.key, ranked);
+  };
+  for (const ServerRow& row : aService.rows) {
+    put(row, true);
+  }
+  this->ranking = rank(aService.rows);
+  this->former.clear();
+  const std::vector<ServerRow>* newer = &aService.rows;
+  for (const std::vector<ServerRow>& rows : aService.former) {
+    for (const ServerRow& row : rows) {
+      put(row, false);
+    }
+    auto same = [](const ServerRow& aLeft, const ServerRow& aRight) {
+      return aLeft.address == aRight.address && aLeft.weight == aRight.weight;
+    };
+    // A change of limits or state alone leaves the ranking as it is.
+    if (!std::equal(
+          rows.begin(), rows.end(), newer->begin(), newer->end(), same)) {
+      this->former.push_back(rank(rows));
+    }
+    newer = &rows;
+  }
+}
+
+void
+Engine::SetOwners(std::span<const InstanceId> aOwners, Micros aNow)
+{
+  this->ownedServers = 0;
+  for (size_t i = 0; i < this->servers.size(); ++i) {
+    ServerState& server = this->servers[i];
+    bool had = server.owner == this->self;
+    bool has = aOwners[i] == this->self;
+    this->ownedServers += has ? 1 : 0;
+    if (has && !had) {
+      server.ownedSince = aNow;
+      server.reserved = 0;
+    }
+    // A server that nobody has owned yet needs no hand-over; once an owner
+    // is known, only that owner's word makes a successor warm.
+    if (!has && aOwners[i] != kNoInstance) {
+      server.handedOver = false;
+    }
+    server.owner = aOwners[i];
+  }
+}
+
+bool
+Engine::IsMine(ServerIndex aServer) const
+{
+  return this->servers[aServer].owner == this->self;
+}
+
+// Cold: a former owner may know of flows, no older than aLife, that this one
+// does not.
+bool
+Engine::IsCold(const ServerState& aServer, Micros aLife, Micros aNow) const
+{
+  return !aServer.handedOver && aNow - aServer.ownedSince < aLife;
+}
+
+ServerIndex
+Engine::FindServer(Address aAddress) const
+{
+  auto place = this->places.find(aAddress);
+  return place == this->places.end() ? kNoServer : place->second;
+}
+
+Engine::Order
+Engine::LookupOrder(FlowKey aFlow) const
+{
+  uint64_t hash = HashFlow(this->service.key, aFlow);
+  std::span<const ServerIndex> ranks = this->ranking.For(hash);
+  Order order(ranks.begin(), ranks.end());
+  for (const Ranking& ranking : this->former) {
+    for (ServerIndex server : ranking.For(hash)) {
+      if (!this->servers[server].gone && !ContainsServer(order, server)) {
+        order.push_back(server);
+      }
+    }
+  }
+  return order;
+}
+
+void
+Engine::CountIn(const Flow& aFlow, int aSign)
+{
+  uint32_t& count =
+    this->servers[aFlow.server].counts[static_cast<size_t>(aFlow.state)];
+  count += static_cast<uint32_t>(aSign);
+}
+
+void
+Engine::SetState(FlowIndex aFlow, FlowState aState)
+{
+  this->CountIn(this->flows.At(aFlow), -1);
+  this->flows.Move(aFlow, aState);
+  this->CountIn(this->flows.At(aFlow), 1);
+}
+
+void
+Engine::EraseFlow(FlowIndex aFlow)
+{
+  this->CountIn(this->flows.At(aFlow), -1);
+  this->flows.Erase(aFlow);
+}
+
+void
+Engine::OnPacket(const Arrival& aArrival, Outbox& aOut)
+{
+  const Segment& packet = *aArrival.segment;
+  Visit visit{ aArrival,
+               aOut,
+               aArrival.walk,
+               this->LookupOrder(packet.flow),
+               packet.Opens() };
+  if (aArrival.relayed && aArrival.version != this->version) {
+    this->Realign(visit);
+  }
+  if (visit.walk.hops > kMaxHops) {
+    this->Drop(visit, Reason::HopLimit);
+    return;
+  }
+  if (visit.IsUdp() && !packet.icmpError) {
+    // No packet tells a first datagram from a later one, so a cold owner
+    // must look a flow up before it may admit it.
+    visit.opens =
+      !visit.walk.Has(kWalkAdopt) && !visit.walk.Has(kWalkLookup);
+  }
+  FlowIndex flow = this->flows.Find(packet.flow);
+  if (flow != kNoFlow && this->TakeKnown(visit, flow)) {
+    this->OfferFreeSlots(aArrival.now, aOut);
+    return;
+  }
+  if (!this->TakeDirected(visit)) {
+    this->Step(visit);
+  }
+  this->OfferFreeSlots(aArrival.now, aOut);
+}
+
+// The sender has another version of the table, so its steps do not count
+// here. A lookup starts again, once; else the walk goes on from the same
+// server.
+void
+Engine::Realign(Visit& aVisit)
+{
+  Walk& walk = aVisit.walk;
+  bool directed = walk.Has(kWalkGranted) || walk.Has(kWalkAdopt) ||
+                  walk.Has(kWalkPinned) || walk.Has(kWalkExhausted);
+  if (!aVisit.opens && !directed && !walk.Has(kWalkRestarted)) {
+    this->Restart(aVisit);
+    return;
+  }
+  auto place = std::find(aVisit.order.begin(),
+                         aVisit.order.end(),
+                         this->FindServer(walk.server));
+  bool known = place != aVisit.order.end();
+  walk.step = static_cast<uint8_t>(known ? place - aVisit.order.begin() : 0);
+}
+
+void
+Engine::Restart(Visit& aVisit)
+{
+  aVisit.walk.flags &= static_cast<uint16_t>(~kWalkPinned);
+  aVisit.walk.flags |= kWalkRestarted;
+  aVisit.walk.step = 0;
+  aVisit.walk.adopt = 0;
+}
+
+// Handles a packet whose flow stands in this table. False: walk on.
+bool
+Engine::TakeKnown(Visit& aVisit, FlowIndex aFlow)
+{
+  Flow& flow = this->flows.At(aFlow);
+  if (flow.state == FlowState::Passed) {
+    return false;
+  }
+  ServerState& server = this->servers[flow.server];
+  if (server.gone) {
+    this->EraseFlow(aFlow);
+    aVisit.out.push_back({ .action = Action::Reset,
+                           .reason = Reason::ServerGone });
+    ++this->counts.reasons[static_cast<size_t>(Reason::ServerGone)];
+    return true;
+  }
+  bool syn = aVisit.Packet().Opens();
+  if (this->IsMine(flow.server)) {
+    if (syn && flow.state == FlowState::Closing) {
+      this->EraseFlow(aFlow); // the caller uses its port again
+      return false;
+    }
+    if (flow.state == FlowState::Elsewhere) {
+      flow.adopted = true; // its server came to this instance
+      this->SetState(aFlow, FlowState::Idle);
+    }
+    this->Forward(aVisit, aFlow);
+    return true;
+  }
+  if (aVisit.walk.Has(kWalkRestarted)) {
+    this->EraseFlow(aFlow);
+    return false;
+  }
+  if (server.owner == kNoInstance) {
+    this->Drop(aVisit, Reason::OwnerUnreachable);
+    return true;
+  }
+  flow.lastSeen = aVisit.Now();
+  this->SetState(aFlow, FlowState::Elsewhere);
+  auto place = std::find(
+    aVisit.order.begin(), aVisit.order.end(), flow.server);
+  aVisit.walk.step = static_cast<uint8_t>(place - aVisit.order.begin());
+  aVisit.walk.flags |= kWalkPinned;
+  if (place == aVisit.order.end()) {
+    return false;
+  }
+  this->RelayTo(aVisit, server.owner);
+  return true;
+}
+
+// Handles a packet that a peer sent here for one purpose. False: walk on.
+bool
+Engine::TakeDirected(Visit& aVisit)
+{
+  Walk& walk = aVisit.walk;
+  if (walk.Has(kWalkExhausted)) {
+    this->EndOfOffers(aVisit);
+    return true;
+  }
+  if (walk.step >= aVisit.order.size()) {
+    return false;
+  }
+  ServerIndex server = aVisit.order[walk.step];
+  if (!this->IsMine(server)) {
+    return false;
+  }
+  if (walk.Has(kWalkGranted)) {
+    auto claim = this->claims.find(aVisit.Flow());
+    if (claim != this->claims.end() && claim->second.server == server) {
+      --this->servers[server].reserved;
+      this->claims.erase(claim);
+    }
+    if (!this->servers[server].HasFreeSlot(aVisit.Now())) {
+      ++this->counts.claimsLost;
+      this->Drop(aVisit, Reason::HeldDuplicate);
+      return true;
+    }
+    this->ForwardNew(aVisit, server);
+    return true;
+  }
+  if (walk.Has(kWalkAdopt)) {
+    this->Adopt(aVisit, server);
+    return true;
+  }
+  if (walk.Has(kWalkPinned)) {
+    this->Restart(aVisit);
+  }
+  return false;
+}
+
+// Walks along the ranks as far as this instance owns the servers, then hands
+// the packet to the next owner.
+void
+Engine::Step(Visit& aVisit)
+{
+  Walk& walk = aVisit.walk;
+  for (; walk.step < aVisit.order.size(); ++walk.step) {
+    if (aVisit.opens && this->Asked(aVisit) >= this->options.servers) {
+      break;
+    }
+    ServerIndex server = aVisit.order[walk.step];
+    ServerState& state = this->servers[server];
+    if (state.owner == kNoInstance) {
+      walk.flags |= kWalkSawCold;
+      walk.adopt = walk.adopt == 0 ? state.row.address : walk.adopt;
+      ++this->counts
+          .reasons[static_cast<size_t>(Reason::SkippedUnreachable)];
+      continue;
+    }
+    if (state.owner != this->self) {
+      this->RelayTo(aVisit, state.owner);
+      return;
+    }
+    if (walk.first == kNoInstance) {
+      walk.first = this->self;
+    }
+    if (!aVisit.opens) {
+      this->AskForKnown(aVisit, state);
+      continue;
+    }
+    if (this->AskToAdmit(aVisit, server)) {
+      return;
+    }
+  }
+  if (aVisit.opens) {
+    this->EndOfOffers(aVisit);
+  } else {
+    this->EndOfLookup(aVisit);
+  }
+}
+
+// Servers that take new flows among those asked so far.
+uint32_t
+Engine::Asked(const Visit& aVisit) const
+{
+  uint32_t asked = 0;
+  for (size_t i = 0; i < aVisit.walk.step; ++i) {
+    asked += this->servers[aVisit.order[i]].TakesNew() ? 1 : 0;
+  }
+  return asked;
+}
+
+// The flow is not in this table: a warm owner says no, a cold one cannot.
+void
+Engine::AskForKnown(Visit& aVisit, const ServerState& aServer)
+{
+  if (aVisit.walk.adopt == 0 &&
+      this->IsCold(aServer, this->options.idle, aVisit.Now())) {
+    aVisit.walk.adopt = aServer.row.address;
+  }
+}
+
+// Admits a new flow to aServer where it has a free slot. False: pass it on.
+bool
+Engine::AskToAdmit(Visit& aVisit, ServerIndex aServer)
+{
+  ServerState& server = this->servers[aServer];
+  FlowIndex known = this->flows.Find(aVisit.Flow());
+  if (this->IsCold(server, this->options.synLife, aVisit.Now())) {
+    aVisit.walk.flags |= kWalkSawCold;
+    if (aVisit.IsUdp()) {
+      aVisit.opens = false;
+      aVisit.walk.flags |= kWalkLookup;
+      this->AskForKnown(aVisit, server);
+      return false;
+    }
+  }
+  bool passedBefore =
+    known != kNoFlow &&
+    (this->flows.At(known).passedSteps >> aVisit.walk.step & 1U) != 0;
+  if (passedBefore) {
+    // The first copy of this SYN may have been admitted further on.
+    this->PassOn(aVisit, Reason::PassedOnAgain);
+    return false;
+  }
+  bool works = !this->options.useEvidence ||
+               server.Works(aVisit.Now(), this->trustReports);
+  if (!server.TakesNew() || !works) {
+    this->PassOn(aVisit, Reason::Unavailable);
+    return false;
+  }
+  if (!server.HasFreeSlot(aVisit.Now())) {
+    aVisit.walk.flags |= kWalkSawBusy;
+    this->PassOn(aVisit, Reason::PassedOnBusy);
+    return false;
+  }
+  this->ForwardNew(aVisit, aServer);
+  return true;
+}
+
+void
+Engine::PassOn(Visit& aVisit, Reason aReason)
+{
+  ++this->counts.reasons[static_cast<size_t>(aReason)];
+  FlowIndex flow = this->flows.Find(aVisit.Flow());
+  if (flow == kNoFlow) {
+    if (this->servers.empty()) {
+      return;
+    }
+    flow = this->flows.Insert(aVisit.Flow(),
+                              aVisit.order[aVisit.walk.step],
+                              FlowState::Passed,
+                              aVisit.Now());
+    this->CountIn(this->flows.At(flow), 1);
+  }
+  this->flows.At(flow).passedSteps |=
+    static_cast<uint16_t>(1U << std::min<uint8_t>(aVisit.walk.step, 15));
+}
+
+// A new flow found no free slot on its whole walk.
+void
+Engine::EndOfOffers(Visit& aVisit)
+{
+  Walk& walk = aVisit.walk;
+  if (walk.first == kNoInstance) {
+    bool none = aVisit.order.empty();
+    if (none) {
+      this->Refuse(aVisit, Reason::Unavailable);
+    } else {
+      this->Drop(aVisit, Reason::OwnerUnreachable);
+    }
+    return;
+  }
+  if (walk.first != this->self) {
+    walk.flags |= kWalkExhausted;
+    this->RelayTo(aVisit, walk.first);
+    return;
+  }
+  bool wait = this->options.busy == BusyPolicy::Hold &&
+              this->service.waitMs > 0 && walk.Has(kWalkSawBusy);
+  if (this->options.busy == BusyPolicy::LeastBad) {
+    this->PutLeastBad(aVisit);
+  } else if (wait) {
+    this->Hold(aVisit);
+  } else if (walk.Has(kWalkSawCold)) {
+    this->Drop(aVisit, Reason::ColdOwner);
+  } else {
+    this->Refuse(aVisit,
+                 walk.Has(kWalkSawBusy) ? Reason::Overloaded
+                                        : Reason::Unavailable);
+  }
+}
+
+// No owner knows the flow. Where one of them could not say no, the first such
+// takes it; where that one cannot be reached, the flow may live there and
+// must not go elsewhere.
+void
+Engine::EndOfLookup(Visit& aVisit)
+{
+  Walk& walk = aVisit.walk;
+  ServerIndex server = this->FindServer(walk.adopt);
+  auto place = std::find(aVisit.order.begin(), aVisit.order.end(), server);
+  if (walk.adopt == 0 || place == aVisit.order.end()) {
+    this->Drop(aVisit, Reason::UnknownFlow);
+    return;
+  }
+  InstanceId owner = this->servers[server].owner;
+  if (owner == kNoInstance) {
+    this->Drop(aVisit, Reason::OwnerUnreachable);
+    return;
+  }
+  if (owner == this->self) {
+    this->Adopt(aVisit, server);
+    return;
+  }
+  walk.step = static_cast<uint8_t>(place - aVisit.order.begin());
+  walk.flags |= kWalkAdopt;
+  this->RelayTo(aVisit, owner);
+}
+
+// Forwards to the server of a flow in this table and notes what the packet
+// says of it.
+void
+Engine::Forward(Visit& aVisit, FlowIndex aFlow)
+{
+  Flow& flow = this->flows.At(aFlow);
+  const Segment& packet = aVisit.Packet();
+  ServerState& server = this->servers[flow.server];
+  aVisit.out.push_back({ .action = Action::Forward,
+                         .server = server.row.address });
+  if (packet.icmpError) {
+    return;
+  }
+  if ((packet.flags & kTcpRst) != 0) {
+    this->EraseFlow(aFlow);
+    return;
+  }
+  if (packet.Opens()) {
+    flow.lastSeen = aVisit.Now();
+    return;
+  }
+  FlowState before = flow.state;
+  FlowState after = FlowState::Fresh;
+  if (!aVisit.IsUdp()) {
+    after = Advance(flow, packet, aVisit.Now());
+  }
+  flow.lastSeen = aVisit.Now();
+  bool answered =
+    before == FlowState::Waiting && after == FlowState::Answering;
+  if (answered) {
+    server.OnResponse(aVisit.Now() - flow.requestAt);
+  }
+  if (answered || before == FlowState::Connecting ||
+      before == FlowState::HalfOpen) {
+    server.OnProgress(aVisit.Now());
+  }
+  this->SetState(aFlow, after);
+}
+
+void
+Engine::ForwardNew(Visit& aVisit, ServerIndex aServer)
+{
+  FlowIndex flow = this->flows.Find(aVisit.Flow());
+  if (flow != kNoFlow) {
+    this->EraseFlow(flow);
+  }
+  this->BoundHalfOpen();
+  FlowState state =
+    aVisit.IsUdp() ? FlowState::Fresh : FlowState::Connecting;
+  flow = this->flows.Insert(aVisit.Flow(), aServer, state, aVisit.Now());
+  this->flows.At(flow).sentEnd = aVisit.Packet().sequence + 1;
+  this->CountIn(this->flows.At(flow), 1);
+  ServerState& server = this->servers[aServer];
+  server.lastTrial = aVisit.Now();
+  ++this->counts.admitted;
+  aVisit.out.push_back({ .action = Action::Forward,
+                         .server = server.row.address });
+  bool tell = aVisit.walk.first != this->self &&
+              aVisit.walk.first != kNoInstance &&
+              !aVisit.walk.Has(kWalkGranted);
+  if (tell) {
+    aVisit.out.push_back({ .action = Action::SendNote,
+                           .peer = aVisit.walk.first,
+                           .note = { NoteKind::Found,
+                                     aVisit.Flow(),
+                                     server.row.address,
+                                     this->self } });
+  }
+}
+
+// Goes on with a flow that began before this instance owned its server.
+void
+Engine::Adopt(Visit& aVisit, ServerIndex aServer)
+{
+  const Segment& packet = aVisit.Packet();
+  ServerState& server = this->servers[aServer];
+  bool keep = !packet.icmpError && (packet.flags & kTcpRst) == 0 &&
+              (packet.flags & kTcpSyn) == 0;
+  if (!keep) {
+    aVisit.out.push_back({ .action = Action::Forward,
+                           .server = server.row.address });
+    return;
+  }
+  FlowIndex flow = this->flows.Find(aVisit.Flow());
+  if (flow != kNoFlow) {
+    this->EraseFlow(flow);
+  }
+  flow = this->flows.Insert(
+    aVisit.Flow(), aServer, FlowState::Idle, aVisit.Now());
+  this->flows.At(flow).adopted = true;
+  this->CountIn(this->flows.At(flow), 1);
+  ++this->counts.adopted;
+  this->Forward(aVisit, flow);
+}
+
+// Packets of unknown flows cost a walk each, so random ones are bounded.
+bool
+Engine::TakeWalkToken(Micros aNow)
+{
+  double rate = this->options.walksPerSecond;
+  double gained = static_cast<double>(aNow - this->walkTokensAt) / kSecond;
+  this->walkTokens = std::min(rate, this->walkTokens + gained * rate);
+  this->walkTokensAt = aNow;
+  if (this->walkTokens < 1) {
+    return false;
+  }
+  this->walkTokens -= 1;
+  return true;
+}
+
+void
+Engine::RelayTo(Visit& aVisit, InstanceId aPeer)
+{
+  Walk& walk = aVisit.walk;
+  bool walksOn = walk.step > 0 && !walk.Has(kWalkPinned) && !aVisit.opens &&
+                 walk.first == this->self;
+  if (walksOn && !this->TakeWalkToken(aVisit.Now())) {
+    this->Drop(aVisit, Reason::WalkBudget);
+    return;
+  }
+  if (walk.step < aVisit.order.size()) {
+    walk.server = this->servers[aVisit.order[walk.step]].row.address;
+  }
+  ++walk.hops;
+  aVisit.out.push_back(
+    { .action = Action::Relay, .peer = aPeer, .walk = walk });
+}
+
+void
+Engine::Drop(Visit& aVisit, Reason aReason)
+{
+  ++this->counts.reasons[static_cast<size_t>(aReason)];
+  aVisit.out.push_back({ .action = Action::Drop, .reason = aReason });
+}
+
+void
+Engine::Refuse(Visit& aVisit, Reason aReason)
+{
+  ++this->counts.reasons[static_cast<size_t>(aReason)];
+  FlowIndex flow = this->flows.Find(aVisit.Flow());
+  if (flow != kNoFlow) {
+    this->EraseFlow(flow);
+  }
+  aVisit.out.push_back({ .action = Action::Refuse, .reason = aReason });
+}
+
+void
+Engine::BoundHalfOpen()
+{
+  size_t bound = size_t{ this->options.halfOpen } *
+                 std::max<uint32_t>(this->ownedServers, 1);
+  size_t halfOpen = 0;
+  size_t passed = 0;
+  for (const ServerState& server : this->servers) {
+    halfOpen += server.Count(FlowState::Connecting) +
+                server.Count(FlowState::HalfOpen);
+    passed += server.Count(FlowState::Passed);
+  }
+  if (passed >= bound * kPassedPerHalfOpen) {
+    this->EraseFlow(this->flows.Oldest(FlowState::Passed));
+  }
+  if (halfOpen < bound) {
+    return;
+  }
+  FlowIndex oldest = this->flows.Oldest(FlowState::HalfOpen);
+  if (oldest == kNoFlow) {
+    oldest = this->flows.Oldest(FlowState::Connecting);
+  }
+  ++this->counts.reasons[static_cast<size_t>(Reason::HalfOpenLimit)];
+  this->EraseFlow(oldest);
+}
+
+void
+Engine::OnReport(Address aServer, bool aDown)
+{
+  ServerIndex place = this->FindServer(aServer);
+  if (place == kNoServer) {
+    return;
+  }
+  this->servers[place].reportedDown = aDown;
+  size_t down = std::count_if(
+    this->servers.begin(),
+    this->servers.end(),
+    [](const ServerState& aState) { return aState.reportedDown; });
+  this->trustReports = down * 2 <= this->servers.size();
+}
+
+void
+Engine::LoseTrust(Micros aNow)
+{
+  for (ServerState& server : this->servers) {
+    server.handedOver = false;
+    server.ownedSince = aNow;
+  }
+}
+
+std::vector<Flow>
+Engine::Exceptions(ServerIndex aServer) const
+{
+  std::vector<Flow> found;
+  for (size_t i = 0; i < kFlowStates; ++i) {
+    auto state = static_cast<FlowState>(i);
+    bool guessable = state == FlowState::Idle || state == FlowState::Closing;
+    FlowIndex place = this->flows.Oldest(state);
+    for (; place != kNoFlow; place = this->flows.At(place).next) {
+      const Flow& flow = this->flows.At(place);
+      Order order = this->LookupOrder(flow.key);
+      bool isDefault = !order.empty() && order[0] == aServer;
+      bool here = flow.server == aServer && !(isDefault && guessable);
+      bool mark = isDefault && (state == FlowState::Passed ||
+                                flow.server != aServer);
+      if (here || mark) {
+        found.push_back(flow);
+      }
+    }
+  }
+  return found;
+}
+
+void
+Engine::TakeOver(Address aServer, std::span<const Flow> aFlows, Micros aNow)
+{
+  ServerIndex server = this->FindServer(aServer);
+  if (server == kNoServer) {
+    return;
+  }
+  for (const Flow& flow : aFlows) {
+    if (this->flows.Find(flow.key) != kNoFlow ||
+        flow.server >= this->servers.size()) {
+      continue;
+    }
+    FlowIndex place =
+      this->flows.Insert(flow.key, flow.server, flow.state, aNow);
+    Flow& copy = this->flows.At(place);
+    copy.requestAt = flow.requestAt;
+    copy.sentEnd = flow.sentEnd;
+    copy.ackBase = flow.ackBase;
+    copy.lastAck = flow.lastAck;
+    copy.passedSteps = flow.passedSteps;
+    copy.finSeen = flow.finSeen;
+    this->CountIn(copy, 1);
+  }
+  this->servers[server].handedOver = true;
+}
+
+}
--- /dev/null
+++ b/src/core/engine.h
@@ -0,0 +1,275 @@
+// The decisions for one service at one instance: where each packet goes, and
+// whether a new flow is admitted, held or refused. No input or output, clock
+// or thread: the driver brings packets, notes and ticks, and carries out the
+// decisions.
+#pragma once
+
+#include "core/flows.h"
+#include "core/rank.h"
+#include "core/server.h"
+#include "wire/packet.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/inlined_vector.h"
+
+#include <deque>
+#include <span>
+#include <vector>
+
+namespace gentianspindle {
+
+// What becomes of a new flow that finds no free slot.
+enum class BusyPolicy : uint8_t
+{
+  Hold,     // wait for the first server to free a slot
+  LeastBad, // go to the least occupied server below its connection limit
+  Refuse,
+};
+
+// Which held flow gets a freed slot.
+enum class HoldOrder : uint8_t
+{
+  OldestFirst,
+  NewestFirst,
+  // Oldest first while the queue drains in time, else newest first.
+  Adaptive,
+};
+
+struct EngineOptions
+{
+  Micros idle = 3600 * kSecond;
+  Micros synLife = 64 * kSecond;
+  Micros handshake = 250 * kMillisecond;
+  Micros quiet = 20 * kMillisecond;
+  uint32_t halfOpen = 4096; // per owned server
+  uint32_t servers = 6;     // candidates of a new flow
+  uint32_t held = 256;
+  BusyPolicy busy = BusyPolicy::Hold;
+  HoldOrder order = HoldOrder::OldestFirst;
+  bool useEvidence = true;  // silence and reports keep new flows away
+  double walksPerSecond = 20'000; // of packets of unknown flows
+};
+
+enum WalkFlag : uint16_t
+{
+  kWalkSawCold = 1,    // an owner could not say no
+  kWalkExhausted = 2,  // all candidates asked; goes back to the arbiter
+  kWalkGranted = 4,    // held SYN for the server that claimed it
+  kWalkAdopt = 8,      // nobody knows the flow; take it over
+  kWalkPinned = 16,    // asker knows the flow's server
+  kWalkRestarted = 32, // looks again from the start, without short cuts
+  kWalkSawBusy = 64,    // a server was full, not merely broken
+  kWalkLookup = 128,    // datagram of a flow that may be known further on
+};
+
+// Where a packet stands on its way along the lookup order.
+struct Walk
+{
+  uint8_t step = 0;
+  uint8_t hops = 0;
+  uint16_t flags = 0; // WalkFlag bits
+  Address adopt = 0;  // first server whose owner could not say no
+  Address server = 0; // server at step, for peers with another table
+  InstanceId first = kNoInstance; // first owner asked: the arbiter
+
+  bool Has(WalkFlag aFlag) const { return (this->flags & aFlag) != 0; }
+};
+
+enum class NoteKind : uint8_t
+{
+  Held,  // arbiter: this flow waits for a slot
+  Void,  // arbiter: it no longer does
+  Claim, // owner: I keep a slot for it
+  Found, // owner: this flow is at my server
+};
+
+struct Note
+{
+  NoteKind kind = NoteKind::Held;
+  FlowKey flow = 0;
+  Address server = 0;
+  InstanceId from = kNoInstance;
+};
+
+struct Arrival
+{
+  Micros now = 0;
+  const Segment* segment = nullptr;
+  std::span<const uint8_t> packet;
+  bool relayed = false; // from a peer, with a walk
+  int64_t version = 0;  // table version of the peer
+  Walk walk;
+};
+
+enum class Action : uint8_t
+{
+  Forward, // to a backend server
+  Relay,   // to a peer
+  Refuse,  // truthfully "not run": RST or ICMP to the caller
+  Reset,   // outcome unknown: RST to the caller
+  Drop,
+  Hold,
+  SendNote,
+};
+
+struct Decision
+{
+  Action action = Action::Drop;
+  Reason reason = Reason::None;
+  Address server = 0;
+  InstanceId peer = kNoInstance;
+  Walk walk;
+  Note note;
+  // Packet that was held; empty where the arriving packet is meant.
+  std::vector<uint8_t> packet;
+};
+
+using Outbox = absl::InlinedVector<Decision, 4>;
+
+struct EngineCounts
+{
+  uint64_t admitted = 0;
+  uint64_t adopted = 0;
+  uint64_t held = 0;
+  uint64_t granted = 0;
+  uint64_t claimsVoid = 0;
+  uint64_t claimsLost = 0;
+  std::array<uint64_t, static_cast<size_t>(Reason::Count)> reasons{};
+};
+
+class Engine
+{
+public:
+  Engine(const EngineOptions& aOptions, InstanceId aSelf);
+
+  // Puts a version of the service in force. aFresh: no flow of it can exist
+  // yet. Owners have to be set again after this.
+  void SetService(const Service& aService,
+                  int64_t aVersion,
+                  bool aFresh,
+                  Micros aNow);
+
+  // Owner of each of Servers(), in their order.
+  void SetOwners(std::span<const InstanceId> aOwners, Micros aNow);
+
+  // All servers whose flows may live, removed ones included.
+  std::span<const ServerState> Servers() const { return this->servers; }
+
+  void OnPacket(const Arrival& aArrival, Outbox& aOut);
+  void OnNote(const Note& aNote, Micros aNow, Outbox& aOut);
+  void OnTick(Micros aNow, Outbox& aOut);
+
+  // Health or load report of a backend server; a second witness only.
+  void OnReport(Address aServer, bool aDown);
+
+  // After a pause of this instance nothing it owns is warm any more.
+  void LoseTrust(Micros aNow);
+
+  // Flows of aServer that its next owner cannot guess: those not at their
+  // default server, those with an open request, and marks.
+  std::vector<Flow> Exceptions(ServerIndex aServer) const;
+  // The whole of what the former owner of aServer knew has arrived.
+  void TakeOver(Address aServer, std::span<const Flow> aFlows, Micros aNow);
+
+  const FlowTable& Flows() const { return this->flows; }
+  const EngineCounts& Counts() const { return this->counts; }
+  const Service& Current() const { return this->service; }
+  int64_t Version() const { return this->version; }
+  size_t HeldNow() const { return this->held.size(); }
+
+  // Servers to ask for a flow, in order.
+  using Order = absl::InlinedVector<ServerIndex, 16>;
+  Order LookupOrder(FlowKey aFlow) const;
+
+private:
+  struct HeldSyn
+  {
+    std::vector<uint8_t> packet;
+    Segment segment;
+    Walk walk;
+    Micros deadline = 0;
+  };
+  struct Mark
+  {
+    InstanceId arbiter = kNoInstance;
+    Micros expires = 0;
+  };
+  struct OpenClaim
+  {
+    ServerIndex server = kNoServer;
+    Micros expires = 0;
+  };
+  struct Visit; // one packet on its way through this instance
+
+  bool IsMine(ServerIndex aServer) const;
+  bool IsCold(const ServerState& aServer, Micros aLife, Micros aNow) const;
+  ServerIndex FindServer(Address aAddress) const;
+  void SetState(FlowIndex aFlow, FlowState aState);
+  void CountIn(const Flow& aFlow, int aSign);
+  void EraseFlow(FlowIndex aFlow);
+
+  // engine.cpp: the walk
+  void Step(Visit& aVisit);
+  bool TakeKnown(Visit& aVisit, FlowIndex aFlow);
+  bool TakeDirected(Visit& aVisit);
+  void Realign(Visit& aVisit);
+  void Restart(Visit& aVisit);
+  void AskForKnown(Visit& aVisit, const ServerState& aServer);
+  bool AskToAdmit(Visit& aVisit, ServerIndex aServer);
+  void EndOfLookup(Visit& aVisit);
+  void EndOfOffers(Visit& aVisit);
+  void Forward(Visit& aVisit, FlowIndex aFlow);
+  void ForwardNew(Visit& aVisit, ServerIndex aServer);
+  void Adopt(Visit& aVisit, ServerIndex aServer);
+  void PassOn(Visit& aVisit, Reason aReason);
+  void RelayTo(Visit& aVisit, InstanceId aPeer);
+  void Drop(Visit& aVisit, Reason aReason);
+  void Refuse(Visit& aVisit, Reason aReason);
+  bool TakeWalkToken(Micros aNow);
+  uint32_t Asked(const Visit& aVisit) const;
+
+  // hold.cpp: late binding
+  void Hold(Visit& aVisit);
+  void PutLeastBad(Visit& aVisit);
+  void TellOthers(NoteKind aKind,
+                  FlowKey aFlow,
+                  InstanceId aExcept,
+                  Outbox& aOut);
+  void AddMark(FlowKey aFlow, InstanceId aArbiter, Micros aNow);
+  void OfferFreeSlots(Micros aNow, Outbox& aOut);
+  bool ClaimNext(ServerIndex aServer, Micros aNow, Outbox& aOut);
+  FlowKey TakeMark(ServerState& aServer, Micros aNow, Mark& aMark);
+  void OnClaim(const Note& aNote, Micros aNow, Outbox& aOut);
+  void OnVoid(const Note& aNote);
+  void Grant(FlowKey aFlow,
+             ServerIndex aServer,
+             InstanceId aClaimant,
+             Micros aNow,
+             Outbox& aOut);
+  void ExpireHeld(Micros aNow, Outbox& aOut);
+  void ExpireClaims(Micros aNow);
+  void ExpireFlows(Micros aNow);
+  void BoundHalfOpen();
+
+  EngineOptions options;
+  InstanceId self;
+  Service service;
+  int64_t version = 0;
+  std::vector<ServerState> servers;
+  absl::flat_hash_map<Address, ServerIndex> places;
+  Ranking ranking;
+  std::vector<Ranking> former;
+  FlowTable flows;
+  absl::flat_hash_map<FlowKey, HeldSyn> held;
+  std::deque<FlowKey> heldOrder; // by deadline
+  absl::flat_hash_map<FlowKey, Mark> marks;
+  absl::flat_hash_map<FlowKey, OpenClaim> claims;
+  std::deque<FlowKey> claimOrder; // by expiry
+  EngineCounts counts;
+  double walkTokens = 0;
+  Micros walkTokensAt = 0;
+  uint32_t ownedServers = 0;
+  bool trustReports = true;
+};
+
+}
--- /dev/null
+++ b/src/core/hold.cpp
@@ -0,0 +1,390 @@
+// Late binding: a new flow that finds no free slot waits at its arbiter, the
+// first owner asked, until the first of its candidates frees a slot. An owner
+// with a free slot claims; the arbiter grants each held flow once. Only the
+// arbiter refuses, and a claim that comes too late is void, so a refused SYN
+// reached no server.
+#include "core/visit.h"
+
+#include <algorithm>
+
+namespace gentianspindle {
+
+namespace {
+
+// A claim without answer gives its slot back after this time.
+constexpr Micros kClaimTime = 100 * kMillisecond;
+// Flows whose FIN was seen are forgotten after this time.
+constexpr Micros kClosingTime = 2 * kSecond;
+
+}
+
+void
+Engine::Hold(Visit& aVisit)
+{
+  FlowKey key = aVisit.Flow();
+  if (this->held.contains(key)) {
+    this->Drop(aVisit, Reason::HeldDuplicate);
+    return;
+  }
+  if (this->held.size() >= this->options.held) {
+    if (aVisit.walk.Has(kWalkSawCold)) {
+      this->Drop(aVisit, Reason::ColdOwner);
+    } else {
+      this->Refuse(aVisit, Reason::OverloadedHoldFull);
+    }
+    return;
+  }
+  HeldSyn& syn = this->held[key];
+  std::span<const uint8_t> packet = aVisit.arrival.packet;
+  syn.packet.assign(packet.begin(), packet.end());
+  syn.segment = aVisit.Packet();
+  syn.walk = aVisit.walk;
+  syn.deadline = aVisit.Now() + this->service.waitMs * kMillisecond;
+  this->heldOrder.push_back(key);
+  ++this->counts.held;
+  aVisit.out.push_back({ .action = Action::Hold });
+  this->AddMark(key, this->self, aVisit.Now());
+  this->TellOthers(NoteKind::Held, key, this->self, aVisit.out);
+}
+
+// For comparison with holding: queue at the least occupied own server.
+void
+Engine::PutLeastBad(Visit& aVisit)
+{
+  ServerIndex best = kNoServer;
+  for (size_t i = 0; i < aVisit.order.size(); ++i) {
+    ServerIndex server = aVisit.order[i];
+    const ServerState& state = this->servers[server];
+    bool fits = this->IsMine(server) && state.TakesNew() &&
+                state.Open() < state.row.connections;
+    if (fits && (best == kNoServer ||
+                 state.Occupied() < this->servers[best].Occupied())) {
+      best = server;
+    }
+  }
+  if (best == kNoServer) {
+    this->Refuse(aVisit, Reason::ConnectionLimit);
+    return;
+  }
+  this->ForwardNew(aVisit, best);
+}
+
+// One note to each other instance that owns a candidate of the flow.
+void
+Engine::TellOthers(NoteKind aKind,
+                   FlowKey aFlow,
+                   InstanceId aExcept,
+                   Outbox& aOut)
+{
+  absl::InlinedVector<InstanceId, 8> told{ this->self, aExcept };
+  uint32_t candidates = 0;
+  for (ServerIndex place : this->LookupOrder(aFlow)) {
+    const ServerState& server = this->servers[place];
+    if (!server.TakesNew()) {
+      continue;
+    }
+    if (++candidates > this->options.servers) {
+      return;
+    }
+    bool known = std::find(told.begin(), told.end(), server.owner) !=
+                 told.end();
+    if (known || server.owner == kNoInstance) {
+      continue;
+    }
+    told.push_back(server.owner);
+    aOut.push_back({ .action = Action::SendNote,
+                     .peer = server.owner,
+                     .note = { aKind, aFlow, 0, this->self } });
+  }
+}
+
+void
+Engine::AddMark(FlowKey aFlow, InstanceId aArbiter, Micros aNow)
+{
+  Micros expires = aNow + this->service.waitMs * kMillisecond;
+  this->marks[aFlow] = { aArbiter, expires };
+  uint32_t candidates = 0;
+  for (ServerIndex place : this->LookupOrder(aFlow)) {
+    ServerState& server = this->servers[place];
+    if (!server.TakesNew()) {
+      continue;
+    }
+    if (++candidates > this->options.servers) {
+      return;
+    }
+    if (this->IsMine(place)) {
+      server.marks.push_back(aFlow);
+    }
+  }
+}
+
+void
+Engine::OnNote(const Note& aNote, Micros aNow, Outbox& aOut)
+{
+  switch (aNote.kind) {
+    case NoteKind::Held:
+      this->AddMark(aNote.flow, aNote.from, aNow);
+      break;
+    case NoteKind::Void:
+      this->OnVoid(aNote);
+      break;
+    case NoteKind::Claim:
+      this->OnClaim(aNote, aNow, aOut);
+      break;
+    case NoteKind::Found: {
+      FlowIndex flow = this->flows.Find(aNote.flow);
+      ServerIndex server = this->FindServer(aNote.server);
+      bool passed = flow != kNoFlow &&
+                    this->flows.At(flow).state == FlowState::Passed;
+      if (passed && server != kNoServer) {
+        this->CountIn(this->flows.At(flow), -1);
+        this->flows.At(flow).server = server;
+        this->flows.At(flow).lastSeen = aNow;
+        this->flows.Move(flow, FlowState::Elsewhere);
+        this->CountIn(this->flows.At(flow), 1);
+      }
+      break;
+    }
+  }
+  this->OfferFreeSlots(aNow, aOut);
+}
+
+void
+Engine::OnVoid(const Note& aNote)
+{
+  this->marks.erase(aNote.flow);
+  auto claim = this->claims.find(aNote.flow);
+  if (claim != this->claims.end()) {
+    --this->servers[claim->second.server].reserved;
+    this->claims.erase(claim);
+    ++this->counts.claimsVoid;
+  }
+}
+
+void
+Engine::OfferFreeSlots(Micros aNow, Outbox& aOut)
+{
+  if (this->marks.empty()) {
+    return;
+  }
+  for (size_t i = 0; i < this->servers.size(); ++i) {
+    auto place = static_cast<ServerIndex>(i);
+    while (this->IsMine(place) && !this->servers[i].marks.empty() &&
+           this->ClaimNext(place, aNow, aOut)) {
+    }
+  }
+}
+
+// Claims one flow for a free slot of aServer. False where there is no free
+// slot or no flow that may still come.
+bool
+Engine::ClaimNext(ServerIndex aServer, Micros aNow, Outbox& aOut)
+{
+  ServerState& server = this->servers[aServer];
+  bool free = server.TakesNew() && server.HasFreeSlot(aNow) &&
+              (!this->options.useEvidence ||
+               server.Works(aNow, this->trustReports));
+  if (!free) {
+    return false;
+  }
+  Mark mark;
+  FlowKey key = this->TakeMark(server, aNow, mark);
+  if (mark.arbiter == kNoInstance) {
+    return false;
+  }
+  if (mark.arbiter == this->self) {
+    this->Grant(key, aServer, this->self, aNow, aOut);
+    return true;
+  }
+  ++server.reserved;
+  this->claims[key] = { aServer, aNow + kClaimTime };
+  this->claimOrder.push_back(key);
+  aOut.push_back(
+    { .action = Action::SendNote,
+      .peer = mark.arbiter,
+      .note = { NoteKind::Claim, key, server.row.address, this->self } });
+  return true;
+}
+
+// Takes the next flow that still waits off the marks of aServer; aMark stays
+// without arbiter where there is none.
+FlowKey
+Engine::TakeMark(ServerState& aServer, Micros aNow, Mark& aMark)
+{
+  while (!aServer.marks.empty()) {
+    bool newest = this->options.order == HoldOrder::NewestFirst;
+    if (this->options.order == HoldOrder::Adaptive) {
+      auto front = this->marks.find(aServer.marks.front());
+      Micros half = this->service.waitMs * kMillisecond / 2;
+      newest = front != this->marks.end() &&
+               front->second.expires - aNow < half;
+    }
+    FlowKey key = newest ? aServer.marks.back() : aServer.marks.front();
+    if (newest) {
+      aServer.marks.pop_back();
+    } else {
+      aServer.marks.pop_front();
+    }
+    auto mark = this->marks.find(key);
+    if (mark == this->marks.end()) {
+      continue;
+    }
+    aMark = mark->second;
+    this->marks.erase(mark);
+    if (aMark.expires > aNow) {
+      return key;
+    }
+    aMark = {};
+  }
+  return 0;
+}
+
+void
+Engine::OnClaim(const Note& aNote, Micros aNow, Outbox& aOut)
+{
+  ServerIndex server = this->FindServer(aNote.server);
+  if (server != kNoServer && this->held.contains(aNote.flow)) {
+    this->Grant(aNote.flow, server, aNote.from, aNow, aOut);
+    return;
+  }
+  aOut.push_back({ .action = Action::SendNote,
+                   .peer = aNote.from,
+                   .note = { NoteKind::Void, aNote.flow, 0, this->self } });
+}
+
+void
+Engine::Grant(FlowKey aFlow,
+              ServerIndex aServer,
+              InstanceId aClaimant,
+              Micros aNow,
+              Outbox& aOut)
+{
+  auto found = this->held.find(aFlow);
+  if (found == this->held.end()) {
+    return;
+  }
+  HeldSyn syn = std::move(found->second);
+  this->held.erase(found);
+  this->marks.erase(aFlow);
+  ++this->counts.granted;
+  this->TellOthers(NoteKind::Void, aFlow, aClaimant, aOut);
+  Order order = this->LookupOrder(aFlow);
+  auto place = std::find(order.begin(), order.end(), aServer);
+  if (place == order.end()) {
+    return;
+  }
+  syn.walk.step = static_cast<uint8_t>(place - order.begin());
+  syn.walk.flags = kWalkGranted;
+  Arrival arrival{ .now = aNow,
+                   .segment = &syn.segment,
+                   .packet = syn.packet,
+                   .walk = syn.walk };
+  Outbox out;
+  Visit visit{ arrival, out, syn.walk, order, true };
+  if (aClaimant == this->self) {
+    this->ForwardNew(visit, aServer);
+  } else {
+    FlowIndex flow = this->flows.Find(aFlow);
+    if (flow != kNoFlow) {
+      this->EraseFlow(flow);
+    }
+    flow =
+      this->flows.Insert(aFlow, aServer, FlowState::Elsewhere, aNow);
+    this->CountIn(this->flows.At(flow), 1);
+    this->RelayTo(visit, aClaimant);
+  }
+  for (Decision& decision : out) {
+    decision.packet = syn.packet;
+    aOut.push_back(std::move(decision));
+  }
+}
+
+void
+Engine::ExpireHeld(Micros aNow, Outbox& aOut)
+{
+  while (!this->heldOrder.empty()) {
+    FlowKey key = this->heldOrder.front();
+    auto found = this->held.find(key);
+    if (found != this->held.end() && found->second.deadline > aNow) {
+      return;
+    }
+    this->heldOrder.pop_front();
+    if (found == this->held.end()) {
+      continue;
+    }
+    HeldSyn syn = std::move(found->second);
+    this->held.erase(found);
+    this->marks.erase(key);
+    FlowIndex flow = this->flows.Find(key);
+    if (flow != kNoFlow && !syn.walk.Has(kWalkSawCold)) {
+      this->EraseFlow(flow);
+    }
+    bool cold = syn.walk.Has(kWalkSawCold);
+    Reason reason = cold ? Reason::ColdOwner : Reason::Overloaded;
+    ++this->counts.reasons[static_cast<size_t>(reason)];
+    aOut.push_back({ .action = cold ? Action::Drop : Action::Refuse,
+                     .reason = reason,
+                     .packet = std::move(syn.packet) });
+  }
+}
+
+void
+Engine::ExpireClaims(Micros aNow)
+{
+  while (!this->claimOrder.empty()) {
+    FlowKey key = this->claimOrder.front();
+    auto claim = this->claims.find(key);
+    if (claim != this->claims.end() && claim->second.expires > aNow) {
+      return;
+    }
+    this->claimOrder.pop_front();
+    if (claim != this->claims.end()) {
+      --this->servers[claim->second.server].reserved;
+      this->claims.erase(claim);
+      ++this->counts.claimsLost;
+    }
+  }
+}
+
+void
+Engine::ExpireFlows(Micros aNow)
+{
+  auto expire = [&](FlowState aState, Micros aLife, auto aThen) {
+    FlowIndex flow = this->flows.Oldest(aState);
+    while (flow != kNoFlow &&
+           aNow - this->flows.At(flow).lastSeen >= aLife) {
+      aThen(flow);
+      flow = this->flows.Oldest(aState);
+    }
+  };
+  auto erase = [&](FlowIndex aFlow) { this->EraseFlow(aFlow); };
+  expire(FlowState::HalfOpen, this->options.synLife, erase);
+  expire(
+    FlowState::Connecting, this->options.handshake, [&](FlowIndex aFlow) {
+      ++this->servers[this->flows.At(aFlow).server].failedHandshakes;
+      this->SetState(aFlow, FlowState::HalfOpen);
+    });
+  expire(FlowState::Fresh, this->options.handshake, [&](FlowIndex aFlow) {
+    this->SetState(aFlow, FlowState::Idle);
+  });
+  expire(FlowState::Answering, this->options.quiet, [&](FlowIndex aFlow) {
+    bool closes = this->flows.At(aFlow).finSeen;
+    this->SetState(aFlow, closes ? FlowState::Closing : FlowState::Idle);
+  });
+  expire(FlowState::Idle, this->options.idle, erase);
+  expire(FlowState::Waiting, this->options.idle, erase);
+  expire(FlowState::Closing, kClosingTime, erase);
+  expire(FlowState::Passed, this->options.synLife, erase);
+  expire(FlowState::Elsewhere, this->options.idle, erase);
+}
+
+void
+Engine::OnTick(Micros aNow, Outbox& aOut)
+{
+  this->ExpireFlows(aNow);
+  this->ExpireClaims(aNow);
+  this->ExpireHeld(aNow, aOut);
+  this->OfferFreeSlots(aNow, aOut);
+}
+
+}
--- /dev/null
+++ b/src/core/server.h
@@ -0,0 +1,75 @@
+// What an owner knows about one backend server: limits, occupancy read off
+// the callers' packets, and evidence on whether it works.
+#pragma once
+
+#include "core/flows.h"
+#include "core/table.h"
+
+#include <array>
+#include <deque>
+
+namespace gentianspindle {
+
+// Handshakes without answer, one after the other, that make a server silent.
+constexpr uint32_t kSilentHandshakes = 3;
+// A silent server gets one new flow per this time, to see whether it is back.
+constexpr Micros kTrialPeriod = kSecond;
+// A new or returned server gets all its slots after this time.
+constexpr Micros kRampTime = 10 * kSecond;
+// Reported health counts only without progress for this time.
+constexpr Micros kProgressWindow = 2 * kSecond;
+
+struct ServerState
+{
+  ServerRow row;
+  bool removed = false; // no row in the table in force
+  bool gone = false;    // not even in a former row that is kept
+  InstanceId owner = kNoInstance;
+
+  // Below: meaningful at the owner only.
+  bool handedOver = false; // all that the former owner knew has arrived
+  Micros ownedSince = 0;
+  std::array<uint32_t, kFlowStates> counts{};
+  uint32_t reserved = 0; // slots kept for claimed flows
+  std::deque<FlowKey> marks; // flows held elsewhere that may come here
+
+  uint32_t failedHandshakes = 0; // since the last progress
+  Micros lastProgress = 0;
+  Micros lastTrial = 0;
+  Micros rampFrom = -kRampTime;
+  bool reportedDown = false;
+  Micros responseTime = 0; // smoothed, request to first acknowledgement
+
+  uint32_t Count(FlowState aState) const
+  {
+    return this->counts[static_cast<size_t>(aState)];
+  }
+
+  // Requests that the server works on or is about to get.
+  uint32_t Occupied() const;
+
+  // Flows that hold a connection at the server.
+  uint32_t Open() const;
+
+  // Slots that may be used at aNow.
+  uint32_t Slots(Micros aNow) const;
+
+  bool TakesNew() const { return !this->removed && !this->row.draining; }
+
+  // No sign of life in spite of new flows.
+  bool Silent() const { return this->failedHandshakes >= kSilentHandshakes; }
+
+  // May a new flow be tried at aNow? aTrustReports is false where too many
+  // servers are reported down at once.
+  bool Works(Micros aNow, bool aTrustReports) const;
+
+  bool HasFreeSlot(Micros aNow) const;
+
+  // The caller's packets show that the server answers.
+  void OnProgress(Micros aNow);
+
+  // A request got its first answer byte.
+  void OnResponse(Micros aTook);
+};
+
+}
--- /dev/null
+++ b/src/core/table.cpp
@@ -0,0 +1,513 @@
+#include "core/table.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+
+#include <algorithm>
+#include <csv.h>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr std::array<const char*, 11> kColumns{
+  "service", "address", "port",        "protocol", "server", "zone",
+  "weight",  "slots",   "connections", "wait_ms",  "state",
+};
+
+// The distribution's Abseil has a string view of its own.
+absl::string_view
+ToAbsl(std::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+constexpr uint32_t kMaxWeight = 1000;
+constexpr uint32_t kMaxSlots = 100'000;
+constexpr uint32_t kMaxConnections = 10'000'000;
+constexpr uint32_t kMaxWaitMs = 60'000;
+constexpr size_t kMaxNameBytes = 63;
+
+struct CsvReader
+{
+  std::vector<std::vector<std::string>> rows;
+  std::vector<std::string> current;
+};
+
+void
+OnField(void* aText, size_t aBytes, void* aReader)
+{
+  auto* reader = static_cast<CsvReader*>(aReader);
+  reader->current.emplace_back(static_cast<const char*>(aText), aBytes);
+}
+
+void
+OnRow(int /*aEnd*/, void* aReader)
+{
+  auto* reader = static_cast<CsvReader*>(aReader);
+  reader->rows.push_back(std::move(reader->current));
+  reader->current.clear();
+}
+
+// Splits aCsv into fields; blank lines are skipped by the library.
+bool
+ReadCsv(std::string_view aCsv, CsvReader& aReader)
+{
+  csv_parser parser;
+  if (csv_init(&parser, CSV_STRICT | CSV_APPEND_NULL) != 0) {
+    return false;
+  }
+  bool whole = csv_parse(&parser,
+                         aCsv.data(),
+                         aCsv.size(),
+                         OnField,
+                         OnRow,
+                         &aReader) == aCsv.size();
+  whole = csv_fini(&parser, OnField, OnRow, &aReader) == 0 && whole;
+  csv_free(&parser);
+  return whole;
+}
+
+// Reads the fields of one row by column name and collects faults.
+struct RowReader
+{
+  const std::vector<std::string>& fields;
+  const std::vector<size_t>& places; // field of each of kColumns
+  size_t row;
+  std::vector<TableFault>& faults;
+
+  const std::string& Text(std::string_view aColumn) const
+  {
+    size_t column =
+      std::find(kColumns.begin(), kColumns.end(), aColumn) - kColumns.begin();
+    return this->fields[this->places[column]];
+  }
+
+  void Fault(std::string_view aColumn, std::string aReason) const
+  {
+    this->faults.push_back(
+      { this->row, std::string(aColumn), std::move(aReason) });
+  }
+
+  uint32_t Number(std::string_view aColumn,
+                  uint32_t aMin,
+                  uint32_t aMax) const
+  {
+    uint32_t value = 0;
+    const std::string& text = this->Text(aColumn);
+    if (!absl::SimpleAtoi(text, &value) || value < aMin || value > aMax) {
+      this->Fault(
+        aColumn,
+        absl::StrCat(
+          "'", text, "' is not a whole number from ", aMin, " to ", aMax));
+      return aMin;
+    }
+    return value;
+  }
+
+  Address Ip(std::string_view aColumn) const
+  {
+    Address address = 0;
+    if (!ParseAddress(this->Text(aColumn), address) || address == 0) {
+      this->Fault(
+        aColumn,
+        absl::StrCat("'", this->Text(aColumn), "' is not an IPv4 address"));
+    }
+    return address;
+  }
+
+  std::string Name(std::string_view aColumn) const
+  {
+    const std::string& text = this->Text(aColumn);
+    bool good = !text.empty() && text.size() <= kMaxNameBytes;
+    for (char c : text) {
+      good = good && (absl::ascii_isalnum(c) || c == '-' || c == '_');
+    }
+    if (!good) {
+      this->Fault(aColumn,
+                  absl::StrCat("'",
+                               text,
+                               "' is not a name of 1 to ",
+                               kMaxNameBytes,
+                               " letters, digits, '-' or '_'"));
+    }
+    return text;
+  }
+};
+
+bool
+FindColumns(const std::vector<std::string>& aHeader,
+            std::vector<size_t>& aPlaces,
+            std::vector<TableFault>& aFaults)
+{
+  for (const char* column : kColumns) {
+    auto count = std::count(aHeader.begin(), aHeader.end(), column);
+    if (count != 1) {
+      aFaults.push_back({ 1,
+                          column,
+                          count == 0 ? "column is missing"
+                                     : "column stands twice" });
+      continue;
+    }
+    aPlaces.push_back(std::find(aHeader.begin(), aHeader.end(), column) -
+                      aHeader.begin());
+  }
+  for (const std::string& name : aHeader) {
+    if (std::find(kColumns.begin(), kColumns.end(), name) == kColumns.end()) {
+      aFaults.push_back({ 1, name, "column is not known" });
+    }
+  }
+  return aFaults.empty();
+}
+
+ServerRow
+ReadServer(const RowReader& aReader)
+{
+  ServerRow server;
+  server.address = aReader.Ip("server");
+  server.zone = aReader.Name("zone");
+  server.weight = aReader.Number("weight", 1, kMaxWeight);
+  server.slots = aReader.Number("slots", 1, kMaxSlots);
+  server.connections = aReader.Number("connections", 1, kMaxConnections);
+  const std::string& state = aReader.Text("state");
+  server.draining = state == "draining";
+  if (state != "serving" && state != "draining") {
+    aReader.Fault(
+      "state",
+      absl::StrCat("'", state, "' is neither 'serving' nor 'draining'"));
+  }
+  if (server.connections < server.slots) {
+    aReader.Fault("connections", "is below slots");
+  }
+  return server;
+}
+
+Service
+ReadService(const RowReader& aReader)
+{
+  Service service;
+  service.name = aReader.Name("service");
+  service.key.address = aReader.Ip("address");
+  service.key.port =
+    static_cast<uint16_t>(aReader.Number("port", 1, 65535));
+  service.waitMs = aReader.Number("wait_ms", 0, kMaxWaitMs);
+  const std::string& protocol = aReader.Text("protocol");
+  service.key.protocol = protocol == "udp" ? Protocol::Udp : Protocol::Tcp;
+  if (protocol != "tcp" && protocol != "udp") {
+    aReader.Fault(
+      "protocol",
+      absl::StrCat("'", protocol, "' is neither 'tcp' nor 'udp'"));
+  }
+  return service;
+}
+
+// Adds one row to the table under construction.
+struct TableBuilder
+{
+  Table table;
+  absl::flat_hash_map<std::string, size_t> byName;
+  absl::flat_hash_map<ServiceKey, std::string> byKey;
+  absl::flat_hash_map<Address, std::string> byServer;
+
+  void Add(const RowReader& aReader)
+  {
+    Service service = ReadService(aReader);
+    ServerRow server = ReadServer(aReader);
+    auto [place, fresh] =
+      this->byName.try_emplace(service.name, this->table.services.size());
+    if (fresh) {
+      this->table.services.push_back(service);
+    }
+    Service& known = this->table.services[place->second];
+    this->CheckService(aReader, known, service);
+    this->CheckServer(aReader, service.name, server.address);
+    known.rows.push_back(std::move(server));
+  }
+
+  void CheckService(const RowReader& aReader,
+                    const Service& aKnown,
+                    const Service& aService)
+  {
+    if (!(aKnown.key == aService.key)) {
+      aReader.Fault("address",
+                    "address, port and protocol differ from the service's "
+                    "first row");
+    }
+    if (aKnown.waitMs != aService.waitMs) {
+      aReader.Fault("wait_ms", "differs from the service's first row");
+    }
+    auto [owner, fresh] =
+      this->byKey.try_emplace(aService.key, aService.name);
+    if (owner->second != aService.name) {
+      aReader.Fault("address",
+                    absl::StrCat("already used by service '",
+                                 owner->second,
+                                 "' with this port and protocol"));
+    }
+  }
+
+  void CheckServer(const RowReader& aReader,
+                   const std::string& aService,
+                   Address aServer)
+  {
+    if (aServer == 0) {
+      return;
+    }
+    auto [owner, fresh] = this->byServer.try_emplace(aServer, aService);
+    if (fresh) {
+      return;
+    }
+    aReader.Fault("server",
+                  owner->second == aService
+                    ? "stands twice in this service"
+                    : absl::StrCat(
+                        "already a server of service '", owner->second, "'"));
+  }
+};
+
+void
+CheckServing(const Table& aTable, std::vector<TableFault>& aFaults)
+{
+  for (const Service& service : aTable.services) {
+    bool serving = std::any_of(service.rows.begin(),
+                               service.rows.end(),
+                               [](const ServerRow& aRow) {
+                                 return !aRow.draining;
+                               });
+    if (!serving) {
+      aFaults.push_back({ 0,
+                          "state",
+                          absl::StrCat("service '",
+                                       service.name,
+                                       "' is left with no serving server") });
+    }
+  }
+}
+
+const Service*
+FindService(const Table& aTable, const std::string& aName)
+{
+  for (const Service& service : aTable.services) {
+    if (service.name == aName) {
+      return &service;
+    }
+  }
+  return nullptr;
+}
+
+}
+
+TableCheck
+ParseTable(std::string_view aCsv)
+{
+  TableCheck check;
+  CsvReader csv;
+  if (!ReadCsv(aCsv, csv)) {
+    check.faults.push_back({ csv.rows.size() + 1, "", "quoting is broken" });
+    return check;
+  }
+  if (csv.rows.size() < 2) {
+    check.faults.push_back({ 0, "", "table has no rows" });
+    return check;
+  }
+  std::vector<size_t> places;
+  if (!FindColumns(csv.rows[0], places, check.faults)) {
+    return check;
+  }
+  TableBuilder builder;
+  for (size_t i = 1; i < csv.rows.size(); ++i) {
+    if (csv.rows[i].size() != csv.rows[0].size()) {
+      check.faults.push_back(
+        { i + 1,
+          "",
+          absl::StrCat("has ", csv.rows[i].size(), " fields, not ",
+                       csv.rows[0].size()) });
+      continue;
+    }
+    builder.Add({ csv.rows[i], places, i + 1, check.faults });
+  }
+  check.table = std::move(builder.table);
+  CheckServing(check.table, check.faults);
+  return check;
+}
+
+std::vector<TableFault>
+CheckChange(const Table& aNow,
+            const Table& aNext,
+            std::span<const std::string> aZones)
+{
+  std::vector<TableFault> faults;
+  absl::flat_hash_map<Address, std::string> users;
+  for (const Service& service : aNow.services) {
+    for (const ServerRow& row : service.rows) {
+      users.emplace(row.address, service.name);
+    }
+    for (const std::vector<ServerRow>& rows : service.former) {
+      for (const ServerRow& row : rows) {
+        users.emplace(row.address, service.name);
+      }
+    }
+  }
+  for (const Service& service : aNext.services) {
+    const Service* now = FindService(aNow, service.name);
+    if (now != nullptr && !(now->key == service.key)) {
+      faults.push_back(
+        { 0,
+          "address",
+          absl::StrCat("service '",
+                       service.name,
+                       "' has open flows at its former address; give the new "
+                       "address a new service name") });
+    }
+    for (const ServerRow& row : service.rows) {
+      auto user = users.find(row.address);
+      if (user != users.end() && user->second != service.name) {
+        faults.push_back({ 0,
+                           "server",
+                           absl::StrCat(FormatAddress(row.address),
+                                        " still serves flows of service '",
+                                        user->second,
+                                        "'") });
+      }
+      if (!aZones.empty() && std::find(aZones.begin(),
+                                       aZones.end(),
+                                       row.zone) == aZones.end()) {
+        faults.push_back({ 0,
+                           "zone",
+                           absl::StrCat("no instance is in zone '",
+                                        row.zone,
+                                        "' of server ",
+                                        FormatAddress(row.address)) });
+      }
+    }
+  }
+  for (const Service& service : aNow.services) {
+    bool gone = FindService(aNext, service.name) == nullptr;
+    bool drained = std::all_of(
+      service.rows.begin(), service.rows.end(), [](const ServerRow& aRow) {
+        return aRow.draining;
+      });
+    if (gone && !drained) {
+      faults.push_back({ 0,
+                         "service",
+                         absl::StrCat("service '",
+                                      service.name,
+                                      "' is removed while a server of it is "
+                                      "serving") });
+    }
+  }
+  return faults;
+}
+
+Table
+MakeSuccessor(const Table& aNow, const Table& aNext)
+{
+  Table next;
+  next.version = aNow.version + 1;
+  for (Service service : aNext.services) {
+    const Service* now = FindService(aNow, service.name);
+    service.former.clear();
+    if (now != nullptr) {
+      service.former = now->former;
+      if (!(now->rows == service.rows)) {
+        service.former.insert(service.former.begin(), now->rows);
+      }
+      if (service.former.size() > kMaxFormerRows) {
+        service.former.resize(kMaxFormerRows);
+      }
+    }
+    next.services.push_back(std::move(service));
+  }
+  return next;
+}
+
+std::string
+FormatTable(const Table& aTable)
+{
+  std::string csv = absl::StrCat(absl::StrJoin(kColumns, ","), "\n");
+  for (const Service& service : aTable.services) {
+    for (const ServerRow& row : service.rows) {
+      absl::StrAppend(
+        &csv,
+        absl::StrJoin(
+          std::make_tuple(
+            service.name,
+            FormatAddress(service.key.address),
+            service.key.port,
+            service.key.protocol == Protocol::Tcp ? "tcp" : "udp",
+            FormatAddress(row.address),
+            row.zone,
+            row.weight,
+            row.slots,
+            row.connections,
+            service.waitMs,
+            row.draining ? "draining" : "serving"),
+          ","),
+        "\n");
+    }
+  }
+  return csv;
+}
+
+bool
+ParseAddress(std::string_view aText, Address& aAddress)
+{
+  std::vector<absl::string_view> parts = absl::StrSplit(ToAbsl(aText), '.');
+  if (parts.size() != 4) {
+    return false;
+  }
+  Address address = 0;
+  for (absl::string_view part : parts) {
+    uint32_t octet = 0;
+    bool digits = !part.empty() && part.size() <= 3 &&
+                  std::all_of(part.begin(), part.end(), absl::ascii_isdigit);
+    if (!digits || !absl::SimpleAtoi(part, &octet) || octet > 255) {
+      return false;
+    }
+    address = (address << 8) | octet;
+  }
+  aAddress = address;
+  return true;
+}
+
+std::string
+FormatAddress(Address aAddress)
+{
+  return absl::StrCat(aAddress >> 24,
+                      ".",
+                      (aAddress >> 16) & 0xFF,
+                      ".",
+                      (aAddress >> 8) & 0xFF,
+                      ".",
+                      aAddress & 0xFF);
+}
+
+std::string
+FormatInstance(InstanceId aInstance)
+{
+  return absl::StrCat(FormatAddress(InstanceAddress(aInstance)),
+                      ":",
+                      InstancePort(aInstance));
+}
+
+bool
+ParseInstance(std::string_view aText, InstanceId& aInstance)
+{
+  size_t colon = aText.rfind(':');
+  Address address = 0;
+  uint32_t port = 0;
+  if (colon == std::string_view::npos ||
+      !ParseAddress(aText.substr(0, colon), address) ||
+      !absl::SimpleAtoi(ToAbsl(aText.substr(colon + 1)), &port) || port == 0 ||
+      port > 65535) {
+    return false;
+  }
+  aInstance = MakeInstanceId(address, static_cast<uint16_t>(port));
+  return true;
+}
+
+}
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,156 @@
+// Words shared by all decisions: time, instances, callers, reasons.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace gentianspindle {
+
+// Microseconds of a monotonic clock of one instance.
+using Micros = int64_t;
+constexpr Micros kMillisecond = 1000;
+constexpr Micros kSecond = 1000 * kMillisecond;
+
+// IPv4 address in host byte order.
+using Address = uint32_t;
+
+// Peer endpoint of an instance: address in the upper bits, port in the lower
+// 16.
+using InstanceId = uint64_t;
+constexpr InstanceId kNoInstance = 0;
+
+constexpr InstanceId
+MakeInstanceId(Address aAddress, uint16_t aPort)
+{
+  return (uint64_t{ aAddress } << 16) | aPort;
+}
+
+constexpr Address
+InstanceAddress(InstanceId aInstance)
+{
+  return static_cast<Address>(aInstance >> 16);
+}
+
+constexpr uint16_t
+InstancePort(InstanceId aInstance)
+{
+  return static_cast<uint16_t>(aInstance);
+}
+
+// A caller's end of a flow: address and port, 48 bits.
+using FlowKey = uint64_t;
+
+constexpr FlowKey
+MakeFlowKey(Address aCaller, uint16_t aPort)
+{
+  return (uint64_t{ aCaller } << 16) | aPort;
+}
+
+enum class Protocol : uint8_t
+{
+  Tcp = 6,
+  Udp = 17,
+};
+
+// Address, port and protocol that callers use.
+struct ServiceKey
+{
+  Address address = 0;
+  uint16_t port = 0;
+  Protocol protocol = Protocol::Tcp;
+
+  friend bool operator==(const ServiceKey&, const ServiceKey&) = default;
+
+  template<typename H>
+  friend H AbslHashValue(H aState, const ServiceKey& aKey)
+  {
+    return H::combine(
+      std::move(aState), aKey.address, aKey.port, aKey.protocol);
+  }
+};
+
+// Why a packet was dropped or refused, or took a longer way. Each has a
+// counter of its own.
+enum class Reason : uint8_t
+{
+  None,
+  // Bad input.
+  ShortPacket,
+  BadVersion,
+  BadOptions,
+  BadLength,
+  BadChecksum,
+  Fragment,
+  NotIpv4,
+  UnknownProtocol,
+  UnknownService,
+  UnknownSource,
+  BadPeerMessage,
+  TooLarge,
+  // Established flows.
+  UnknownFlow,
+  OwnerUnreachable,
+  HopLimit,
+  ServerGone,
+  WalkBudget,
+  // New flows.
+  ColdOwner,
+  HeldDuplicate,
+  Overloaded,
+  OverloadedHoldFull,
+  Unavailable,
+  ConnectionLimit,
+  HalfOpenLimit,
+  // Longer ways.
+  PassedOnBusy,
+  PassedOnAgain,
+  SkippedUnreachable,
+  OwnerChanged,
+  NoTable,
+  SocketFull,
+  Count,
+};
+
+constexpr std::array<std::string_view, static_cast<size_t>(Reason::Count)>
+  kReasonNames{
+    "none",
+    "short_packet",
+    "bad_version",
+    "bad_options",
+    "bad_length",
+    "bad_checksum",
+    "fragment",
+    "not_ipv4",
+    "unknown_protocol",
+    "unknown_service",
+    "unknown_source",
+    "bad_peer_message",
+    "too_large",
+    "unknown_flow",
+    "owner_unreachable",
+    "hop_limit",
+    "server_gone",
+    "walk_budget",
+    "cold_owner",
+    "held_duplicate",
+    "overloaded",
+    "overloaded_hold_full",
+    "unavailable",
+    "connection_limit",
+    "half_open_limit",
+    "passed_on_busy",
+    "passed_on_again",
+    "skipped_unreachable",
+    "owner_changed",
+    "no_table",
+    "socket_full",
+  };
+
+constexpr std::string_view
+ReasonName(Reason aReason)
+{
+  return kReasonNames[static_cast<size_t>(aReason)];
+}
+
+}
--- /dev/null
+++ b/src/wire/packet.cpp
@@ -0,0 +1,318 @@
+#include "wire/packet.h"
+
+#include <algorithm>
+#include <array>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr uint16_t kEtherIpv4 = 0x0800;
+constexpr size_t kTcpBytes = 20;
+constexpr uint8_t kProtocolIcmp = 1;
+constexpr uint8_t kIcmpUnreachable = 3;
+constexpr size_t kIcmpBytes = 8;
+constexpr size_t kIcmpQuotedBytes = 8; // of the quoted packet's payload
+constexpr uint8_t kOptionEnd = 0;
+constexpr uint8_t kOptionNop = 1;
+constexpr uint8_t kOptionMss = 2;
+constexpr uint8_t kAnswerTtl = 64;
+
+uint16_t
+Load16(std::span<const uint8_t> aBytes, size_t aAt)
+{
+  return static_cast<uint16_t>((aBytes[aAt] << 8) | aBytes[aAt + 1]);
+}
+
+uint32_t
+Load32(std::span<const uint8_t> aBytes, size_t aAt)
+{
+  return (uint32_t{ Load16(aBytes, aAt) } << 16) | Load16(aBytes, aAt + 2);
+}
+
+void
+Store16(std::span<uint8_t> aBytes, size_t aAt, uint16_t aValue)
+{
+  aBytes[aAt] = static_cast<uint8_t>(aValue >> 8);
+  aBytes[aAt + 1] = static_cast<uint8_t>(aValue);
+}
+
+void
+Store32(std::span<uint8_t> aBytes, size_t aAt, uint32_t aValue)
+{
+  Store16(aBytes, aAt, static_cast<uint16_t>(aValue >> 16));
+  Store16(aBytes, aAt + 2, static_cast<uint16_t>(aValue));
+}
+
+uint32_t
+SumWords(std::span<const uint8_t> aBytes, uint32_t aSum)
+{
+  size_t at = 0;
+  for (; at + 1 < aBytes.size(); at += 2) {
+    aSum += Load16(aBytes, at);
+  }
+  if (at < aBytes.size()) {
+    aSum += uint32_t{ aBytes[at] } << 8;
+  }
+  return aSum;
+}
+
+size_t
+HeaderBytes(std::span<const uint8_t> aPacket)
+{
+  return size_t{ aPacket[0] & 0x0FU } * 4;
+}
+
+// Checks the IPv4 header; the transport part stays unread.
+Reason
+CheckIpv4(std::span<const uint8_t> aPacket)
+{
+  if (aPacket.empty()) {
+    return Reason::ShortPacket;
+  }
+  if (aPacket[0] >> 4 != 4) {
+    return Reason::NotIpv4;
+  }
+  if (aPacket.size() < kIpv4Bytes) {
+    return Reason::ShortPacket;
+  }
+  if (HeaderBytes(aPacket) != kIpv4Bytes) {
+    return Reason::BadOptions;
+  }
+  size_t length = Load16(aPacket, 2);
+  if (length < kIpv4Bytes || length > aPacket.size()) {
+    return Reason::BadLength;
+  }
+  if ((Load16(aPacket, 6) & 0x3FFF) != 0) {
+    return Reason::Fragment;
+  }
+  if (Checksum(aPacket.first(kIpv4Bytes)) != 0) {
+    return Reason::BadChecksum;
+  }
+  return Reason::None;
+}
+
+Reason
+ParseTcp(std::span<const uint8_t> aTcp, Segment& aSegment)
+{
+  if (aTcp.size() < kTcpBytes) {
+    return Reason::ShortPacket;
+  }
+  size_t header = static_cast<size_t>(aTcp[12] >> 4) * 4;
+  if (header < kTcpBytes || header > aTcp.size()) {
+    return Reason::BadLength;
+  }
+  aSegment.sequence = Load32(aTcp, 4);
+  aSegment.acknowledged = Load32(aTcp, 8);
+  aSegment.flags = aTcp[13];
+  aSegment.payload = static_cast<uint32_t>(aTcp.size() - header);
+  return Reason::None;
+}
+
+// An ICMP error of the caller's side quotes a packet that the backend server
+// sent: its source is the service and its destination the caller.
+Reason
+ParseIcmpError(std::span<const uint8_t> aIcmp, Segment& aSegment)
+{
+  if (aIcmp.size() < kIcmpBytes + kIpv4Bytes + kIcmpQuotedBytes) {
+    return Reason::ShortPacket;
+  }
+  if (aIcmp[0] != kIcmpUnreachable) {
+    return Reason::UnknownProtocol;
+  }
+  std::span<const uint8_t> quoted = aIcmp.subspan(kIcmpBytes);
+  if (quoted[0] >> 4 != 4 || HeaderBytes(quoted) != kIpv4Bytes) {
+    return Reason::BadOptions;
+  }
+  if (quoted[9] != static_cast<uint8_t>(Protocol::Tcp) &&
+      quoted[9] != static_cast<uint8_t>(Protocol::Udp)) {
+    return Reason::UnknownProtocol;
+  }
+  aSegment.service.protocol = static_cast<Protocol>(quoted[9]);
+  aSegment.service.address = Load32(quoted, 12);
+  aSegment.service.port = Load16(quoted, kIpv4Bytes);
+  aSegment.flow =
+    MakeFlowKey(Load32(quoted, 16), Load16(quoted, kIpv4Bytes + 2));
+  aSegment.icmpError = true;
+  return Reason::None;
+}
+
+// IPv4 header from the service to the caller of aPacket.
+void
+WriteAnswerHeader(std::span<uint8_t> aAnswer,
+                  uint8_t aProtocol,
+                  Address aSource,
+                  Address aTarget)
+{
+  aAnswer[0] = 0x45;
+  Store16(aAnswer, 2, static_cast<uint16_t>(aAnswer.size()));
+  Store16(aAnswer, 6, 0x4000);
+  aAnswer[8] = kAnswerTtl;
+  aAnswer[9] = aProtocol;
+  Store32(aAnswer, 12, aSource);
+  Store32(aAnswer, 16, aTarget);
+  Store16(aAnswer, 10, Checksum(aAnswer.first(kIpv4Bytes)));
+}
+
+}
+
+uint16_t
+Checksum(std::span<const uint8_t> aBytes, uint32_t aSum)
+{
+  uint32_t sum = SumWords(aBytes, aSum);
+  while (sum >> 16 != 0) {
+    sum = (sum & 0xFFFF) + (sum >> 16);
+  }
+  return static_cast<uint16_t>(~sum);
+}
+
+Reason
+ParseSegment(std::span<const uint8_t> aPacket, Segment& aSegment)
+{
+  Reason bad = CheckIpv4(aPacket);
+  if (bad != Reason::None) {
+    return bad;
+  }
+  aSegment = Segment{};
+  aSegment.length = Load16(aPacket, 2);
+  aSegment.dontFragment = (aPacket[6] & 0x40) != 0;
+  std::span<const uint8_t> body =
+    aPacket.subspan(kIpv4Bytes, aSegment.length - kIpv4Bytes);
+  uint8_t protocol = aPacket[9];
+  if (protocol == kProtocolIcmp) {
+    return ParseIcmpError(body, aSegment);
+  }
+  if (protocol != static_cast<uint8_t>(Protocol::Tcp) &&
+      protocol != static_cast<uint8_t>(Protocol::Udp)) {
+    return Reason::UnknownProtocol;
+  }
+  if (body.size() < kUdpBytes) {
+    return Reason::ShortPacket;
+  }
+  aSegment.service.protocol = static_cast<Protocol>(protocol);
+  aSegment.service.address = Load32(aPacket, 16);
+  aSegment.service.port = Load16(body, 2);
+  aSegment.flow = MakeFlowKey(Load32(aPacket, 12), Load16(body, 0));
+  if (aSegment.service.protocol == Protocol::Tcp) {
+    return ParseTcp(body, aSegment);
+  }
+  aSegment.payload = static_cast<uint32_t>(body.size() - kUdpBytes);
+  return Reason::None;
+}
+
+Reason
+ParseGeneve(std::span<const uint8_t> aDatagram,
+            std::span<const uint8_t>& aInner)
+{
+  if (aDatagram.size() < kGeneveBytes) {
+    return Reason::ShortPacket;
+  }
+  if (aDatagram[0] >> 6 != 0) {
+    return Reason::BadVersion;
+  }
+  if ((aDatagram[0] & 0x3F) != 0 || (aDatagram[1] & 0xC0) != 0) {
+    return Reason::BadOptions;
+  }
+  if (Load16(aDatagram, 2) != kEtherIpv4) {
+    return Reason::NotIpv4;
+  }
+  aInner = aDatagram.subspan(kGeneveBytes);
+  return Reason::None;
+}
+
+std::span<const uint8_t, kGeneveBytes>
+GeneveHeader()
+{
+  static constexpr std::array<uint8_t, kGeneveBytes> kHeader{ 0,    0, 0x08,
+                                                              0x00, 0, 0,
+                                                              0,    0 };
+  return kHeader;
+}
+
+void
+ClampMss(std::span<uint8_t> aPacket, uint16_t aMss)
+{
+  std::span<uint8_t> tcp = aPacket.subspan(kIpv4Bytes);
+  size_t end = static_cast<size_t>(tcp[12] >> 4) * 4;
+  size_t at = kTcpBytes;
+  while (at < end && tcp[at] != kOptionEnd) {
+    if (tcp[at] == kOptionNop) {
+      ++at;
+      continue;
+    }
+    if (at + 1 >= end || tcp[at + 1] < 2 || at + tcp[at + 1] > end) {
+      return;
+    }
+    if (tcp[at] == kOptionMss && tcp[at + 1] == 4) {
+      uint16_t old = Load16(tcp, at + 2);
+      if (old <= aMss) {
+        return;
+      }
+      // RFC 1624, equation 3; an option at an odd place sums byte-swapped.
+      uint32_t sum = static_cast<uint16_t>(~Load16(tcp, 16));
+      bool odd = at % 2 != 0;
+      auto word = [odd](uint16_t aValue) {
+        return odd ? static_cast<uint16_t>((aValue >> 8) | (aValue << 8))
+                   : aValue;
+      };
+      sum += static_cast<uint16_t>(~word(old));
+      sum += word(aMss);
+      Store16(tcp, at + 2, aMss);
+      Store16(tcp, 16, Checksum({}, sum));
+      return;
+    }
+    at += tcp[at + 1];
+  }
+}
+
+std::vector<uint8_t>
+MakeReset(std::span<const uint8_t> aPacket, const Segment& aSegment)
+{
+  if ((aSegment.flags & kTcpRst) != 0 || aSegment.icmpError) {
+    return {};
+  }
+  std::vector<uint8_t> answer(kIpv4Bytes + kTcpBytes);
+  Address service = Load32(aPacket, 16);
+  Address caller = Load32(aPacket, 12);
+  std::span<uint8_t> tcp = std::span(answer).subspan(kIpv4Bytes);
+  Store16(tcp, 0, Load16(aPacket, kIpv4Bytes + 2));
+  Store16(tcp, 2, Load16(aPacket, kIpv4Bytes));
+  // RFC 9293, 3.10.7.1: the sequence number of a RST that answers an ACK is
+  // that ACK's; otherwise it acknowledges all that the packet holds.
+  if ((aSegment.flags & kTcpAck) != 0) {
+    Store32(tcp, 4, aSegment.acknowledged);
+    tcp[13] = kTcpRst;
+  } else {
+    uint32_t holds = aSegment.payload +
+                     ((aSegment.flags & kTcpSyn) != 0 ? 1 : 0) +
+                     ((aSegment.flags & kTcpFin) != 0 ? 1 : 0);
+    Store32(tcp, 8, aSegment.sequence + holds);
+    tcp[13] = kTcpRst | kTcpAck;
+  }
+  tcp[12] = (kTcpBytes / 4) << 4;
+  WriteAnswerHeader(
+    answer, static_cast<uint8_t>(Protocol::Tcp), service, caller);
+  uint32_t pseudo = SumWords(std::span(answer).subspan(12, 8), 0);
+  pseudo += static_cast<uint8_t>(Protocol::Tcp) + kTcpBytes;
+  Store16(tcp, 16, Checksum(tcp, pseudo));
+  return answer;
+}
+
+std::vector<uint8_t>
+MakeUnreachable(std::span<const uint8_t> aPacket, uint8_t aCode, uint16_t aMtu)
+{
+  size_t quoted =
+    std::min(aPacket.size(), kIpv4Bytes + kIcmpQuotedBytes);
+  std::vector<uint8_t> answer(kIpv4Bytes + kIcmpBytes + quoted);
+  std::span<uint8_t> icmp = std::span(answer).subspan(kIpv4Bytes);
+  icmp[0] = kIcmpUnreachable;
+  icmp[1] = aCode;
+  Store16(icmp, 6, aMtu);
+  std::copy_n(aPacket.begin(), quoted, icmp.begin() + kIcmpBytes);
+  Store16(icmp, 2, Checksum(icmp));
+  WriteAnswerHeader(
+    answer, kProtocolIcmp, Load32(aPacket, 16), Load32(aPacket, 12));
+  return answer;
+}
+
+}
