--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,468 @@
+// gentianctl: reads and changes the shared table, and explains the fleet from
+// the platform's status objects.
+#include "platform/store.h"
+
+#include "absl/strings/str_join.h"
+
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+#include <unistd.h>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr int kExitDone = 0;
+constexpr int kExitRefused = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitUnknown = 3;
+
+constexpr std::chrono::milliseconds kForcePoll{ 50 };
+constexpr int64_t kLogLines = 50;
+
+struct Command
+{
+  std::vector<std::string> words;
+  std::string platform;
+  std::string author;
+  bool json = false;
+  int64_t waitMs = 0;
+};
+
+int
+PrintResult(const Command& aCommand,
+            int aExit,
+            std::string_view aOutcome,
+            const nlohmann::json& aFields,
+            const std::string& aText)
+{
+  if (aCommand.json) {
+    nlohmann::json out = aFields;
+    out["outcome"] = aOutcome;
+    std::cout << out.dump() << "\n";
+  } else {
+    (aExit == kExitDone ? std::cout : std::cerr) << aText << "\n";
+  }
+  return aExit;
+}
+
+int
+PrintUnknown(const Command& aCommand, const absl::Status& aStatus)
+{
+  std::string text(aStatus.message());
+  return PrintResult(
+    aCommand, kExitUnknown, "unknown", { { "reason", text } }, text);
+}
+
+int
+PrintRefused(const Command& aCommand, const std::string& aText)
+{
+  return PrintResult(aCommand,
+                     kExitRefused,
+                     "refused",
+                     { { "reason", aText } },
+                     "refused:\n" + aText);
+}
+
+bool
+ReadFile(const std::string& aPath, std::string& aText)
+{
+  std::ifstream file(aPath);
+  std::stringstream text;
+  text << file.rdbuf();
+  aText = text.str();
+  return file.good();
+}
+
+std::string
+MakeChangeId()
+{
+  std::random_device random;
+  uint64_t high = (uint64_t{ random() } << 32) | random();
+  return absl::StrCat(absl::Hex(high, absl::kZeroPad16));
+}
+
+struct Fleet
+{
+  std::vector<msg::ZoneStatus> zones;
+};
+
+// Status of the zones that aTable names. A zone without a status object is
+// left out.
+absl::StatusOr<Fleet>
+FetchFleet(HttpObjects& aApi, const Table& aTable)
+{
+  std::vector<std::string> names;
+  for (const Service& service : aTable.services) {
+    for (const ServerRow& row : service.rows) {
+      if (std::find(names.begin(), names.end(), row.zone) == names.end()) {
+        names.push_back(row.zone);
+      }
+    }
+  }
+  Fleet fleet;
+  for (const std::string& name : names) {
+    absl::StatusOr<Object> object = aApi.Get(StatusObjectName(name));
+    if (absl::IsNotFound(object.status())) {
+      continue;
+    }
+    if (!object.ok()) {
+      return object.status();
+    }
+    absl::StatusOr<msg::ZoneStatus> zone = DecodeStatus(object->body);
+    if (!zone.ok()) {
+      return zone.status();
+    }
+    fleet.zones.push_back(*std::move(zone));
+  }
+  return fleet;
+}
+
+std::vector<std::string>
+ZonesOf(const Fleet& aFleet)
+{
+  std::vector<std::string> zones;
+  for (const msg::ZoneStatus& zone : aFleet.zones) {
+    zones.push_back(zone.zone);
+  }
+  return zones;
+}
+
+struct InForce
+{
+  size_t instances = 0;
+  size_t current = 0;
+  std::vector<std::string> behind; // instance and why
+};
+
+InForce
+CountInForce(const Fleet& aFleet, int64_t aVersion)
+{
+  InForce force;
+  for (const msg::ZoneStatus& zone : aFleet.zones) {
+    for (const msg::InstanceStatus& instance : zone.instances) {
+      ++force.instances;
+      if (instance.tableVersion >= aVersion &&
+          instance.state != "unreachable") {
+        ++force.current;
+        continue;
+      }
+      force.behind.push_back(absl::StrCat(instance.instance,
+                                          " (zone ",
+                                          zone.zone,
+                                          ", ",
+                                          instance.state,
+                                          ", version ",
+                                          instance.tableVersion,
+                                          ")"));
+    }
+  }
+  return force;
+}
+
+// Waits until aVersion is in force at all instances of the zones, or names
+// those where it is not.
+int
+AwaitInForce(const Command& aCommand,
+             HttpObjects& aApi,
+             const Table& aTable,
+             int64_t aVersion)
+{
+  auto end = std::chrono::steady_clock::now() +
+             std::chrono::milliseconds(aCommand.waitMs);
+  InForce force;
+  while (std::chrono::steady_clock::now() < end) {
+    absl::StatusOr<Fleet> fleet = FetchFleet(aApi, aTable);
+    if (fleet.ok()) {
+      force = CountInForce(*fleet, aVersion);
+      if (force.instances > 0 && force.current == force.instances) {
+        break;
+      }
+    }
+    std::this_thread::sleep_for(kForcePoll);
+  }
+  std::string text = absl::StrCat("accepted: version ",
+                                  aVersion,
+                                  "\nin force on ",
+                                  force.current,
+                                  " of ",
+                                  force.instances);
+  for (const std::string& instance : force.behind) {
+    absl::StrAppend(&text, "\nnot yet: ", instance);
+  }
+  return PrintResult(aCommand,
+                     kExitDone,
+                     "accepted",
+                     { { "version", aVersion },
+                       { "in_force", force.current },
+                       { "instances", force.instances },
+                       { "behind", force.behind } },
+                     text);
+}
+
+absl::StatusOr<Table>
+FetchCurrent(HttpObjects& aApi)
+{
+  absl::StatusOr<Head> head = FetchHead(aApi);
+  if (!head.ok()) {
+    return head.status();
+  }
+  PartCache cache;
+  return FetchTable(aApi, head->head, cache);
+}
+
+int
+RunGet(const Command& aCommand, HttpObjects& aApi)
+{
+  absl::StatusOr<Table> table = FetchCurrent(aApi);
+  if (!table.ok()) {
+    return PrintUnknown(aCommand, table.status());
+  }
+  std::ofstream file(aCommand.words[2]);
+  file << FormatTable(*table);
+  file.close();
+  if (!file) {
+    return PrintRefused(aCommand, "cannot write " + aCommand.words[2]);
+  }
+  return PrintResult(aCommand,
+                     kExitDone,
+                     "done",
+                     { { "version", table->version } },
+                     absl::StrCat("version ", table->version));
+}
+
+int
+RunCheck(const Command& aCommand, HttpObjects& aApi)
+{
+  std::string csv;
+  if (!ReadFile(aCommand.words[2], csv)) {
+    return PrintRefused(aCommand, "cannot read " + aCommand.words[2]);
+  }
+  TableCheck check = ParseTable(csv);
+  absl::StatusOr<Table> now = FetchCurrent(aApi);
+  if (check.faults.empty() && now.ok()) {
+    check.faults = CheckChange(*now, check.table, {});
+  }
+  if (!check.faults.empty()) {
+    return PrintRefused(aCommand, FormatFaults(check.faults));
+  }
+  if (!now.ok()) {
+    return PrintUnknown(aCommand, now.status());
+  }
+  return PrintResult(
+    aCommand, kExitDone, "done", nlohmann::json::object(), "table is good");
+}
+
+int
+RunApply(const Command& aCommand, HttpObjects& aApi)
+{
+  std::string csv;
+  if (!ReadFile(aCommand.words[2], csv)) {
+    return PrintRefused(aCommand, "cannot read " + aCommand.words[2]);
+  }
+  TableCheck check = ParseTable(csv);
+  if (!check.faults.empty()) {
+    return PrintRefused(aCommand, FormatFaults(check.faults));
+  }
+  absl::StatusOr<Fleet> fleet = FetchFleet(aApi, check.table);
+  if (!fleet.ok()) {
+    return PrintUnknown(aCommand, fleet.status());
+  }
+  ApplyRequest request;
+  request.next = check.table;
+  request.author = aCommand.author;
+  request.changeId = MakeChangeId();
+  request.unixSeconds = std::time(nullptr);
+  request.zones = ZonesOf(*fleet);
+  ApplyResult result = ApplyTable(aApi, request, RetryOptions{});
+  switch (result.outcome) {
+    case ApplyOutcome::Accepted:
+      return AwaitInForce(aCommand, aApi, check.table, result.version);
+    case ApplyOutcome::Refused:
+      return PrintRefused(aCommand, result.text);
+    case ApplyOutcome::Unknown:
+      break;
+  }
+  return PrintResult(
+    aCommand,
+    kExitUnknown,
+    "unknown",
+    { { "reason", result.text }, { "change", request.changeId } },
+    absl::StrCat("unknown: ", result.text, "\nchange ", request.changeId,
+                 "; see 'gentianctl table log' later"));
+}
+
+int
+RunLog(const Command& aCommand, HttpObjects& aApi)
+{
+  absl::StatusOr<Head> head = FetchHead(aApi);
+  if (!head.ok()) {
+    return PrintUnknown(aCommand, head.status());
+  }
+  nlohmann::json entries = nlohmann::json::array();
+  std::vector<std::string> lines;
+  int64_t last = std::max<int64_t>(0, head->head.version - kLogLines);
+  for (int64_t version = head->head.version; version > last; --version) {
+    msg::TableHead entry = head->head;
+    if (version != head->head.version) {
+      absl::StatusOr<Object> object = aApi.Get(LogObjectName(version));
+      absl::StatusOr<msg::TableHead> logged =
+        object.ok() ? DecodeHead(object->body)
+                    : absl::StatusOr<msg::TableHead>(object.status());
+      if (!logged.ok()) {
+        lines.push_back(absl::StrCat(version, "  no log entry"));
+        continue;
+      }
+      entry = *logged;
+    }
+    lines.push_back(absl::StrCat(version, "  ", entry.unixSeconds, "  ",
+                                 entry.author, "  ", entry.changeId, "  ",
+                                 entry.summary));
+    entries.push_back({ { "version", version },
+                        { "unix_seconds", entry.unixSeconds },
+                        { "author", entry.author },
+                        { "change", entry.changeId },
+                        { "summary", entry.summary } });
+  }
+  return PrintResult(aCommand,
+                     kExitDone,
+                     "done",
+                     { { "entries", entries } },
+                     absl::StrJoin(lines, "\n"));
+}
+
+int
+RunStatus(const Command& aCommand, HttpObjects& aApi)
+{
+  absl::StatusOr<Table> table = FetchCurrent(aApi);
+  if (!table.ok()) {
+    return PrintUnknown(aCommand, table.status());
+  }
+  absl::StatusOr<Fleet> fleet = FetchFleet(aApi, *table);
+  if (!fleet.ok()) {
+    return PrintUnknown(aCommand, fleet.status());
+  }
+  InForce force = CountInForce(*fleet, table->version);
+  std::string text = absl::StrCat("table version ",
+                                  table->version,
+                                  ", in force on ",
+                                  force.current,
+                                  " of ",
+                                  force.instances);
+  nlohmann::json instances = nlohmann::json::array();
+  for (const msg::ZoneStatus& zone : fleet->zones) {
+    for (const msg::InstanceStatus& instance : zone.instances) {
+      absl::StrAppend(&text, "\n", zone.zone, "  ", instance.instance, "  ",
+                      instance.state, "  version ", instance.tableVersion);
+      instances.push_back({ { "zone", zone.zone },
+                            { "instance", instance.instance },
+                            { "state", instance.state },
+                            { "version", instance.tableVersion } });
+    }
+  }
+  return PrintResult(aCommand,
+                     kExitDone,
+                     "done",
+                     { { "version", table->version },
+                       { "in_force", force.current },
+                       { "instances", instances } },
+                     text);
+}
+
+int
+Run(const Command& aCommand)
+{
+  absl::StatusOr<HttpObjects> api = HttpObjects::Make({ aCommand.platform });
+  if (!api.ok()) {
+    return PrintUnknown(aCommand, api.status());
+  }
+  const std::vector<std::string>& words = aCommand.words;
+  std::string verb = words.size() > 1 ? words[1] : "";
+  if (words[0] == "table" && words.size() == 3) {
+    if (verb == "get") {
+      return RunGet(aCommand, *api);
+    }
+    if (verb == "check") {
+      return RunCheck(aCommand, *api);
+    }
+    if (verb == "apply") {
+      return RunApply(aCommand, *api);
+    }
+  }
+  if (words[0] == "table" && verb == "log" && words.size() == 2) {
+    return RunLog(aCommand, *api);
+  }
+  if (words[0] == "status" && words.size() == 1) {
+    return RunStatus(aCommand, *api);
+  }
+  std::cerr << "not a command: " << absl::StrJoin(words, " ") << "\n";
+  return kExitUsage;
+}
+
+int
+Main(int aCount, char** aWords)
+{
+  cxxopts::Options options(
+    "gentianctl", "Reads and changes the shared table, and shows the fleet.");
+  options.custom_help("[OPTION...]");
+  options.positional_help(
+    "table get FILE | table check FILE | table apply FILE | table log | "
+    "status");
+  options.add_options()("platform",
+                        "URL of the platform's object API",
+                        cxxopts::value<std::string>()->default_value(
+                          "http://127.0.0.1:8080"))(
+    "author",
+    "who changes the table",
+    cxxopts::value<std::string>()->default_value(
+      getlogin() == nullptr ? "unknown" : getlogin()))(
+    "output",
+    "text or json",
+    cxxopts::value<std::string>()->default_value("text"))(
+    "wait-ms",
+    "how long apply waits until the table is in force everywhere",
+    cxxopts::value<int64_t>()->default_value("10000"))(
+    "words", "command", cxxopts::value<std::vector<std::string>>())(
+    "version", "print the version")("help", "print this help");
+  options.parse_positional({ "words" });
+  Command command;
+  try {
+    cxxopts::ParseResult parsed = options.parse(aCount, aWords);
+    if (parsed.count("help") != 0) {
+      std::cout << options.help();
+      return kExitDone;
+    }
+    if (parsed.count("version") != 0) {
+      std::cout << "gentianctl " << GENTIANSPINDLE_VERSION << "\n";
+      return kExitDone;
+    }
+    std::string output = parsed["output"].as<std::string>();
+    if (parsed.count("words") == 0 || (output != "text" && output != "json")) {
+      std::cerr << options.help();
+      return kExitUsage;
+    }
+    command.words = parsed["words"].as<std::vector<std::string>>();
+    command.platform = parsed["platform"].as<std::string>();
+    command.author = parsed["author"].as<std::string>();
+    command.json = output == "json";
+    command.waitMs = parsed["wait-ms"].as<int64_t>();
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n" << options.help();
+    return kExitUsage;
+  }
+  return Run(command);
+}
+
+}
+
+}
+
+int
+main(int aCount, char** aWords)
+{
+  return gentianspindle::Main(aCount, aWords);
+}
--- /dev/null
+++ b/src/daemon/control.cpp
@@ -0,0 +1,165 @@
+#include "daemon/control.h"
+
+#include "daemon/log.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <chrono>
+#include <thread>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickPeriod{ 2 };
+
+void
+SendProbes(Node& aNode,
+           Sender& aSender,
+           const std::vector<OutgoingProbe>& aProbes)
+{
+  for (const OutgoingProbe& probe : aProbes) {
+    std::string datagram;
+    {
+      absl::MutexLock lock(&aNode.control);
+      datagram = aNode.sealer.Seal(EncodeProbe(probe.probe));
+    }
+    aSender.SendControl(probe.peer, std::move(datagram));
+  }
+}
+
+std::string_view
+StatusName(MemberStatus aStatus)
+{
+  constexpr std::array<std::string_view, 4> kNames{
+    "alive", "suspect", "leaving", "dead"
+  };
+  return kNames[static_cast<size_t>(aStatus)];
+}
+
+void
+LogMembers(Node& aNode)
+{
+  std::string line = "Members are now:";
+  absl::MutexLock lock(&aNode.control);
+  for (const MemberNews& member : aNode.members.All()) {
+    absl::StrAppend(&line,
+                    " ",
+                    FormatInstance(member.instance),
+                    "=",
+                    std::string(StatusName(member.status)));
+  }
+  LogInfo(kLogMembers, line + ".");
+}
+
+// Applies what membership learned, where that bears on ownership.
+void
+ApplyChanges(Node& aNode, uint64_t aBefore)
+{
+  uint64_t after = 0;
+  bool superseded = false;
+  {
+    absl::MutexLock lock(&aNode.control);
+    after = aNode.members.Changes();
+    superseded = aNode.members.TakeSuperseded();
+  }
+  Micros now = MonotonicNow();
+  if (superseded) {
+    LogWarn(kLogMembers, "Peers took this instance for dead; it is cold now.");
+    aNode.LoseTrust(now);
+  }
+  if (after != aBefore) {
+    aNode.ApplyMembers(now);
+    LogMembers(aNode);
+  }
+}
+
+void
+TickEngines(Node& aNode, Sender& aSender, Micros aNow)
+{
+  Outbox out;
+  for (const auto& [key, slot] : aNode.Current()->services) {
+    out.clear();
+    int64_t version = 0;
+    {
+      absl::MutexLock lock(&slot->mutex);
+      slot->engine.OnTick(aNow, out);
+      version = slot->engine.Version();
+    }
+    aSender.CarryOut({ out.data(), out.size() }, {}, key, version);
+  }
+  aSender.Flush();
+}
+
+void
+TickMembers(Node& aNode, Sender& aSender, Micros aNow)
+{
+  std::vector<OutgoingProbe> probes;
+  uint64_t before = 0;
+  {
+    absl::MutexLock lock(&aNode.control);
+    before = aNode.members.Changes();
+    aNode.members.OnTick(aNow, probes);
+  }
+  SendProbes(aNode, aSender, probes);
+  ApplyChanges(aNode, before);
+  aSender.Flush();
+}
+
+}
+
+void
+HandleControl(Node& aNode,
+              Sender& aSender,
+              ThreadCounts& aCounts,
+              std::span<const uint8_t> aDatagram)
+{
+  std::vector<OutgoingProbe> probes;
+  uint64_t before = 0;
+  {
+    absl::MutexLock lock(&aNode.control);
+    absl::StatusOr<Sealer::Opened> opened = aNode.sealer.Open(
+      { reinterpret_cast<const char*>(aDatagram.data()), aDatagram.size() });
+    absl::StatusOr<Probe> probe =
+      opened.ok() ? DecodeProbe(opened->body) : opened.status();
+    if (!probe.ok()) {
+      aCounts.Add(Reason::BadPeerMessage);
+      return;
+    }
+    before = aNode.members.Changes();
+    aNode.members.OnProbe(opened->sender, *probe, MonotonicNow(), probes);
+  }
+  SendProbes(aNode, aSender, probes);
+  ApplyChanges(aNode, before);
+}
+
+void
+SpreadNews(Node& aNode, Sender& aSender)
+{
+  std::vector<OutgoingProbe> probes;
+  {
+    absl::MutexLock lock(&aNode.control);
+    aNode.members.Spread(probes);
+  }
+  SendProbes(aNode, aSender, probes);
+  aSender.Flush();
+}
+
+void
+RunTicks(Node& aNode,
+         const Sockets& aSockets,
+         ThreadCounts& aCounts,
+         const std::atomic<bool>& aStop)
+{
+  Sender sender(aNode, aSockets, aCounts);
+  while (!aStop) {
+    Micros now = MonotonicNow();
+    aNode.CheckPause(now);
+    aNode.NoteTick(now);
+    TickEngines(aNode, sender, now);
+    TickMembers(aNode, sender, now);
+    std::this_thread::sleep_for(kTickPeriod);
+  }
+}
+
+}
--- /dev/null
+++ b/src/daemon/control.h
@@ -0,0 +1,29 @@
+// Membership messages and the timers of all engines.
+#pragma once
+
+#include "daemon/sender.h"
+
+#include <atomic>
+#include <span>
+
+namespace gentianspindle {
+
+// Takes one sealed datagram of a peer.
+void
+HandleControl(Node& aNode,
+              Sender& aSender,
+              ThreadCounts& aCounts,
+              std::span<const uint8_t> aDatagram);
+
+// Ticks engines and membership until aStop is set.
+void
+RunTicks(Node& aNode,
+         const Sockets& aSockets,
+         ThreadCounts& aCounts,
+         const std::atomic<bool>& aStop);
+
+// Tells the peers at once what is new, for example a table version.
+void
+SpreadNews(Node& aNode, Sender& aSender);
+
+}
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,181 @@
+// gentianspindled: one instance of the load balancer.
+#include "daemon/control.h"
+#include "daemon/log.h"
+#include "daemon/metrics.h"
+#include "daemon/settings.h"
+#include "daemon/watcher.h"
+#include "daemon/worker.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <thread>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr int kExitUsage = 2;
+constexpr int kExitFailed = 1;
+// A planned stop ends when the fabric sent nothing for this time, or at the
+// latest after the longest time.
+constexpr Micros kQuietStop = 2 * kSecond;
+constexpr Micros kLongestStop = 30 * kSecond;
+constexpr std::chrono::milliseconds kStopCheck{ 100 };
+
+uint64_t
+FabricPackets(const Node& aNode)
+{
+  uint64_t sum = 0;
+  for (const auto& counts : aNode.counts) {
+    sum += counts->packets[static_cast<size_t>(Path::FabricIn)].load();
+  }
+  return sum;
+}
+
+// Gives the servers of this instance away and goes on relaying until the
+// fabric has stopped handing it packets. A second signal ends at once.
+void
+StopAsPlanned(Node& aNode, Sender& aSender, const sigset_t& aSignals)
+{
+  LogInfo(kLogMain, "A planned stop begins.");
+  {
+    absl::MutexLock lock(&aNode.control);
+    aNode.members.Leave();
+  }
+  aNode.ApplyMembers(MonotonicNow());
+  SpreadNews(aNode, aSender);
+  Micros start = MonotonicNow();
+  Micros lastPacket = start;
+  uint64_t packets = FabricPackets(aNode);
+  while (MonotonicNow() - start < kLongestStop &&
+         MonotonicNow() - lastPacket < kQuietStop) {
+    timespec wait{ 0,
+                   std::chrono::nanoseconds(kStopCheck).count() };
+    if (sigtimedwait(&aSignals, nullptr, &wait) > 0) {
+      LogWarn(kLogMain, "A second signal ends the stop at once.");
+      return;
+    }
+    uint64_t seen = FabricPackets(aNode);
+    lastPacket = seen != packets ? MonotonicNow() : lastPacket;
+    packets = seen;
+  }
+  LogInfo(kLogMain, "The planned stop is done.");
+}
+
+absl::Status
+RunDaemon(const Settings& aSettings)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+  std::unique_ptr<Node> node = Node::Make(aSettings);
+  std::vector<Sockets> sockets;
+  for (int64_t i = 0; i < aSettings.instance.workers; ++i) {
+    absl::StatusOr<Sockets> opened = OpenSockets(aSettings);
+    if (!opened.ok()) {
+      return opened.status();
+    }
+    sockets.push_back(*opened);
+  }
+  ThreadCounts& control = node->NewCounts();
+  std::vector<ThreadCounts*> counts;
+  for (size_t i = 0; i < sockets.size(); ++i) {
+    counts.push_back(&node->NewCounts());
+  }
+  absl::StatusOr<std::unique_ptr<Metrics>> metrics = Metrics::Make(*node);
+  if (!metrics.ok()) {
+    return metrics.status();
+  }
+  std::atomic<bool> stop = false;
+  std::vector<std::thread> threads;
+  for (size_t i = 0; i < sockets.size(); ++i) {
+    threads.emplace_back([&, i] {
+      Worker(*node, sockets[i], *counts[i]).Run(stop);
+    });
+  }
+  threads.emplace_back(
+    [&] { RunTicks(*node, sockets[0], control, stop); });
+  absl::StatusOr<std::unique_ptr<Watcher>> watcher =
+    Watcher::Make(*node, sockets[0], control);
+  if (watcher.ok()) {
+    LogInfo(kLogMain,
+            absl::StrCat("Instance ", FormatInstance(node->Self()),
+                         " serves zone ", aSettings.instance.zone, "."));
+    int signal = 0;
+    sigwait(&signals, &signal);
+    Sender sender(*node, sockets[0], control);
+    StopAsPlanned(*node, sender, signals);
+    watcher->reset();
+  }
+  stop = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  for (Sockets& pair : sockets) {
+    CloseSockets(pair);
+  }
+  return watcher.status();
+}
+
+int
+Main(int aCount, char** aWords)
+{
+  cxxopts::Options options("gentianspindled",
+                           "One instance of the layer-4 load balancer.");
+  options.add_options()(
+    "settings", "settings file (TOML)", cxxopts::value<std::string>())(
+    "check", "check the settings and end")("version", "print the version")(
+    "help", "print this help");
+  cxxopts::ParseResult words;
+  try {
+    words = options.parse(aCount, aWords);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n" << options.help();
+    return kExitUsage;
+  }
+  if (words.count("help") != 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  if (words.count("version") != 0) {
+    std::cout << "gentianspindled " << GENTIANSPINDLE_VERSION << "\n";
+    return 0;
+  }
+  if (words.count("settings") == 0) {
+    std::cerr << "--settings FILE is missing\n" << options.help();
+    return kExitUsage;
+  }
+  absl::StatusOr<Settings> settings =
+    LoadSettings(words["settings"].as<std::string>());
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << "\n";
+    return kExitFailed;
+  }
+  if (words.count("check") != 0) {
+    std::cout << "settings are good\n";
+    return 0;
+  }
+  StartLog(settings->log.level);
+  absl::Status status = RunDaemon(*settings);
+  if (!status.ok()) {
+    LogError(kLogMain, std::string(status.message()));
+    return kExitFailed;
+  }
+  return 0;
+}
+
+}
+
+}
+
+int
+main(int aCount, char** aWords)
+{
+  return gentianspindle::Main(aCount, aWords);
+}
--- /dev/null
+++ b/src/daemon/watcher.cpp
@@ -0,0 +1,239 @@
+#include "daemon/watcher.h"
+
+#include "daemon/control.h"
+#include "daemon/log.h"
+#include "platform/store.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <random>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr std::chrono::milliseconds kFirstPause{ 100 };
+constexpr std::chrono::milliseconds kLongestPause{ 1000 };
+constexpr int32_t kMaxDoublings = 4;
+constexpr std::chrono::milliseconds kStatusPeriod{ 200 };
+
+std::string_view
+StateName(MemberStatus aStatus)
+{
+  switch (aStatus) {
+    case MemberStatus::Alive:
+      return "live";
+    case MemberStatus::Suspect:
+      return "suspect";
+    case MemberStatus::Leaving:
+      return "leaving";
+    case MemberStatus::Dead:
+      return "unreachable";
+  }
+  return "unknown";
+}
+
+// The status of the zone; empty where another instance is to write it.
+absl::StatusOr<msg::ZoneStatus>
+CollectStatus(Node& aNode)
+{
+  const std::string& zone = aNode.GetSettings().instance.zone;
+  std::vector<MemberNews> all;
+  {
+    absl::MutexLock lock(&aNode.control);
+    all = aNode.members.All();
+  }
+  std::sort(all.begin(),
+            all.end(),
+            [](const MemberNews& aLeft, const MemberNews& aRight) {
+              return aLeft.instance < aRight.instance;
+            });
+  msg::ZoneStatus status;
+  status.zone = zone;
+  for (const MemberNews& member : all) {
+    if (member.zone != zone) {
+      continue;
+    }
+    bool live = member.status != MemberStatus::Dead;
+    if (live && status.writer.empty()) {
+      status.writer = FormatInstance(member.instance);
+    }
+    msg::InstanceStatus& instance = status.instances.emplace_back();
+    instance.instance = FormatInstance(member.instance);
+    instance.zone = zone;
+    instance.state = std::string(StateName(member.status));
+    instance.tableVersion = member.tableVersion;
+  }
+  if (status.writer != FormatInstance(aNode.Self())) {
+    return absl::NotFoundError("another instance writes the status");
+  }
+  return status;
+}
+
+}
+
+absl::StatusOr<std::unique_ptr<Watcher>>
+Watcher::Make(Node& aNode, const Sockets& aSockets, ThreadCounts& aCounts)
+{
+  const PlatformSettings& platform = aNode.GetSettings().platform;
+  HttpOptions options{ platform.url, platform.timeoutMs, platform.watchMs };
+  absl::StatusOr<HttpObjects> watch = HttpObjects::Make(options);
+  absl::StatusOr<HttpObjects> status = HttpObjects::Make(options);
+  if (!watch.ok() || !status.ok()) {
+    return watch.ok() ? status.status() : watch.status();
+  }
+  std::unique_ptr<Watcher> watcher(
+    new Watcher(aNode, aSockets, aCounts, *watch, *status));
+  watcher->watchThread = std::thread([w = watcher.get()] { w->RunWatch(); });
+  watcher->statusThread =
+    std::thread([w = watcher.get()] { w->RunStatus(); });
+  return watcher;
+}
+
+Watcher::Watcher(Node& aNode,
+                 const Sockets& aSockets,
+                 ThreadCounts& aCounts,
+                 HttpObjects aWatch,
+                 HttpObjects aStatus)
+  : node(aNode)
+  , sender(aNode, aSockets, aCounts)
+  , watch(std::move(aWatch))
+  , status(std::move(aStatus))
+{
+}
+
+Watcher::~Watcher()
+{
+  this->stop = true;
+  this->watch.Cancel();
+  this->status.Cancel();
+  this->watchThread.join();
+  this->statusThread.join();
+}
+
+void
+Watcher::Pause(int32_t aFailures)
+{
+  thread_local std::mt19937_64 random{ std::random_device{}() };
+  auto longest =
+    std::min(kLongestPause, kFirstPause * (1 << std::min(aFailures, kMaxDoublings)));
+  std::uniform_int_distribution<int64_t> pick(longest.count() / 2,
+                                              longest.count());
+  auto until =
+    std::chrono::steady_clock::now() + std::chrono::milliseconds(pick(random));
+  while (!this->stop && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+}
+
+void
+Watcher::RunWatch()
+{
+  int64_t objectVersion = -1;
+  int32_t failures = 0;
+  while (!this->stop) {
+    failures = this->WatchOnce(objectVersion) ? 0 : failures + 1;
+    if (failures > 0 && !this->stop) {
+      this->node.CountRetry(RetryReason::WatchFailed);
+      if (failures == 1) {
+        LogWarn(kLogTable, "The platform does not answer; the table stays.");
+      }
+      this->Pause(failures);
+    }
+  }
+}
+
+// Waits for one change of the head and puts the table in force. The parts are
+// fetched first, so a part that cannot be had leaves the former table whole.
+bool
+Watcher::WatchOnce(int64_t& aObjectVersion)
+{
+  absl::StatusOr<Object> object =
+    aObjectVersion < 0 ? this->watch.Get(kHeadName)
+                       : this->watch.Watch(kHeadName, aObjectVersion);
+  if (absl::IsNotFound(object.status())) {
+    this->node.NoteNoTable();
+    aObjectVersion = kNoObject;
+    return true;
+  }
+  if (absl::IsDeadlineExceeded(object.status())) {
+    return aObjectVersion >= 0;
+  }
+  if (!object.ok()) {
+    return false;
+  }
+  absl::StatusOr<msg::TableHead> head = DecodeHead(object->body);
+  if (!head.ok()) {
+    LogError(kLogTable, std::string(head.status().message()));
+    return false;
+  }
+  if (head->version > this->node.TableVersion()) {
+    PartCache cache;
+    absl::StatusOr<Table> table = FetchTable(this->watch, *head, cache);
+    if (!table.ok()) {
+      this->node.CountRetry(RetryReason::FetchFailed);
+      LogWarn(kLogTable, std::string(table.status().message()));
+      return false;
+    }
+    if (this->node.PutInForce(*table, MonotonicNow())) {
+      LogInfo(kLogTable,
+              absl::StrCat("Version ", table->version, " is in force."));
+      {
+        absl::MutexLock lock(&this->node.control);
+        this->node.members.SetTableVersion(table->version);
+      }
+      SpreadNews(this->node, this->sender);
+    }
+  }
+  aObjectVersion = object->version;
+  return true;
+}
+
+void
+Watcher::RunStatus()
+{
+  std::string written;
+  int32_t failures = 0;
+  while (!this->stop) {
+    std::this_thread::sleep_for(kStatusPeriod);
+    failures = this->WriteStatus(written) ? 0 : failures + 1;
+    if (failures > 0 && !this->stop) {
+      this->Pause(failures);
+    }
+  }
+}
+
+// Writes the zone's status where it changed. The version is read just before
+// the write, so that a writer that was paused cannot overwrite a later one.
+bool
+Watcher::WriteStatus(std::string& aWritten)
+{
+  absl::StatusOr<msg::ZoneStatus> status = CollectStatus(this->node);
+  if (!status.ok()) {
+    aWritten.clear();
+    return true;
+  }
+  std::string body = EncodeStatus(*status);
+  if (body == aWritten) {
+    return true;
+  }
+  std::string name = StatusObjectName(status->zone);
+  absl::StatusOr<Object> present = this->status.Get(name);
+  if (!present.ok() && !absl::IsNotFound(present.status())) {
+    this->node.CountRetry(RetryReason::StatusWriteFailed);
+    return false;
+  }
+  int64_t version = present.ok() ? present->version : kNoObject;
+  absl::StatusOr<int64_t> put = this->status.Put(name, version, body);
+  if (!put.ok()) {
+    this->node.CountRetry(absl::IsAborted(put.status())
+                            ? RetryReason::StatusWriteLost
+                            : RetryReason::StatusWriteFailed);
+    return false;
+  }
+  aWritten = body;
+  return true;
+}
+
+}
--- /dev/null
+++ b/src/daemon/worker.cpp
@@ -0,0 +1,248 @@
+#include "daemon/worker.h"
+
+#include "daemon/control.h"
+
+#include <algorithm>
+#include <poll.h>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr int kPollMs = 50;
+// Room for outer headers and the relay header beyond the path MTU.
+constexpr size_t kSpareBytes = 160;
+// Outer IPv4, UDP and relay header between instances.
+constexpr uint16_t kRelayBytes = 92;
+constexpr uint16_t kTcpIpBytes = 40;
+
+}
+
+Worker::Worker(Node& aNode, const Sockets& aSockets, ThreadCounts& aCounts)
+  : node(aNode)
+  , sockets(aSockets)
+  , counts(aCounts)
+  , sender(aNode, aSockets, aCounts)
+{
+  const FabricSettings& fabric = aNode.GetSettings().fabric;
+  for (const std::string& text : fabric.sources) {
+    ParseAddress(text, this->fabricSources.emplace_back());
+  }
+  this->maxPacket = static_cast<uint16_t>(fabric.pathMtu - kTunnelBytes);
+  this->maxSegment =
+    static_cast<uint16_t>(fabric.pathMtu - kRelayBytes - kTcpIpBytes);
+  this->batch.bufferBytes = static_cast<size_t>(fabric.pathMtu) + kSpareBytes;
+  this->batch.bytes.resize(this->batch.bufferBytes * kBatch);
+  for (size_t i = 0; i < kBatch; ++i) {
+    this->batch.parts[i] = { this->batch.bytes.data() +
+                               i * this->batch.bufferBytes,
+                             this->batch.bufferBytes };
+  }
+}
+
+void
+Worker::Run(const std::atomic<bool>& aStop)
+{
+  std::array<pollfd, 2> waits{ { { this->sockets.fabric, POLLIN, 0 },
+                                 { this->sockets.peer, POLLIN, 0 } } };
+  while (!aStop) {
+    if (poll(waits.data(), waits.size(), kPollMs) <= 0) {
+      continue;
+    }
+    this->now = MonotonicNow();
+    this->node.CheckPause(this->now);
+    this->snapshot = this->node.Current();
+    if ((waits[0].revents & POLLIN) != 0) {
+      size_t count = this->Receive(this->sockets.fabric);
+      for (size_t i = 0; i < count; ++i) {
+        this->OnFabric(this->Datagram(i), this->Source(i));
+      }
+      this->sender.Flush();
+    }
+    if ((waits[1].revents & POLLIN) != 0) {
+      size_t count = this->Receive(this->sockets.peer);
+      for (size_t i = 0; i < count; ++i) {
+        this->OnPeer(this->Datagram(i), this->Source(i));
+      }
+      this->sender.Flush();
+    }
+  }
+}
+
+size_t
+Worker::Receive(int aSocket)
+{
+  for (size_t i = 0; i < kBatch; ++i) {
+    msghdr& header = this->batch.messages[i].msg_hdr;
+    header = {};
+    header.msg_name = &this->batch.sources[i];
+    header.msg_namelen = sizeof(sockaddr_in);
+    header.msg_iov = &this->batch.parts[i];
+    header.msg_iovlen = 1;
+  }
+  int count = recvmmsg(
+    aSocket, this->batch.messages.data(), kBatch, MSG_DONTWAIT, nullptr);
+  return count < 0 ? 0 : static_cast<size_t>(count);
+}
+
+std::span<uint8_t>
+Worker::Datagram(size_t aPlace)
+{
+  auto* bytes = static_cast<uint8_t*>(this->batch.parts[aPlace].iov_base);
+  return { bytes, this->batch.messages[aPlace].msg_len };
+}
+
+InstanceId
+Worker::Source(size_t aPlace) const
+{
+  const sockaddr_in& source = this->batch.sources[aPlace];
+  return MakeInstanceId(ntohl(source.sin_addr.s_addr),
+                        ntohs(source.sin_port));
+}
+
+void
+Worker::OnFabric(std::span<uint8_t> aDatagram, InstanceId aSource)
+{
+  this->counts.Add(Path::FabricIn, aDatagram.size());
+  bool known = std::find(this->fabricSources.begin(),
+                         this->fabricSources.end(),
+                         InstanceAddress(aSource)) !=
+               this->fabricSources.end();
+  if (!known) {
+    this->counts.Add(Reason::UnknownSource);
+    return;
+  }
+  std::span<const uint8_t> inner;
+  Segment segment;
+  Reason bad = ParseGeneve(aDatagram, inner);
+  if (bad == Reason::None) {
+    bad = ParseSegment(inner, segment);
+  }
+  if (bad != Reason::None) {
+    this->counts.Add(bad);
+    return;
+  }
+  if (this->IsTooLarge(inner, segment)) {
+    return;
+  }
+  if (segment.Opens()) {
+    ClampMss(aDatagram.subspan(kGeneveBytes), this->maxSegment);
+  }
+  Arrival arrival{ .now = this->now,
+                   .segment = &segment,
+                   .packet = inner.first(segment.length) };
+  this->Decide(arrival);
+}
+
+bool
+Worker::IsTooLarge(std::span<const uint8_t> aPacket, const Segment& aSegment)
+{
+  if (aSegment.length <= this->maxPacket) {
+    return false;
+  }
+  this->counts.Add(Reason::TooLarge);
+  if (aSegment.dontFragment) {
+    this->sender.SendToCaller(MakeUnreachable(
+      aPacket, kIcmpFragmentationNeeded, this->maxPacket));
+  }
+  return true;
+}
+
+void
+Worker::OnPeer(std::span<uint8_t> aDatagram, InstanceId aSource)
+{
+  if (aDatagram.empty()) {
+    this->counts.Add(Reason::BadPeerMessage);
+    return;
+  }
+  auto kind = static_cast<DatagramKind>(aDatagram[0]);
+  if (kind == DatagramKind::Control) {
+    this->counts.Add(Path::ControlIn, aDatagram.size());
+    HandleControl(this->node, this->sender, this->counts, aDatagram);
+    return;
+  }
+  if (!this->snapshot->peers.contains(aSource)) {
+    this->counts.Add(Reason::UnknownSource);
+    return;
+  }
+  if (kind == DatagramKind::Relay) {
+    this->OnRelay(aDatagram);
+  } else if (kind == DatagramKind::Note) {
+    this->OnNote(aDatagram, aSource);
+  } else {
+    this->counts.Add(Reason::BadPeerMessage);
+  }
+}
+
+void
+Worker::OnRelay(std::span<uint8_t> aDatagram)
+{
+  this->counts.Add(Path::PeerIn, aDatagram.size());
+  RelayedPacket relayed;
+  Segment segment;
+  if (!DecodeRelay(aDatagram, relayed) ||
+      ParseSegment(relayed.packet, segment) != Reason::None) {
+    this->counts.Add(Reason::BadPeerMessage);
+    return;
+  }
+  Arrival arrival{ .now = this->now,
+                   .segment = &segment,
+                   .packet = relayed.packet,
+                   .relayed = true,
+                   .version = relayed.version,
+                   .walk = relayed.walk };
+  this->Decide(arrival);
+}
+
+void
+Worker::OnNote(std::span<uint8_t> aDatagram, InstanceId aSource)
+{
+  this->counts.Add(Path::NotesIn, aDatagram.size());
+  Note note;
+  ServiceKey key;
+  if (!DecodeNote(aDatagram, note, key)) {
+    this->counts.Add(Reason::BadPeerMessage);
+    return;
+  }
+  note.from = aSource;
+  auto service = this->snapshot->services.find(key);
+  if (service == this->snapshot->services.end()) {
+    this->counts.Add(Reason::UnknownService);
+    return;
+  }
+  this->out.clear();
+  int64_t version = 0;
+  {
+    absl::MutexLock lock(&service->second->mutex);
+    service->second->engine.OnNote(note, this->now, this->out);
+    version = service->second->engine.Version();
+  }
+  this->sender.CarryOut(
+    { this->out.data(), this->out.size() }, {}, key, version);
+}
+
+void
+Worker::Decide(Arrival& aArrival)
+{
+  const ServiceKey& key = aArrival.segment->service;
+  auto service = this->snapshot->services.find(key);
+  if (service == this->snapshot->services.end()) {
+    this->counts.Add(this->snapshot->tableVersion == 0
+                       ? Reason::NoTable
+                       : Reason::UnknownService);
+    return;
+  }
+  this->out.clear();
+  int64_t version = 0;
+  {
+    absl::MutexLock lock(&service->second->mutex);
+    service->second->engine.OnPacket(aArrival, this->out);
+    version = service->second->engine.Version();
+  }
+  this->sender.CarryOut({ this->out.data(), this->out.size() },
+                        aArrival.packet,
+                        key,
+                        version);
+}
+
+}
--- /dev/null
+++ b/src/platform/objects.cpp
@@ -0,0 +1,250 @@
+#include "platform/objects.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
+
+#include <curl/curl.h>
+#include <mutex>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr int64_t kConnectTimeoutMs = 500;
+// A watch may take this much longer than it asks the platform to wait.
+constexpr int64_t kWatchSlackMs = 2000;
+
+absl::string_view
+ToAbsl(std::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+size_t
+OnBody(char* aData, size_t aSize, size_t aCount, void* aBody)
+{
+  static_cast<std::string*>(aBody)->append(aData, aSize * aCount);
+  return aSize * aCount;
+}
+
+size_t
+OnHeader(char* aData, size_t aSize, size_t aCount, void* aVersion)
+{
+  absl::string_view line(aData, aSize * aCount);
+  size_t colon = line.find(':');
+  if (colon != absl::string_view::npos &&
+      absl::EqualsIgnoreCase(line.substr(0, colon), "etag")) {
+    absl::string_view tag = absl::StripAsciiWhitespace(line.substr(colon + 1));
+    absl::ConsumePrefix(&tag, "\"");
+    absl::ConsumeSuffix(&tag, "\"");
+    if (!absl::SimpleAtoi(tag, static_cast<int64_t*>(aVersion))) {
+      return 0;
+    }
+  }
+  return aSize * aCount;
+}
+
+int
+OnProgress(void* aCancelled,
+           curl_off_t /*aTotal*/,
+           curl_off_t /*aNow*/,
+           curl_off_t /*aUpTotal*/,
+           curl_off_t /*aUpNow*/)
+{
+  return static_cast<std::atomic<bool>*>(aCancelled)->load() ? 1 : 0;
+}
+
+}
+
+struct HttpObjects::Handle
+{
+  CURL* curl = nullptr;
+  std::atomic<bool> cancelled = false;
+
+  Handle() = default;
+  Handle(const Handle&) = delete;
+  Handle& operator=(const Handle&) = delete;
+  ~Handle() { curl_easy_cleanup(this->curl); }
+};
+
+HttpObjects::HttpObjects(const HttpOptions& aOptions)
+  : options(aOptions)
+  , handle(std::make_shared<Handle>())
+{
+}
+
+absl::StatusOr<HttpObjects>
+HttpObjects::Make(const HttpOptions& aOptions)
+{
+  static std::once_flag once;
+  std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+  HttpObjects objects(aOptions);
+  objects.handle->curl = curl_easy_init();
+  if (objects.handle->curl == nullptr) {
+    return absl::InternalError("start HTTP client: no handle");
+  }
+  return objects;
+}
+
+void
+HttpObjects::Cancel()
+{
+  this->handle->cancelled = true;
+}
+
+std::string
+HttpObjects::UrlOf(std::string_view aName) const
+{
+  return absl::StrCat(this->options.url, "/v1/objects/", ToAbsl(aName));
+}
+
+absl::StatusOr<HttpObjects::Answer>
+HttpObjects::Perform(const Call& aCall)
+{
+  CURL* curl = this->handle->curl;
+  curl_easy_reset(curl);
+  Answer answer;
+  curl_slist* headers = nullptr;
+  if (!aCall.condition.empty()) {
+    headers = curl_slist_append(headers, aCall.condition.c_str());
+  }
+  if (aCall.body != nullptr) {
+    headers = curl_slist_append(headers, "Expect:");
+    curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, "PUT");
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, aCall.body->data());
+    curl_easy_setopt(curl,
+                     CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(aCall.body->size()));
+  }
+  curl_easy_setopt(curl, CURLOPT_URL, aCall.url.c_str());
+  curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+  curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, aCall.timeoutMs);
+  curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(curl, CURLOPT_WRITEDATA, &answer.body);
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &answer.version);
+  curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, OnProgress);
+  curl_easy_setopt(curl, CURLOPT_XFERINFODATA, &this->handle->cancelled);
+  CURLcode code = curl_easy_perform(curl);
+  curl_slist_free_all(headers);
+  std::string where =
+    absl::StrCat(ToAbsl(aCall.step), " at ", this->options.url, ": ");
+  if (code == CURLE_ABORTED_BY_CALLBACK) {
+    return absl::CancelledError(absl::StrCat(where, "cancelled"));
+  }
+  if (code == CURLE_OPERATION_TIMEDOUT) {
+    return absl::DeadlineExceededError(absl::StrCat(where, "no answer"));
+  }
+  if (code != CURLE_OK) {
+    return absl::UnavailableError(
+      absl::StrCat(where, curl_easy_strerror(code)));
+  }
+  long status = 0;
+  curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+  answer.status = status;
+  return answer;
+}
+
+absl::Status
+HttpObjects::StatusOf(std::string_view aStep, const Answer& aAnswer) const
+{
+  std::string text = absl::StrCat(
+    ToAbsl(aStep), " at ", this->options.url, ": HTTP ", aAnswer.status);
+  switch (aAnswer.status) {
+    case 200:
+    case 201:
+      return absl::OkStatus();
+    case 304:
+      return absl::DeadlineExceededError(text);
+    case 404:
+      return absl::NotFoundError(text);
+    case 412:
+      return absl::AbortedError(text);
+    default:
+      return aAnswer.status >= 500 || aAnswer.status == 429
+               ? absl::UnavailableError(text)
+               : absl::InvalidArgumentError(text);
+  }
+}
+
+absl::StatusOr<Object>
+HttpObjects::Get(std::string_view aName)
+{
+  absl::StatusOr<Answer> answer =
+    this->Perform({ .step = "get object",
+                    .url = this->UrlOf(aName),
+                    .timeoutMs = this->options.timeoutMs });
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  if (absl::Status status = this->StatusOf("get object", *answer);
+      !status.ok()) {
+    return status;
+  }
+  return Object{ answer->version, std::move(answer->body) };
+}
+
+absl::StatusOr<Object>
+HttpObjects::Watch(std::string_view aName, int64_t aVersion)
+{
+  absl::StatusOr<Answer> answer = this->Perform(
+    { .step = "watch object",
+      .url = absl::StrCat(
+        this->UrlOf(aName), "?wait_ms=", this->options.watchMs),
+      .condition = absl::StrCat("If-None-Match: \"", aVersion, "\""),
+      .timeoutMs = this->options.watchMs + kWatchSlackMs });
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  if (absl::Status status = this->StatusOf("watch object", *answer);
+      !status.ok()) {
+    return status;
+  }
+  return Object{ answer->version, std::move(answer->body) };
+}
+
+absl::StatusOr<int64_t>
+HttpObjects::Put(std::string_view aName,
+                 int64_t aVersion,
+                 std::string_view aBody)
+{
+  absl::StatusOr<Answer> answer = this->Perform(
+    { .step = "put object",
+      .url = this->UrlOf(aName),
+      .condition = aVersion == kNoObject
+                     ? "If-None-Match: *"
+                     : absl::StrCat("If-Match: \"", aVersion, "\""),
+      .body = &aBody,
+      .timeoutMs = this->options.timeoutMs });
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  if (absl::Status status = this->StatusOf("put object", *answer);
+      !status.ok()) {
+    return status;
+  }
+  return answer->version;
+}
+
+absl::StatusOr<std::string>
+HttpObjects::List()
+{
+  absl::StatusOr<Answer> answer =
+    this->Perform({ .step = "list instances",
+                    .url = absl::StrCat(this->options.url, "/v1/instances"),
+                    .timeoutMs = this->options.timeoutMs });
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  if (absl::Status status = this->StatusOf("list instances", *answer);
+      !status.ok()) {
+    return status;
+  }
+  return std::move(answer->body);
+}
+
+}
--- /dev/null
+++ b/tests/support/platform_main.cpp
@@ -0,0 +1,25 @@
+// Runs the platform stand-in until SIGTERM.
+#include "support/platform_standin.h"
+
+#include <csignal>
+#include <iostream>
+
+int
+main(int aCount, char** aWords)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  gentianspindle::PlatformStandin platform;
+  int port = aCount > 1 ? std::stoi(aWords[1]) : 0;
+  if (platform.Start(port) <= 0) {
+    std::cerr << "cannot listen\n";
+    return 1;
+  }
+  std::cout << platform.Url() << std::endl;
+  int signal = 0;
+  sigwait(&signals, &signal);
+  return 0;
+}
--- /dev/null
+++ b/tests/support/platform_standin.cpp
@@ -0,0 +1,149 @@
+#include "support/platform_standin.h"
+
+#include <chrono>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr size_t kThreads = 64;
+
+std::string
+Tag(int64_t aVersion)
+{
+  return "\"" + std::to_string(aVersion) + "\"";
+}
+
+}
+
+PlatformStandin::PlatformStandin()
+{
+  this->server.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+  this->server.Get("/v1/objects/(.+)",
+                   [this](const httplib::Request& aRequest,
+                          httplib::Response& aResponse) {
+                     this->OnGet(aRequest, aResponse);
+                   });
+  this->server.Put("/v1/objects/(.+)",
+                   [this](const httplib::Request& aRequest,
+                          httplib::Response& aResponse) {
+                     this->OnPut(aRequest, aResponse);
+                   });
+}
+
+PlatformStandin::~PlatformStandin()
+{
+  {
+    std::lock_guard lock(this->mutex);
+    this->stopping = true;
+  }
+  this->changed.notify_all();
+  this->server.stop();
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+int
+PlatformStandin::Start(int aPort)
+{
+  if (aPort == 0) {
+    this->port = this->server.bind_to_any_port("127.0.0.1");
+  } else {
+    this->port =
+      this->server.bind_to_port("127.0.0.1", aPort) ? aPort : -1;
+  }
+  if (this->port > 0) {
+    this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    while (!this->server.is_running()) {
+      std::this_thread::yield();
+    }
+  }
+  return this->port;
+}
+
+std::string
+PlatformStandin::Url() const
+{
+  return "http://127.0.0.1:" + std::to_string(this->port);
+}
+
+bool
+PlatformStandin::Fails(httplib::Response& aResponse)
+{
+  ++this->calls;
+  if (this->delayMs > 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(this->delayMs));
+  }
+  if (this->down) {
+    aResponse.status = 503;
+  }
+  return this->down;
+}
+
+void
+PlatformStandin::OnGet(const httplib::Request& aRequest,
+                       httplib::Response& aResponse)
+{
+  if (this->Fails(aResponse)) {
+    return;
+  }
+  std::string name = aRequest.matches[1];
+  std::unique_lock lock(this->mutex);
+  std::string known = aRequest.get_header_value("If-None-Match");
+  if (aRequest.has_param("wait_ms")) {
+    int wait = std::stoi(aRequest.get_param_value("wait_ms"));
+    this->changed.wait_for(lock, std::chrono::milliseconds(wait), [&] {
+      return this->stopping || this->down ||
+             Tag(this->values[name].version) != known;
+    });
+    if (this->down) {
+      aResponse.status = 503;
+      return;
+    }
+  }
+  const Value& value = this->values[name];
+  if (!known.empty() && Tag(value.version) == known) {
+    aResponse.status = 304;
+    return;
+  }
+  if (value.version == 0) {
+    aResponse.status = 404;
+    return;
+  }
+  aResponse.set_header("ETag", Tag(value.version));
+  aResponse.set_content(value.body, "application/octet-stream");
+}
+
+void
+PlatformStandin::OnPut(const httplib::Request& aRequest,
+                       httplib::Response& aResponse)
+{
+  if (this->Fails(aResponse)) {
+    return;
+  }
+  {
+    std::lock_guard lock(this->mutex);
+    Value& value = this->values[aRequest.matches[1]];
+    bool absent = aRequest.get_header_value("If-None-Match") == "*";
+    bool good = absent ? value.version == 0
+                       : Tag(value.version) ==
+                           aRequest.get_header_value("If-Match");
+    if (!good) {
+      aResponse.status = 412;
+      return;
+    }
+    ++value.version;
+    value.body = aRequest.body;
+    aResponse.set_header("ETag", Tag(value.version));
+  }
+  this->changed.notify_all();
+  if (this->lostAnswers > 0) {
+    --this->lostAnswers;
+    aResponse.status = 503;
+    return;
+  }
+  aResponse.status = 200;
+}
+
+}
--- /dev/null
+++ b/tests/support/traffic_main.cpp
@@ -0,0 +1,87 @@
+// Drives callers' traffic against running instances and prints the outcome.
+#include "support/traffic.h"
+
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace gentianspindle {
+
+namespace {
+
+int
+Main(int aCount, char** aWords)
+{
+  cxxopts::Options words("traffic", "Callers, fabric and backend servers.");
+  words.add_options()("table", "table file", cxxopts::value<std::string>())(
+    "instances",
+    "fabric endpoints",
+    cxxopts::value<std::vector<std::string>>())(
+    "answer-port", "", cxxopts::value<int>()->default_value("0"))(
+    "server-port", "", cxxopts::value<int>()->default_value("6081"))(
+    "flows", "", cxxopts::value<uint32_t>()->default_value("2000"))(
+    "rate", "flows a second", cxxopts::value<double>()->default_value("800"))(
+    "service-us", "", cxxopts::value<int64_t>()->default_value("2000"))(
+    "requests", "per flow", cxxopts::value<uint32_t>()->default_value("1"))(
+    "seed", "", cxxopts::value<uint64_t>()->default_value("1"));
+  cxxopts::ParseResult parsed = words.parse(aCount, aWords);
+  std::ifstream file(parsed["table"].as<std::string>());
+  std::stringstream csv;
+  csv << file.rdbuf();
+  TrafficOptions options;
+  options.table = ParseTable(csv.str()).table;
+  for (const std::string& text :
+       parsed["instances"].as<std::vector<std::string>>()) {
+    ParseInstance(text, options.instances.emplace_back());
+  }
+  options.answerPort = static_cast<uint16_t>(parsed["answer-port"].as<int>());
+  options.serverPort = static_cast<uint16_t>(parsed["server-port"].as<int>());
+  options.flows = parsed["flows"].as<uint32_t>();
+  options.flowsPerSecond = parsed["rate"].as<double>();
+  options.serviceTime = parsed["service-us"].as<int64_t>();
+  options.requestsPerFlow = parsed["requests"].as<uint32_t>();
+  options.seed = parsed["seed"].as<uint64_t>();
+  Traffic traffic(options);
+  if (!traffic.Open()) {
+    std::cerr << "cannot open the stand-ins' sockets\n";
+    return 1;
+  }
+  TrafficResult result = traffic.Run();
+  std::sort(result.latencies.begin(), result.latencies.end());
+  auto at = [&](double aShare) {
+    size_t count = result.latencies.size();
+    return count == 0 ? 0
+                      : result.latencies[static_cast<size_t>(
+                          aShare * static_cast<double>(count - 1))];
+  };
+  std::cout << "flows opened          " << result.opened
+            << "\nwhole answers         " << result.whole
+            << "\nrefused               " << result.refused
+            << "\nrefused but seen      " << result.refusedButSeen
+            << "\nbroken                " << result.broken
+            << "\nwrong-service packets " << result.wrongService
+            << "\nwrong-server packets  " << result.wrongServer
+            << "\nbad checksums         " << result.badChecksum
+            << "\nretransmissions       " << result.retransmissions
+            << "\nanswer p50/p99 us     " << at(0.5) << " / " << at(0.99)
+            << "\nflows per backend server\n";
+  for (const auto& [server, flows] : result.flowsPerServer) {
+    std::cout << "  " << server << "  " << flows << "\n";
+  }
+  bool good = result.broken == 0 && result.wrongService == 0 &&
+              result.refusedButSeen == 0 &&
+              result.whole + result.refused == result.opened;
+  return good ? 0 : 1;
+}
+
+}
+
+}
+
+int
+main(int aCount, char** aWords)
+{
+  return gentianspindle::Main(aCount, aWords);
+}
