--- /dev/null
+++ b/benchmarks/placement.cpp
@@ -0,0 +1,359 @@
+// Placement of new flows under load, in virtual time: the engines against
+// baselines that place by simpler rules. Prints one line per case.
+#include "support/examples.h"
+#include "support/fleet.h"
+#include "support/load.h"
+
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <iomanip>
+#include <iostream>
+
+namespace gentianspindle {
+
+namespace {
+
+enum class Rule : uint8_t
+{
+  HashOnly,
+  HashBounded,
+  LeastOwn,
+  RandomOfTwo,
+};
+
+// Places a flow once, knows all later packets' server at no cost, and counts
+// connections per instance as a balancer without owners does.
+class Baseline
+{
+public:
+  Baseline(VirtualClock& aClock,
+           Load& aLoad,
+           const Table& aTable,
+           size_t aInstances,
+           Rule aRule)
+    : clock(aClock)
+    , load(aLoad)
+    , rule(aRule)
+    , table(aTable)
+    , counts(aInstances)
+  {
+    aLoad.send = [this](const Segment& aSegment) { this->Send(aSegment); };
+    for (const Service& service : aTable.services) {
+      std::vector<RankedServer> ranked;
+      for (const ServerRow& row : service.rows) {
+        ranked.push_back(
+          { row.address, row.weight, static_cast<ServerIndex>(ranked.size()) });
+      }
+      this->rankings.push_back(Ranking::Make(service.key, ranked));
+    }
+  }
+
+private:
+  struct Placed
+  {
+    Address server = 0;
+    size_t instance = 0;
+  };
+
+  void Send(const Segment& aSegment)
+  {
+    auto placed = this->flows.find(aSegment.flow);
+    if (placed == this->flows.end()) {
+      if (!aSegment.Opens()) {
+        return;
+      }
+      Placed fresh;
+      fresh.instance = this->random() % this->counts.size();
+      fresh.server = this->Pick(aSegment, fresh.instance);
+      if (fresh.server == 0) {
+        FlowKey flow = aSegment.flow;
+        this->clock.After(kMillisecond,
+                          [=, this] { this->load.OnRefused(flow); });
+        return;
+      }
+      ++this->counts[fresh.instance][fresh.server];
+      placed = this->flows.emplace(aSegment.flow, fresh).first;
+    }
+    Address server = placed->second.server;
+    if ((aSegment.flags & (kTcpFin | kTcpRst)) != 0) {
+      --this->counts[placed->second.instance][server];
+      this->flows.erase(placed);
+    }
+    this->clock.After(200, [=, this] { this->load.AtServer(server, aSegment); });
+  }
+
+  Address Pick(const Segment& aSegment, size_t aInstance)
+  {
+    size_t place = 0;
+    while (!(this->table.services[place].key == aSegment.service)) {
+      ++place;
+    }
+    const Service& service = this->table.services[place];
+    auto& own = this->counts[aInstance];
+    std::span<const ServerIndex> ranks = this->rankings[place].For(
+      HashFlow(service.key, aSegment.flow));
+    auto rankedAt = [&](size_t aRank) {
+      return service.rows[ranks[aRank]].address;
+    };
+    auto less = [&](Address aLeft, Address aRight) {
+      return own[aLeft] < own[aRight];
+    };
+    switch (this->rule) {
+      case Rule::HashOnly:
+        return rankedAt(0);
+      case Rule::HashBounded:
+        // The connection limit, shared out among the instances.
+        for (size_t i = 0; i < ranks.size(); ++i) {
+          uint32_t limit = service.rows[ranks[i]].connections /
+                           static_cast<uint32_t>(this->counts.size());
+          if (own[rankedAt(i)] < limit) {
+            return rankedAt(i);
+          }
+        }
+        return 0;
+      case Rule::LeastOwn: {
+        Address best = service.rows[this->random() % service.rows.size()].address;
+        for (const ServerRow& row : service.rows) {
+          best = less(row.address, best) ? row.address : best;
+        }
+        return best;
+      }
+      case Rule::RandomOfTwo: {
+        size_t count = service.rows.size();
+        Address first = service.rows[this->random() % count].address;
+        Address second = service.rows[this->random() % count].address;
+        return less(second, first) ? second : first;
+      }
+    }
+    return 0;
+  }
+
+  VirtualClock& clock;
+  Load& load;
+  Rule rule;
+  Table table;
+  std::mt19937_64 random{ 7 };
+  std::vector<Ranking> rankings;
+  std::vector<std::map<Address, uint32_t>> counts; // by instance
+  std::unordered_map<FlowKey, Placed> flows;
+};
+
+struct Case
+{
+  std::string shape;
+  std::string policy;
+  LoadOptions load;
+  EngineOptions engine;
+  int rule = -1; // of the baselines; -1: the engines
+};
+
+struct Setup
+{
+  Deployment deployment;
+  Table table;
+  double capacity = 0; // requests a second of the first service
+};
+
+void
+PrintHeader()
+{
+  std::cout << "| shape | policy | p50 ms | p99 ms | p99.9 ms | whole | "
+               "refused | given up | broken | goodput /s | busy max/mean | "
+               "relays/flow | notes/flow |\n"
+               "|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+}
+
+void
+RunCase(const Setup& aSetup, const Case& aCase)
+{
+  VirtualClock clock;
+  Load load(clock, aCase.load);
+  load.AddService(aSetup.table.services[0], 1);
+  Micros end = clock.Now() + aCase.load.duration + 60 * kSecond;
+  std::unique_ptr<Fleet> fleet;
+  std::unique_ptr<Baseline> baseline;
+  if (aCase.rule < 0) {
+    FleetOptions options;
+    options.engine = aCase.engine;
+    options.zones = aSetup.deployment.instances;
+    fleet = std::make_unique<Fleet>(clock, options, load);
+    fleet->SetTable(aSetup.table);
+  } else {
+    baseline = std::make_unique<Baseline>(clock,
+                                          load,
+                                          aSetup.table,
+                                          aSetup.deployment.instances.size(),
+                                          static_cast<Rule>(aCase.rule));
+  }
+  load.Start();
+  clock.RunUntil(end);
+  LoadResult& result = load.Result();
+  auto ms = [&](double aShare) {
+    return static_cast<double>(result.ShortAt(aShare)) / kMillisecond;
+  };
+  double seconds =
+    static_cast<double>(aCase.load.duration) / static_cast<double>(kSecond);
+  auto perFlow = [&](uint64_t aCount) {
+    return static_cast<double>(aCount) /
+           static_cast<double>(std::max<uint64_t>(1, result.opened));
+  };
+  std::cout << std::fixed << std::setprecision(1) << "| " << aCase.shape
+            << " | " << aCase.policy << " | " << ms(0.5) << " | " << ms(0.99)
+            << " | " << ms(0.999) << " | " << result.whole << " | "
+            << result.refused << " | " << result.givenUp << " | "
+            << result.broken + result.twoServers << " | "
+            << static_cast<double>(result.whole) / seconds << " | "
+            << std::setprecision(2) << result.BusyImbalance() << " | "
+            << perFlow(fleet ? fleet->Relays() : 0) << " | "
+            << perFlow(fleet ? fleet->Notes() : 0) << " |" << std::endl;
+}
+
+Setup
+MakeSetup(const std::string& aName, const LoadOptions& aLoad)
+{
+  Setup setup;
+  setup.deployment = aName == "talleres" ? Talleres() : Panji();
+  setup.table = MakeTable(setup.deployment);
+  double mean = static_cast<double>(aLoad.shortWork) *
+                (1 - aLoad.longShare + aLoad.longShare * aLoad.longFactor);
+  double slots = 14.0 * setup.deployment.slots;
+  setup.capacity = slots * kSecond / mean;
+  return setup;
+}
+
+std::vector<Case>
+Shapes(const std::string& aDeployment,
+       double aSeconds,
+       uint32_t aRequests,
+       uint64_t aSeed)
+{
+  LoadOptions base;
+  base.seed = aSeed;
+  base.duration = static_cast<Micros>(aSeconds * kSecond);
+  base.requestsPerFlow = aRequests;
+  base.thinkTime = 50 * kMillisecond;
+  std::vector<Case> cases;
+  auto add = [&](const std::string& aShape, double aLoad, double aLong) {
+    Case shape{ aShape, "", base, {}, -1 };
+    shape.load.longShare = aLong;
+    double capacity =
+      MakeSetup(aDeployment, shape.load).capacity / aRequests;
+    shape.load.rate = [=](Micros) { return capacity * aLoad; };
+    cases.push_back(shape);
+    return &cases.back();
+  };
+  add("steady 0.7", 0.7, 0);
+  add("steady 0.85", 0.85, 0);
+  add("2% long 0.7", 0.7, 0.02);
+  add("2% long 0.85", 0.85, 0.02);
+  for (double times : { 1.0, 2.0, 3.0 }) {
+    Case* over = add("overload " + std::to_string(times).substr(0, 3) + "x",
+                     times, 0.02);
+    over->load.deadline = 1 * kSecond;
+  }
+  Case* crest = add("crest x10", 0.3, 0);
+  double capacity = MakeSetup(aDeployment, crest->load).capacity / aRequests;
+  crest->load.rate = [=](Micros aAt) {
+    constexpr double kRise = 3.0;
+    constexpr double kStart = 5.0;
+    constexpr double kHigh = 20.0;
+    double at = static_cast<double>(aAt) / kSecond - kStart;
+    double factor = at < 0 || at > kHigh ? 1
+                    : at < kRise         ? 1 + 9 * at / kRise
+                                         : 10;
+    return capacity * 0.3 * factor;
+  };
+  crest->load.deadline = 1 * kSecond;
+  Case* slow = add("one slow x8", 0.6, 0);
+  slow->load.slowness = [](Address aServer, Micros) {
+    return aServer == 0x0A140103 ? 8.0 : 1.0;
+  };
+  return cases;
+}
+
+int
+Main(int aCount, char** aWords)
+{
+  cxxopts::Options words("placement", "Compares placements in virtual time.");
+  words.add_options()("deployment",
+                      "panji or talleres",
+                      cxxopts::value<std::string>()->default_value("panji"))(
+    "seconds", "", cxxopts::value<double>()->default_value("30"))(
+    "requests", "per flow", cxxopts::value<uint32_t>()->default_value("1"))(
+    "seed", "", cxxopts::value<uint64_t>()->default_value("1"))(
+    "only", "part of a shape's name",
+    cxxopts::value<std::string>()->default_value(""))(
+    "sweep", "k, held, order, ablation or none",
+    cxxopts::value<std::string>()->default_value("none"));
+  cxxopts::ParseResult parsed = words.parse(aCount, aWords);
+  std::string deployment = parsed["deployment"].as<std::string>();
+  std::string sweep = parsed["sweep"].as<std::string>();
+  PrintHeader();
+  for (const Case& shape : Shapes(deployment,
+                                  parsed["seconds"].as<double>(),
+                                  parsed["requests"].as<uint32_t>(),
+                                  parsed["seed"].as<uint64_t>())) {
+    if (shape.shape.find(parsed["only"].as<std::string>()) ==
+        std::string::npos) {
+      continue;
+    }
+    Setup setup = MakeSetup(deployment, shape.load);
+    auto run = [&](const std::string& aPolicy,
+                   const EngineOptions& aEngine,
+                   int aRule) {
+      Case one = shape;
+      one.policy = aPolicy;
+      one.engine = aEngine;
+      one.rule = aRule;
+      RunCase(setup, one);
+    };
+    EngineOptions engine;
+    if (sweep == "none") {
+      run("hash only", engine, 0);
+      run("hash, bounded", engine, 1);
+      run("least own", engine, 2);
+      run("random of two", engine, 3);
+      run("gentianspindle", engine, -1);
+    } else if (sweep == "k") {
+      for (uint32_t k : { 1U, 2U, 4U, 6U, 8U, 12U }) {
+        engine.servers = k;
+        run("K=" + std::to_string(k), engine, -1);
+      }
+    } else if (sweep == "held") {
+      for (uint32_t held : { 0U, 4U, 16U, 64U, 256U }) {
+        engine.held = held;
+        run("held=" + std::to_string(held), engine, -1);
+      }
+    } else if (sweep == "order") {
+      engine.order = HoldOrder::OldestFirst;
+      run("oldest first", engine, -1);
+      engine.order = HoldOrder::NewestFirst;
+      run("newest first", engine, -1);
+      engine.order = HoldOrder::Adaptive;
+      run("adaptive", engine, -1);
+    } else if (sweep == "ablation") {
+      run("all", engine, -1);
+      engine.busy = BusyPolicy::LeastBad;
+      run("no hold: least bad", engine, -1);
+      engine.busy = BusyPolicy::Refuse;
+      run("no hold: refuse", engine, -1);
+      engine = {};
+      engine.useEvidence = false;
+      run("no evidence", engine, -1);
+      engine = {};
+      engine.servers = 1;
+      run("no walk", engine, -1);
+    }
+  }
+  return 0;
+}
+
+}
+
+}
+
+int
+main(int aCount, char** aWords)
+{
+  return gentianspindle::Main(aCount, aWords);
+}
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -702,10 +702,10 @@
   }
 }
 
-std::vector<Flow>
+std::vector<HandedFlow>
 Engine::Exceptions(ServerIndex aServer) const
 {
-  std::vector<Flow> found;
+  std::vector<HandedFlow> found;
   for (size_t i = 0; i < kFlowStates; ++i) {
     auto state = static_cast<FlowState>(i);
     bool guessable = state == FlowState::Idle || state == FlowState::Closing;
@@ -714,11 +714,19 @@
       const Flow& flow = this->flows.At(place);
       Order order = this->LookupOrder(flow.key);
       bool isDefault = !order.empty() && order[0] == aServer;
-      bool here = flow.server == aServer && !(isDefault && guessable);
-      bool mark = isDefault && (state == FlowState::Passed ||
-                                flow.server != aServer);
-      if (here || mark) {
-        found.push_back(flow);
+      bool placed = state != FlowState::Passed &&
+                    state != FlowState::Elsewhere;
+      bool here = placed && flow.server == aServer &&
+                  !(isDefault && guessable);
+      if (here || (isDefault && !placed)) {
+        found.push_back({ flow.key,
+                          this->servers[flow.server].row.address,
+                          state,
+                          flow.sentEnd,
+                          flow.ackBase,
+                          flow.lastAck,
+                          flow.passedSteps,
+                          flow.finSeen });
       }
     }
   }
@@ -726,21 +734,22 @@
 }
 
 void
-Engine::TakeOver(Address aServer, std::span<const Flow> aFlows, Micros aNow)
+Engine::TakeOver(Address aServer,
+                 std::span<const HandedFlow> aFlows,
+                 Micros aNow)
 {
   ServerIndex server = this->FindServer(aServer);
   if (server == kNoServer) {
     return;
   }
-  for (const Flow& flow : aFlows) {
-    if (this->flows.Find(flow.key) != kNoFlow ||
-        flow.server >= this->servers.size()) {
+  for (const HandedFlow& flow : aFlows) {
+    ServerIndex at = this->FindServer(flow.server);
+    if (at == kNoServer || this->flows.Find(flow.key) != kNoFlow) {
       continue;
     }
-    FlowIndex place =
-      this->flows.Insert(flow.key, flow.server, flow.state, aNow);
+    FlowIndex place = this->flows.Insert(flow.key, at, flow.state, aNow);
     Flow& copy = this->flows.At(place);
-    copy.requestAt = flow.requestAt;
+    copy.requestAt = aNow;
     copy.sentEnd = flow.sentEnd;
     copy.ackBase = flow.ackBase;
     copy.lastAck = flow.lastAck;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -124,6 +124,19 @@
   std::vector<uint8_t> packet;
 };
 
+// A flow on its way to the next owner of a server.
+struct HandedFlow
+{
+  FlowKey key = 0;
+  Address server = 0; // where the flow is
+  FlowState state = FlowState::Idle;
+  uint32_t sentEnd = 0;
+  uint32_t ackBase = 0;
+  uint32_t lastAck = 0;
+  uint16_t passedSteps = 0;
+  bool finSeen = false;
+};
+
 using Outbox = absl::InlinedVector<Decision, 4>;
 
 struct EngineCounts
@@ -167,9 +180,11 @@
 
   // Flows of aServer that its next owner cannot guess: those not at their
   // default server, those with an open request, and marks.
-  std::vector<Flow> Exceptions(ServerIndex aServer) const;
+  std::vector<HandedFlow> Exceptions(ServerIndex aServer) const;
   // The whole of what the former owner of aServer knew has arrived.
-  void TakeOver(Address aServer, std::span<const Flow> aFlows, Micros aNow);
+  void TakeOver(Address aServer,
+                std::span<const HandedFlow> aFlows,
+                Micros aNow);
 
   const FlowTable& Flows() const { return this->flows; }
   const EngineCounts& Counts() const { return this->counts; }
--- /dev/null
+++ b/tests/support/examples.h
@@ -0,0 +1,76 @@
+// Tables of the two deployments' sizes.
+#pragma once
+
+#include "core/table.h"
+
+namespace gentianspindle {
+
+struct Deployment
+{
+  std::vector<std::string> zones;     // of backend servers
+  std::vector<std::string> instances; // zone of each
+  uint32_t slots = 2;
+  uint32_t waitMs = 400;
+};
+
+inline Deployment
+Panji()
+{
+  return { { "jkt", "bdg", "smg", "sby" },
+           { "jkt", "bdg", "smg", "sby", "jkt", "bdg", "smg" },
+           2,
+           400 };
+}
+
+inline Deployment
+Talleres()
+{
+  return { { "gdl-centro", "gdl-zapopan", "gdl-tlaque" },
+           { "gdl-centro",
+             "gdl-zapopan",
+             "gdl-tlaque",
+             "gdl-centro",
+             "gdl-zapopan",
+             "gdl-tlaque" },
+           3,
+           400 };
+}
+
+inline Service
+MakeService(const Deployment& aDeployment,
+            const std::string& aName,
+            Address aAddress,
+            Address aFirstServer,
+            size_t aServers)
+{
+  Service service;
+  service.name = aName;
+  service.key = { aAddress, 443, Protocol::Tcp };
+  service.waitMs = aDeployment.waitMs;
+  for (size_t i = 0; i < aServers; ++i) {
+    ServerRow row;
+    row.address = aFirstServer + static_cast<Address>(i);
+    row.zone = aDeployment.zones[i % aDeployment.zones.size()];
+    row.weight = 10;
+    row.slots = aDeployment.slots;
+    row.connections = 2000;
+    service.rows.push_back(row);
+  }
+  return service;
+}
+
+// Two services, of 14 and 4 backend servers.
+inline Table
+MakeTable(const Deployment& aDeployment)
+{
+  constexpr Address kServices = 0xCB007100; // 203.0.113.0
+  Table table;
+  table.version = 1;
+  table.services.push_back(
+    MakeService(aDeployment, "short", kServices + 10, 0x0A140101, 14));
+  table.services.push_back(
+    MakeService(aDeployment, "sheets", kServices + 11, 0x0A140201, 4));
+  return table;
+}
+
+}
--- /dev/null
+++ b/tests/support/fleet.cpp
@@ -0,0 +1,376 @@
+#include "support/fleet.h"
+
+#include <cstring>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr Address kFirstInstance = 0x7F000001;
+constexpr uint16_t kPort = 6082;
+
+// The engines keep packets of held flows as bytes.
+std::span<const uint8_t>
+ToBytes(const Segment& aSegment)
+{
+  return { reinterpret_cast<const uint8_t*>(&aSegment), sizeof(Segment) };
+}
+
+Segment
+FromBytes(std::span<const uint8_t> aBytes)
+{
+  Segment segment;
+  std::memcpy(static_cast<void*>(&segment), aBytes.data(), sizeof(Segment));
+  return segment;
+}
+
+}
+
+Fleet::Fleet(VirtualClock& aClock, const FleetOptions& aOptions, Load& aLoad)
+  : clock(aClock)
+  , options(aOptions)
+  , load(aLoad)
+  , random(aOptions.seed)
+{
+  for (size_t i = 0; i < aOptions.zones.size(); ++i) {
+    Node& node = this->nodes.emplace_back();
+    node.id =
+      MakeInstanceId(kFirstInstance + static_cast<Address>(i), kPort);
+    node.zone = aOptions.zones[i];
+    this->Tick(i);
+  }
+  aLoad.send = [this](const Segment& aSegment) { this->Spray(aSegment); };
+}
+
+Engine&
+Fleet::At(size_t aInstance, const ServiceKey& aService)
+{
+  return *this->nodes[aInstance].engines.at(aService.address);
+}
+
+void
+Fleet::Tick(size_t aInstance)
+{
+  Node& node = this->nodes[aInstance];
+  if (node.up) {
+    for (auto& [address, engine] : node.engines) {
+      Outbox out;
+      engine->OnTick(this->clock.Now(), out);
+      this->CarryOut(aInstance, engine->Current().key, nullptr, out);
+    }
+  }
+  this->clock.After(this->options.tick,
+                    [=, this] { this->Tick(aInstance); });
+}
+
+void
+Fleet::SetTable(const Table& aTable)
+{
+  for (size_t i = 0; i < this->nodes.size(); ++i) {
+    this->SetTableAt(i, aTable);
+  }
+}
+
+void
+Fleet::SetTableAt(size_t aInstance, const Table& aTable)
+{
+  Node& node = this->nodes[aInstance];
+  if (!node.up) {
+    return;
+  }
+  for (const Service& service : aTable.services) {
+    std::unique_ptr<Engine>& engine = node.engines[service.key.address];
+    bool fresh = engine == nullptr && aTable.version == 1;
+    if (engine == nullptr) {
+      engine = std::make_unique<Engine>(this->options.engine, node.id);
+    }
+    engine->SetService(service, aTable.version, fresh, this->clock.Now());
+  }
+  node.table = aTable;
+  this->AssignAt(node);
+}
+
+void
+Fleet::AssignAt(Node& aNode)
+{
+  std::vector<Member> members;
+  for (const Node& node : this->nodes) {
+    if (node.listed && !node.leaving) {
+      members.push_back({ node.id, node.zone, true });
+    }
+  }
+  std::vector<OwnedServer> all;
+  for (auto& [address, engine] : aNode.engines) {
+    for (const ServerState& server : engine->Servers()) {
+      all.push_back({ server.row.address, server.row.zone });
+    }
+  }
+  std::vector<InstanceId> owners = AssignOwners(members, all);
+  std::span<const InstanceId> rest = owners;
+  for (auto& [address, engine] : aNode.engines) {
+    size_t count = engine->Servers().size();
+    engine->SetOwners(rest.first(count), this->clock.Now());
+    rest = rest.subspan(count);
+  }
+}
+
+// Gives the planned change of ownership its hand-over: what the old owner
+// knows reaches the new one before the view changes.
+void
+Fleet::Assign()
+{
+  std::map<Address, std::vector<InstanceId>> before;
+  for (Node& node : this->nodes) {
+    for (auto& [address, engine] : node.engines) {
+      if (node.up && before[address].empty()) {
+        for (const ServerState& server : engine->Servers()) {
+          before[address].push_back(server.owner);
+        }
+      }
+    }
+  }
+  for (Node& node : this->nodes) {
+    if (node.up) {
+      this->AssignAt(node);
+    }
+  }
+  for (Node& node : this->nodes) {
+    for (auto& [address, engine] : node.engines) {
+      if (!node.up || before[address].empty()) {
+        continue;
+      }
+      std::vector<InstanceId> after;
+      for (const ServerState& server : engine->Servers()) {
+        after.push_back(server.owner);
+      }
+      this->HandOver(engine->Current().key, before[address], after);
+      before[address].clear();
+    }
+  }
+}
+
+void
+Fleet::HandOver(const ServiceKey& aService,
+                std::span<const InstanceId> aBefore,
+                std::span<const InstanceId> aAfter)
+{
+  for (size_t i = 0; i < aBefore.size(); ++i) {
+    bool moved = aBefore[i] != aAfter[i] && aBefore[i] != kNoInstance &&
+                 aAfter[i] != kNoInstance;
+    if (!moved || !this->nodes[this->Find(aBefore[i])].up) {
+      continue;
+    }
+    Engine& from = this->At(this->Find(aBefore[i]), aService);
+    Engine& to = this->At(this->Find(aAfter[i]), aService);
+    Address server = from.Servers()[i].row.address;
+    to.TakeOver(
+      server, from.Exceptions(static_cast<ServerIndex>(i)), this->clock.Now());
+  }
+}
+
+void
+Fleet::Kill(size_t aInstance, Micros aDetect)
+{
+  Node& node = this->nodes[aInstance];
+  node.up = false;
+  node.engines.clear();
+  this->clock.After(aDetect, [=, this] {
+    this->nodes[aInstance].listed = false;
+    this->Assign();
+  });
+}
+
+void
+Fleet::Leave(size_t aInstance)
+{
+  Node& node = this->nodes[aInstance];
+  node.leaving = true;
+  this->Assign();
+  constexpr Micros kRelayTime = 2 * kSecond;
+  this->clock.After(kRelayTime, [=, this] {
+    Node& gone = this->nodes[aInstance];
+    gone.up = false;
+    gone.listed = false;
+    gone.leaving = false;
+    gone.engines.clear();
+  });
+}
+
+void
+Fleet::Join(size_t aInstance)
+{
+  Node& node = this->nodes[aInstance];
+  if (node.up) {
+    return;
+  }
+  node.up = true;
+  Table highest;
+  for (const Node& other : this->nodes) {
+    if (other.table.version > highest.version) {
+      highest = other.table;
+    }
+  }
+  this->SetTableAt(aInstance, highest);
+  node.listed = true;
+  this->Assign();
+}
+
+void
+Fleet::Cut(size_t aInstance, bool aCut)
+{
+  this->nodes[aInstance].cut = aCut;
+}
+
+bool
+Fleet::Reaches(size_t aFrom, size_t aTo) const
+{
+  return this->nodes[aTo].up && !this->nodes[aFrom].cut &&
+         !this->nodes[aTo].cut;
+}
+
+Micros
+Fleet::Delay(size_t aFrom, size_t aTo) const
+{
+  return this->nodes[aFrom].zone == this->nodes[aTo].zone
+           ? this->options.insideZone
+           : this->options.betweenZones;
+}
+
+size_t
+Fleet::Find(InstanceId aInstance) const
+{
+  return InstanceAddress(aInstance) - kFirstInstance;
+}
+
+// The fabric knows who is up, at once; loss, copies and reordering are the
+// network's.
+void
+Fleet::Spray(const Segment& aSegment)
+{
+  std::uniform_real_distribution<double> share(0, 1);
+  std::vector<size_t> up;
+  for (size_t i = 0; i < this->nodes.size(); ++i) {
+    if (this->nodes[i].up && !this->nodes[i].leaving) {
+      up.push_back(i);
+    }
+  }
+  int copies = share(this->random) < this->options.copies ? 2 : 1;
+  for (int i = 0; i < copies && !up.empty(); ++i) {
+    if (share(this->random) < this->options.loss) {
+      continue;
+    }
+    Micros extra = this->options.reorder == 0
+                     ? 0
+                     : static_cast<Micros>(this->random() %
+                                           this->options.reorder);
+    size_t instance = up[this->random() % up.size()];
+    this->clock.After(extra, [=, this] {
+      this->Deliver(instance, aSegment, false, 0, {});
+    });
+  }
+}
+
+void
+Fleet::Deliver(size_t aInstance,
+               const Segment& aSegment,
+               bool aRelayed,
+               int64_t aVersion,
+               const Walk& aWalk)
+{
+  Node& node = this->nodes[aInstance];
+  auto engine = node.engines.find(aSegment.service.address);
+  if (!node.up || engine == node.engines.end()) {
+    return;
+  }
+  Outbox out;
+  engine->second->OnPacket({ .now = this->clock.Now(),
+                             .segment = &aSegment,
+                             .packet = ToBytes(aSegment),
+                             .relayed = aRelayed,
+                             .version = aVersion,
+                             .walk = aWalk },
+                           out);
+  this->CarryOut(aInstance, aSegment.service, &aSegment, out);
+}
+
+void
+Fleet::CarryOut(size_t aFrom,
+                const ServiceKey& aService,
+                const Segment* aSegment,
+                Outbox& aOut)
+{
+  int64_t version = this->At(aFrom, aService).Version();
+  for (Decision& decision : aOut) {
+    Segment segment = !decision.packet.empty() ? FromBytes(decision.packet)
+                      : aSegment != nullptr    ? *aSegment
+                                               : Segment{};
+    switch (decision.action) {
+      case Action::Forward:
+        this->clock.After(this->options.insideZone, [=, this] {
+          this->load.AtServer(decision.server, segment);
+        });
+        break;
+      case Action::Relay: {
+        size_t to = this->Find(decision.peer);
+        ++this->relays;
+        if (this->Reaches(aFrom, to)) {
+          this->clock.After(this->Delay(aFrom, to), [=, this] {
+            this->Deliver(to, segment, true, version, decision.walk);
+          });
+        }
+        break;
+      }
+      case Action::Refuse:
+      case Action::Reset: {
+        bool refuse = decision.action == Action::Refuse;
+        this->clock.After(this->options.betweenZones, [=, this] {
+          refuse ? this->load.OnRefused(segment.flow)
+                 : this->load.OnReset(segment.flow);
+        });
+        break;
+      }
+      case Action::SendNote:
+        this->SendNote(aFrom, aService, decision);
+        break;
+      case Action::Drop:
+      case Action::Hold:
+        break;
+    }
+  }
+}
+
+void
+Fleet::SendNote(size_t aFrom,
+                const ServiceKey& aService,
+                const Decision& aWhat)
+{
+  size_t to = this->Find(aWhat.peer);
+  ++this->notes;
+  if (!this->Reaches(aFrom, to)) {
+    return;
+  }
+  Note note = aWhat.note;
+  this->clock.After(this->Delay(aFrom, to), [=, this] {
+    Node& node = this->nodes[to];
+    if (!node.up || !node.engines.contains(aService.address)) {
+      return;
+    }
+    Outbox out;
+    this->At(to, aService).OnNote(note, this->clock.Now(), out);
+    this->CarryOut(to, aService, nullptr, out);
+  });
+}
+
+uint64_t
+Fleet::Reason(enum Reason aReason) const
+{
+  uint64_t sum = 0;
+  for (const Node& node : this->nodes) {
+    for (const auto& [address, engine] : node.engines) {
+      sum += engine->Counts().reasons[static_cast<size_t>(aReason)];
+    }
+  }
+  return sum;
+}
+
+}
