--- a/benchmarks/placement.cpp
+++ b/benchmarks/placement.cpp
@@ -79,7 +79,8 @@
       --this->counts[placed->second.instance][server];
       this->flows.erase(placed);
     }
-    this->clock.After(200, [=, this] { this->load.AtServer(server, aSegment); });
+    this->clock.After(200,
+                      [=, this] { this->load.AtServer(server, aSegment); });
   }
 
   Address Pick(const Segment& aSegment, size_t aInstance)
@@ -90,8 +91,8 @@
     }
     const Service& service = this->table.services[place];
     auto& own = this->counts[aInstance];
-    std::span<const ServerIndex> ranks = this->rankings[place].For(
-      HashFlow(service.key, aSegment.flow));
+    std::span<const ServerIndex> ranks =
+      this->rankings[place].For(HashFlow(service.key, aSegment.flow));
     auto rankedAt = [&](size_t aRank) {
       return service.rows[ranks[aRank]].address;
     };
@@ -112,7 +113,8 @@
         }
         return 0;
       case Rule::LeastOwn: {
-        Address best = service.rows[this->random() % service.rows.size()].address;
+        Address best =
+          service.rows[this->random() % service.rows.size()].address;
         for (const ServerRow& row : service.rows) {
           best = less(row.address, best) ? row.address : best;
         }
@@ -236,8 +238,7 @@
   auto add = [&](const std::string& aShape, double aLoad, double aLong) {
     Case shape{ aShape, "", base, {}, -1 };
     shape.load.longShare = aLong;
-    double capacity =
-      MakeSetup(aDeployment, shape.load).capacity / aRequests;
+    double capacity = MakeSetup(aDeployment, shape.load).capacity / aRequests;
     shape.load.rate = [=](Micros) { return capacity * aLoad; };
     cases.push_back(shape);
     return &cases.back();
@@ -247,8 +248,8 @@
   add("2% long 0.7", 0.7, 0.02);
   add("2% long 0.85", 0.85, 0.02);
   for (double times : { 1.0, 2.0, 3.0 }) {
-    Case* over = add("overload " + std::to_string(times).substr(0, 3) + "x",
-                     times, 0.02);
+    Case* over =
+      add("overload " + std::to_string(times).substr(0, 3) + "x", times, 0.02);
     over->load.deadline = 1 * kSecond;
   }
   Case* crest = add("crest x10", 0.3, 0);
@@ -281,9 +282,11 @@
     "seconds", "", cxxopts::value<double>()->default_value("30"))(
     "requests", "per flow", cxxopts::value<uint32_t>()->default_value("1"))(
     "seed", "", cxxopts::value<uint64_t>()->default_value("1"))(
-    "only", "part of a shape's name",
+    "only",
+    "part of a shape's name",
     cxxopts::value<std::string>()->default_value(""))(
-    "sweep", "k, held, order, ablation or none",
+    "sweep",
+    "k, held, order, ablation or none",
     cxxopts::value<std::string>()->default_value("none"));
   cxxopts::ParseResult parsed = words.parse(aCount, aWords);
   std::string deployment = parsed["deployment"].as<std::string>();
@@ -298,15 +301,14 @@
       continue;
     }
     Setup setup = MakeSetup(deployment, shape.load);
-    auto run = [&](const std::string& aPolicy,
-                   const EngineOptions& aEngine,
-                   int aRule) {
-      Case one = shape;
-      one.policy = aPolicy;
-      one.engine = aEngine;
-      one.rule = aRule;
-      RunCase(setup, one);
-    };
+    auto run =
+      [&](const std::string& aPolicy, const EngineOptions& aEngine, int aRule) {
+        Case one = shape;
+        one.policy = aPolicy;
+        one.engine = aEngine;
+        one.rule = aRule;
+        RunCase(setup, one);
+      };
     EngineOptions engine;
     if (sweep == "none") {
       run("hash only", engine, 0);
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -64,6 +64,7 @@
   };
   auto rank = [&](const std::vector<ServerRow>& aRows) {
     std::vector<RankedServer> ranked;
+    ranked.reserve(aRows.size());
     for (const ServerRow& row : aRows) {
       ranked.push_back(
         { row.address, row.weight, this->places.at(row.address) });
@@ -157,12 +158,34 @@
   uint32_t& count =
     this->servers[aFlow.server].counts[static_cast<size_t>(aFlow.state)];
   count += static_cast<uint32_t>(aSign);
+  if (aFlow.straggling) {
+    this->servers[aFlow.server].stragglers += static_cast<uint32_t>(aSign);
+  }
+}
+
+bool
+Engine::HasFreeSlot(const ServerState& aServer, Micros aNow) const
+{
+  double pipeline = this->options.usePipeline ? this->timing.Pipeline() : 0;
+  return aServer.HasFreeSlot(aNow, pipeline);
+}
+
+void
+Engine::MarkStraggler(FlowIndex aFlow)
+{
+  Flow& flow = this->flows.At(aFlow);
+  this->CountIn(flow, -1);
+  flow.straggling = true;
+  this->CountIn(flow, 1);
 }
 
 void
 Engine::SetState(FlowIndex aFlow, FlowState aState)
 {
-  this->CountIn(this->flows.At(aFlow), -1);
+  Flow& flow = this->flows.At(aFlow);
+  this->CountIn(flow, -1);
+  bool works = aState == FlowState::Waiting || aState == FlowState::Answering;
+  flow.straggling = flow.straggling && works;
   this->flows.Move(aFlow, aState);
   this->CountIn(this->flows.At(aFlow), 1);
 }
@@ -193,8 +216,7 @@
   if (visit.IsUdp() && !packet.icmpError) {
     // No packet tells a first datagram from a later one, so a cold owner
     // must look a flow up before it may admit it.
-    visit.opens =
-      !visit.walk.Has(kWalkAdopt) && !visit.walk.Has(kWalkLookup);
+    visit.opens = !visit.walk.Has(kWalkAdopt) && !visit.walk.Has(kWalkLookup);
   }
   FlowIndex flow = this->flows.Find(packet.flow);
   if (flow != kNoFlow && this->TakeKnown(visit, flow)) {
@@ -220,9 +242,8 @@
     this->Restart(aVisit);
     return;
   }
-  auto place = std::find(aVisit.order.begin(),
-                         aVisit.order.end(),
-                         this->FindServer(walk.server));
+  auto place = std::find(
+    aVisit.order.begin(), aVisit.order.end(), this->FindServer(walk.server));
   bool known = place != aVisit.order.end();
   walk.step = static_cast<uint8_t>(known ? place - aVisit.order.begin() : 0);
 }
@@ -247,8 +268,8 @@
   ServerState& server = this->servers[flow.server];
   if (server.gone) {
     this->EraseFlow(aFlow);
-    aVisit.out.push_back({ .action = Action::Reset,
-                           .reason = Reason::ServerGone });
+    aVisit.out.push_back(
+      { .action = Action::Reset, .reason = Reason::ServerGone });
     ++this->counts.reasons[static_cast<size_t>(Reason::ServerGone)];
     return true;
   }
@@ -275,8 +296,7 @@
   }
   flow.lastSeen = aVisit.Now();
   this->SetState(aFlow, FlowState::Elsewhere);
-  auto place = std::find(
-    aVisit.order.begin(), aVisit.order.end(), flow.server);
+  auto place = std::find(aVisit.order.begin(), aVisit.order.end(), flow.server);
   aVisit.walk.step = static_cast<uint8_t>(place - aVisit.order.begin());
   aVisit.walk.flags |= kWalkPinned;
   if (place == aVisit.order.end()) {
@@ -304,11 +324,13 @@
   }
   if (walk.Has(kWalkGranted)) {
     auto claim = this->claims.find(aVisit.Flow());
-    if (claim != this->claims.end() && claim->second.server == server) {
+    bool kept = claim != this->claims.end() && claim->second.server == server;
+    if (kept) {
       --this->servers[server].reserved;
+      this->timing.OnAdmitted(aVisit.Now() - claim->second.claimedAt);
       this->claims.erase(claim);
     }
-    if (!this->servers[server].HasFreeSlot(aVisit.Now())) {
+    if (!kept && !this->HasFreeSlot(this->servers[server], aVisit.Now())) {
       ++this->counts.claimsLost;
       this->Drop(aVisit, Reason::HeldDuplicate);
       return true;
@@ -332,6 +354,10 @@
 Engine::Step(Visit& aVisit)
 {
   Walk& walk = aVisit.walk;
+  if (aVisit.opens && this->held.contains(aVisit.Flow())) {
+    this->Drop(aVisit, Reason::HeldDuplicate);
+    return;
+  }
   for (; walk.step < aVisit.order.size(); ++walk.step) {
     if (aVisit.opens && this->Asked(aVisit) >= this->options.servers) {
       break;
@@ -341,8 +367,7 @@
     if (state.owner == kNoInstance) {
       walk.flags |= kWalkSawCold;
       walk.adopt = walk.adopt == 0 ? state.row.address : walk.adopt;
-      ++this->counts
-          .reasons[static_cast<size_t>(Reason::SkippedUnreachable)];
+      ++this->counts.reasons[static_cast<size_t>(Reason::SkippedUnreachable)];
       continue;
     }
     if (state.owner != this->self) {
@@ -408,6 +433,7 @@
     (this->flows.At(known).passedSteps >> aVisit.walk.step & 1U) != 0;
   if (passedBefore) {
     // The first copy of this SYN may have been admitted further on.
+    aVisit.walk.flags |= kWalkSawBusy;
     this->PassOn(aVisit, Reason::PassedOnAgain);
     return false;
   }
@@ -417,11 +443,12 @@
     this->PassOn(aVisit, Reason::Unavailable);
     return false;
   }
-  if (!server.HasFreeSlot(aVisit.Now())) {
+  if (!this->HasFreeSlot(server, aVisit.Now())) {
     aVisit.walk.flags |= kWalkSawBusy;
     this->PassOn(aVisit, Reason::PassedOnBusy);
     return false;
   }
+  this->timing.OnAdmitted(0);
   this->ForwardNew(aVisit, aServer);
   return true;
 }
@@ -514,8 +541,8 @@
   Flow& flow = this->flows.At(aFlow);
   const Segment& packet = aVisit.Packet();
   ServerState& server = this->servers[flow.server];
-  aVisit.out.push_back({ .action = Action::Forward,
-                         .server = server.row.address });
+  aVisit.out.push_back(
+    { .action = Action::Forward, .server = server.row.address });
   if (packet.icmpError) {
     return;
   }
@@ -533,10 +560,21 @@
     after = Advance(flow, packet, aVisit.Now());
   }
   flow.lastSeen = aVisit.Now();
-  bool answered =
-    before == FlowState::Waiting && after == FlowState::Answering;
-  if (answered) {
-    server.OnResponse(aVisit.Now() - flow.requestAt);
+  bool answered = before == FlowState::Waiting && after == FlowState::Answering;
+  Micros age = aVisit.Now() - flow.requestAt;
+  if (before != FlowState::Waiting && after == FlowState::Waiting) {
+    flow.unqueued = server.Occupied() <= server.row.slots;
+  }
+  if (answered && flow.unqueued) {
+    this->timing.OnResponse(age);
+  }
+  if (before == FlowState::Connecting) {
+    this->timing.OnHandshake(age);
+  }
+  Micros straggles = this->timing.StragglerAge();
+  if (after == FlowState::Answering && !flow.straggling && straggles > 0 &&
+      age > straggles) {
+    this->MarkStraggler(aFlow);
   }
   if (answered || before == FlowState::Connecting ||
       before == FlowState::HalfOpen) {
@@ -553,26 +591,24 @@
     this->EraseFlow(flow);
   }
   this->BoundHalfOpen();
-  FlowState state =
-    aVisit.IsUdp() ? FlowState::Fresh : FlowState::Connecting;
+  FlowState state = aVisit.IsUdp() ? FlowState::Fresh : FlowState::Connecting;
   flow = this->flows.Insert(aVisit.Flow(), aServer, state, aVisit.Now());
   this->flows.At(flow).sentEnd = aVisit.Packet().sequence + 1;
   this->CountIn(this->flows.At(flow), 1);
   ServerState& server = this->servers[aServer];
   server.lastTrial = aVisit.Now();
   ++this->counts.admitted;
-  aVisit.out.push_back({ .action = Action::Forward,
-                         .server = server.row.address });
+  aVisit.out.push_back(
+    { .action = Action::Forward, .server = server.row.address });
   bool tell = aVisit.walk.first != this->self &&
               aVisit.walk.first != kNoInstance &&
               !aVisit.walk.Has(kWalkGranted);
   if (tell) {
-    aVisit.out.push_back({ .action = Action::SendNote,
-                           .peer = aVisit.walk.first,
-                           .note = { NoteKind::Found,
-                                     aVisit.Flow(),
-                                     server.row.address,
-                                     this->self } });
+    aVisit.out.push_back(
+      { .action = Action::SendNote,
+        .peer = aVisit.walk.first,
+        .note = {
+          NoteKind::Found, aVisit.Flow(), server.row.address, this->self } });
   }
 }
 
@@ -585,16 +621,16 @@
   bool keep = !packet.icmpError && (packet.flags & kTcpRst) == 0 &&
               (packet.flags & kTcpSyn) == 0;
   if (!keep) {
-    aVisit.out.push_back({ .action = Action::Forward,
-                           .server = server.row.address });
+    aVisit.out.push_back(
+      { .action = Action::Forward, .server = server.row.address });
     return;
   }
   FlowIndex flow = this->flows.Find(aVisit.Flow());
   if (flow != kNoFlow) {
     this->EraseFlow(flow);
   }
-  flow = this->flows.Insert(
-    aVisit.Flow(), aServer, FlowState::Idle, aVisit.Now());
+  flow =
+    this->flows.Insert(aVisit.Flow(), aServer, FlowState::Idle, aVisit.Now());
   this->flows.At(flow).adopted = true;
   this->CountIn(this->flows.At(flow), 1);
   ++this->counts.adopted;
@@ -660,8 +696,8 @@
   size_t halfOpen = 0;
   size_t passed = 0;
   for (const ServerState& server : this->servers) {
-    halfOpen += server.Count(FlowState::Connecting) +
-                server.Count(FlowState::HalfOpen);
+    halfOpen +=
+      server.Count(FlowState::Connecting) + server.Count(FlowState::HalfOpen);
     passed += server.Count(FlowState::Passed);
   }
   if (passed >= bound * kPassedPerHalfOpen) {
@@ -687,9 +723,9 @@
   }
   this->servers[place].reportedDown = aDown;
   size_t down = std::count_if(
-    this->servers.begin(),
-    this->servers.end(),
-    [](const ServerState& aState) { return aState.reportedDown; });
+    this->servers.begin(), this->servers.end(), [](const ServerState& aState) {
+      return aState.reportedDown;
+    });
   this->trustReports = down * 2 <= this->servers.size();
 }
 
@@ -714,10 +750,8 @@
       const Flow& flow = this->flows.At(place);
       Order order = this->LookupOrder(flow.key);
       bool isDefault = !order.empty() && order[0] == aServer;
-      bool placed = state != FlowState::Passed &&
-                    state != FlowState::Elsewhere;
-      bool here = placed && flow.server == aServer &&
-                  !(isDefault && guessable);
+      bool placed = state != FlowState::Passed && state != FlowState::Elsewhere;
+      bool here = placed && flow.server == aServer && !(isDefault && guessable);
       if (here || (isDefault && !placed)) {
         found.push_back({ flow.key,
                           this->servers[flow.server].row.address,
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -46,21 +46,21 @@
   uint32_t held = 256;
   BusyPolicy busy = BusyPolicy::Hold;
   HoldOrder order = HoldOrder::OldestFirst;
-  bool useEvidence = true;  // silence and reports keep new flows away
+  bool usePipeline = true;        // credit for flows on their way
+  bool useEvidence = true;        // silence and reports keep new flows away
   double walksPerSecond = 20'000; // of packets of unknown flows
 };
 
-enum WalkFlag : uint16_t
-{
-  kWalkSawCold = 1,    // an owner could not say no
-  kWalkExhausted = 2,  // all candidates asked; goes back to the arbiter
-  kWalkGranted = 4,    // held SYN for the server that claimed it
-  kWalkAdopt = 8,      // nobody knows the flow; take it over
-  kWalkPinned = 16,    // asker knows the flow's server
-  kWalkRestarted = 32, // looks again from the start, without short cuts
-  kWalkSawBusy = 64,    // a server was full, not merely broken
-  kWalkLookup = 128,    // datagram of a flow that may be known further on
-};
+// Bits of Walk::flags.
+using WalkFlag = uint16_t;
+constexpr WalkFlag kWalkSawCold = 1;    // an owner could not say no
+constexpr WalkFlag kWalkExhausted = 2;  // all asked; back to the arbiter
+constexpr WalkFlag kWalkGranted = 4;    // held SYN for the claiming server
+constexpr WalkFlag kWalkAdopt = 8;      // nobody knows the flow; take it over
+constexpr WalkFlag kWalkPinned = 16;    // the asker knows the flow's server
+constexpr WalkFlag kWalkRestarted = 32; // from the start, without short cuts
+constexpr WalkFlag kWalkSawBusy = 64;   // a server was full, not just broken
+constexpr WalkFlag kWalkLookup = 128;   // datagram that may be known further on
 
 // Where a packet stands on its way along the lookup order.
 struct Walk
@@ -212,7 +212,7 @@
   struct OpenClaim
   {
     ServerIndex server = kNoServer;
-    Micros expires = 0;
+    Micros claimedAt = 0;
   };
   struct Visit; // one packet on its way through this instance
 
@@ -221,6 +221,9 @@
   ServerIndex FindServer(Address aAddress) const;
   void SetState(FlowIndex aFlow, FlowState aState);
   void CountIn(const Flow& aFlow, int aSign);
+  bool HasFreeSlot(const ServerState& aServer, Micros aNow) const;
+  void MarkStraggler(FlowIndex aFlow);
+  void MarkStragglers(Micros aNow);
   void EraseFlow(FlowIndex aFlow);
 
   // engine.cpp: the walk
@@ -281,6 +284,7 @@
   absl::flat_hash_map<FlowKey, OpenClaim> claims;
   std::deque<FlowKey> claimOrder; // by expiry
   EngineCounts counts;
+  Timing timing;
   double walkTokens = 0;
   Micros walkTokensAt = 0;
   uint32_t ownedServers = 0;
--- a/src/core/flows.cpp
+++ b/src/core/flows.cpp
@@ -27,6 +27,7 @@
   flow = Flow{};
   flow.key = aKey;
   flow.lastSeen = aNow;
+  flow.requestAt = aNow;
   flow.server = aServer;
   flow.state = aState;
   this->index.emplace(aKey, place);
--- a/src/core/flows.h
+++ b/src/core/flows.h
@@ -39,7 +39,7 @@
 {
   FlowKey key = 0;
   Micros lastSeen = 0;  // last packet of the caller
-  Micros requestAt = 0; // when the open request was sent
+  Micros requestAt = 0; // when the SYN or the open request was sent
   FlowIndex previous = kNoFlow;
   FlowIndex next = kNoFlow;
   uint32_t sentEnd = 0; // sequence number after the caller's last byte
@@ -49,7 +49,9 @@
   FlowState state = FlowState::Connecting;
   uint16_t passedSteps = 0; // steps of the walk that passed the SYN on
   bool finSeen = false;
-  bool adopted = false; // taken over in the middle, no SYN seen here
+  bool straggling = false; // its request runs much longer than most
+  bool unqueued = false;   // its request found a free slot at the server
+  bool adopted = false;    // taken over in the middle, no SYN seen here
 };
 static_assert(sizeof(Flow) <= 64);
 
--- a/src/core/hold.cpp
+++ b/src/core/hold.cpp
@@ -86,8 +86,8 @@
     if (++candidates > this->options.servers) {
       return;
     }
-    bool known = std::find(told.begin(), told.end(), server.owner) !=
-                 told.end();
+    bool known =
+      std::find(told.begin(), told.end(), server.owner) != told.end();
     if (known || server.owner == kNoInstance) {
       continue;
     }
@@ -134,8 +134,8 @@
     case NoteKind::Found: {
       FlowIndex flow = this->flows.Find(aNote.flow);
       ServerIndex server = this->FindServer(aNote.server);
-      bool passed = flow != kNoFlow &&
-                    this->flows.At(flow).state == FlowState::Passed;
+      bool passed =
+        flow != kNoFlow && this->flows.At(flow).state == FlowState::Passed;
       if (passed && server != kNoServer) {
         this->CountIn(this->flows.At(flow), -1);
         this->flows.At(flow).server = server;
@@ -181,9 +181,9 @@
 Engine::ClaimNext(ServerIndex aServer, Micros aNow, Outbox& aOut)
 {
   ServerState& server = this->servers[aServer];
-  bool free = server.TakesNew() && server.HasFreeSlot(aNow) &&
-              (!this->options.useEvidence ||
-               server.Works(aNow, this->trustReports));
+  bool free =
+    server.TakesNew() && this->HasFreeSlot(server, aNow) &&
+    (!this->options.useEvidence || server.Works(aNow, this->trustReports));
   if (!free) {
     return false;
   }
@@ -197,7 +197,7 @@
     return true;
   }
   ++server.reserved;
-  this->claims[key] = { aServer, aNow + kClaimTime };
+  this->claims[key] = { aServer, aNow };
   this->claimOrder.push_back(key);
   aOut.push_back(
     { .action = Action::SendNote,
@@ -216,8 +216,8 @@
     if (this->options.order == HoldOrder::Adaptive) {
       auto front = this->marks.find(aServer.marks.front());
       Micros half = this->service.waitMs * kMillisecond / 2;
-      newest = front != this->marks.end() &&
-               front->second.expires - aNow < half;
+      newest =
+        front != this->marks.end() && front->second.expires - aNow < half;
     }
     FlowKey key = newest ? aServer.marks.back() : aServer.marks.front();
     if (newest) {
@@ -275,10 +275,9 @@
   }
   syn.walk.step = static_cast<uint8_t>(place - order.begin());
   syn.walk.flags = kWalkGranted;
-  Arrival arrival{ .now = aNow,
-                   .segment = &syn.segment,
-                   .packet = syn.packet,
-                   .walk = syn.walk };
+  Arrival arrival{
+    .now = aNow, .segment = &syn.segment, .packet = syn.packet, .walk = syn.walk
+  };
   Outbox out;
   Visit visit{ arrival, out, syn.walk, order, true };
   if (aClaimant == this->self) {
@@ -288,8 +287,7 @@
     if (flow != kNoFlow) {
       this->EraseFlow(flow);
     }
-    flow =
-      this->flows.Insert(aFlow, aServer, FlowState::Elsewhere, aNow);
+    flow = this->flows.Insert(aFlow, aServer, FlowState::Elsewhere, aNow);
     this->CountIn(this->flows.At(flow), 1);
     this->RelayTo(visit, aClaimant);
   }
@@ -334,7 +332,8 @@
   while (!this->claimOrder.empty()) {
     FlowKey key = this->claimOrder.front();
     auto claim = this->claims.find(key);
-    if (claim != this->claims.end() && claim->second.expires > aNow) {
+    if (claim != this->claims.end() &&
+        aNow - claim->second.claimedAt < kClaimTime) {
       return;
     }
     this->claimOrder.pop_front();
@@ -351,19 +350,17 @@
 {
   auto expire = [&](FlowState aState, Micros aLife, auto aThen) {
     FlowIndex flow = this->flows.Oldest(aState);
-    while (flow != kNoFlow &&
-           aNow - this->flows.At(flow).lastSeen >= aLife) {
+    while (flow != kNoFlow && aNow - this->flows.At(flow).lastSeen >= aLife) {
       aThen(flow);
       flow = this->flows.Oldest(aState);
     }
   };
   auto erase = [&](FlowIndex aFlow) { this->EraseFlow(aFlow); };
   expire(FlowState::HalfOpen, this->options.synLife, erase);
-  expire(
-    FlowState::Connecting, this->options.handshake, [&](FlowIndex aFlow) {
-      ++this->servers[this->flows.At(aFlow).server].failedHandshakes;
-      this->SetState(aFlow, FlowState::HalfOpen);
-    });
+  expire(FlowState::Connecting, this->options.handshake, [&](FlowIndex aFlow) {
+    ++this->servers[this->flows.At(aFlow).server].failedHandshakes;
+    this->SetState(aFlow, FlowState::HalfOpen);
+  });
   expire(FlowState::Fresh, this->options.handshake, [&](FlowIndex aFlow) {
     this->SetState(aFlow, FlowState::Idle);
   });
@@ -378,10 +375,29 @@
   expire(FlowState::Elsewhere, this->options.idle, erase);
 }
 
+// Waiting flows stand in the order of their last packet, which is nearly
+// that of their requests.
+void
+Engine::MarkStragglers(Micros aNow)
+{
+  Micros straggles = this->timing.StragglerAge();
+  if (straggles == 0) {
+    return;
+  }
+  FlowIndex flow = this->flows.Oldest(FlowState::Waiting);
+  while (flow != kNoFlow && aNow - this->flows.At(flow).lastSeen > straggles) {
+    if (!this->flows.At(flow).straggling) {
+      this->MarkStraggler(flow);
+    }
+    flow = this->flows.At(flow).next;
+  }
+}
+
 void
 Engine::OnTick(Micros aNow, Outbox& aOut)
 {
   this->ExpireFlows(aNow);
+  this->MarkStragglers(aNow);
   this->ExpireClaims(aNow);
   this->ExpireHeld(aNow, aOut);
   this->OfferFreeSlots(aNow, aOut);
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -86,8 +86,8 @@
         age >= this->SuspicionTime()) {
       this->SetStatus(known, MemberStatus::Dead, aNow);
     }
-    bool forget = known.news.status == MemberStatus::Dead &&
-                  age >= this->options.forget;
+    bool forget =
+      known.news.status == MemberStatus::Dead && age >= this->options.forget;
     it = forget ? this->members.erase(it) : std::next(it);
     this->changes += forget ? 1 : 0;
   }
@@ -135,10 +135,9 @@
     return;
   }
   this->probedSequence = ++this->sequence;
-  aOut.push_back({ this->probed,
-                   this->MakeProbe(ProbeKind::Ping,
-                                   this->probedSequence,
-                                   this->probed) });
+  aOut.push_back(
+    { this->probed,
+      this->MakeProbe(ProbeKind::Ping, this->probedSequence, this->probed) });
 }
 
 // One seed that is not a live member, or one dead member, is called each
@@ -254,10 +253,9 @@
         this->relayed.clear();
       }
       this->relayed[++this->sequence] = { aFrom, aProbe.sequence };
-      aOut.push_back({ aProbe.target,
-                       this->MakeProbe(ProbeKind::Ping,
-                                       this->sequence,
-                                       aProbe.target) });
+      aOut.push_back(
+        { aProbe.target,
+          this->MakeProbe(ProbeKind::Ping, this->sequence, aProbe.target) });
       break;
     case ProbeKind::Ack: {
       if (aProbe.sequence == this->probedSequence &&
@@ -321,8 +319,7 @@
   if (same) {
     return;
   }
-  this->superseded =
-    this->superseded || aNews.status == MemberStatus::Dead;
+  this->superseded = this->superseded || aNews.status == MemberStatus::Dead;
   this->self.incarnation = aNews.incarnation + 1;
 }
 
--- a/src/core/rank.cpp
+++ b/src/core/rank.cpp
@@ -78,11 +78,10 @@
 uint64_t
 HashFlow(const ServiceKey& aService, FlowKey aFlow)
 {
-  std::array<uint64_t, 2> words{
-    aFlow,
-    (uint64_t{ aService.address } << 32) | (uint64_t{ aService.port } << 8) |
-      static_cast<uint64_t>(aService.protocol)
-  };
+  std::array<uint64_t, 2> words{ aFlow,
+                                 (uint64_t{ aService.address } << 32) |
+                                   (uint64_t{ aService.port } << 8) |
+                                   static_cast<uint64_t>(aService.protocol) };
   return HashOf(words, kFlowSeed);
 }
 
--- a/src/core/server.cpp
+++ b/src/core/server.cpp
@@ -1,9 +1,36 @@
 #include "core/server.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gentianspindle {
 
+namespace {
+
+// Gain of the smoothed times, as in RFC 6298.
+constexpr Micros kSmoothing = 8;
+// A sample counts as at most so many times the smoothed value, so that
+// stragglers do not pass for ordinary work.
+constexpr Micros kClip = 3;
+// A request this many times older than the ordinary response is a straggler.
+constexpr Micros kStragglerFactor = 4;
+// Bound on the credit for flows on their way.
+constexpr double kMaxPipeline = 4;
+// Work varies, so the mean time on the way alone would let slots run dry.
+constexpr double kPipelineMargin = 1.6;
+
+Micros
+Smooth(Micros aOld, Micros aSample)
+{
+  if (aOld == 0) {
+    return std::max<Micros>(aSample, 1);
+  }
+  Micros sample = std::min(aSample, aOld * kClip);
+  return std::max<Micros>(aOld + (sample - aOld) / kSmoothing, 1);
+}
+
+}
+
 // A connecting or fresh flow counts: its request is on the way, and a second
 // flow admitted meanwhile would find the slot taken.
 uint32_t
@@ -43,10 +70,26 @@
   return aNow - this->lastTrial >= kTrialPeriod;
 }
 
+// A flow keeps its place from the SYN to the acknowledgement of the answer,
+// but the server works on it for a part of that time only. Were slots all
+// that is admitted, they would idle for the rest. A straggler gives its slot
+// back to nobody soon, so it earns no such credit.
+uint32_t
+ServerState::Limit(Micros aNow, double aPipeline) const
+{
+  uint32_t slots = this->Slots(aNow);
+  if (this->stragglers >= slots) {
+    return this->stragglers;
+  }
+  double quick = slots - this->stragglers;
+  return this->stragglers +
+         static_cast<uint32_t>(std::lround(quick * (1 + aPipeline)));
+}
+
 bool
-ServerState::HasFreeSlot(Micros aNow) const
+ServerState::HasFreeSlot(Micros aNow, double aPipeline) const
 {
-  return this->Occupied() < this->Slots(aNow) &&
+  return this->Occupied() < this->Limit(aNow, aPipeline) &&
          this->Open() < this->row.connections;
 }
 
@@ -61,10 +104,40 @@
 }
 
 void
-ServerState::OnResponse(Micros aTook)
+Timing::OnHandshake(Micros aTook)
+{
+  this->handshake = Smooth(this->handshake, aTook);
+}
+
+void
+Timing::OnResponse(Micros aTook)
+{
+  this->response = Smooth(this->response, aTook);
+}
+
+void
+Timing::OnAdmitted(Micros aTook)
+{
+  this->claim += (aTook - this->claim) / kSmoothing;
+}
+
+double
+Timing::Pipeline() const
+{
+  if (this->handshake == 0 || this->response == 0) {
+    return 0;
+  }
+  Micros work = std::max<Micros>(this->response - this->handshake, 1);
+  Micros idle = 2 * this->handshake + this->claim;
+  double share =
+    kPipelineMargin * static_cast<double>(idle) / static_cast<double>(work);
+  return std::min(share, kMaxPipeline);
+}
+
+Micros
+Timing::StragglerAge() const
 {
-  constexpr Micros kShare = 8; // RFC 6298 uses the same gain
-  this->responseTime += (aTook - this->responseTime) / kShare;
+  return this->response * kStragglerFactor;
 }
 
 }
--- a/src/core/server.h
+++ b/src/core/server.h
@@ -30,7 +30,7 @@
   bool handedOver = false; // all that the former owner knew has arrived
   Micros ownedSince = 0;
   std::array<uint32_t, kFlowStates> counts{};
-  uint32_t reserved = 0; // slots kept for claimed flows
+  uint32_t reserved = 0;     // slots kept for claimed flows
   std::deque<FlowKey> marks; // flows held elsewhere that may come here
 
   uint32_t failedHandshakes = 0; // since the last progress
@@ -38,7 +38,7 @@
   Micros lastTrial = 0;
   Micros rampFrom = -kRampTime;
   bool reportedDown = false;
-  Micros responseTime = 0; // smoothed, request to first acknowledgement
+  uint32_t stragglers = 0; // flows whose request runs long
 
   uint32_t Count(FlowState aState) const
   {
@@ -54,6 +54,11 @@
   // Slots that may be used at aNow.
   uint32_t Slots(Micros aNow) const;
 
+  // Flows that may be on their way to the slots, in them, or on their way
+  // back, so that the slots are neither idle nor queued for. aPipeline: round
+  // trips over work, see Timing.
+  uint32_t Limit(Micros aNow, double aPipeline) const;
+
   bool TakesNew() const { return !this->removed && !this->row.draining; }
 
   // No sign of life in spite of new flows.
@@ -63,13 +68,30 @@
   // servers are reported down at once.
   bool Works(Micros aNow, bool aTrustReports) const;
 
-  bool HasFreeSlot(Micros aNow) const;
+  bool HasFreeSlot(Micros aNow, double aPipeline) const;
 
   // The caller's packets show that the server answers.
   void OnProgress(Micros aNow);
+};
+
+// What the callers' packets say about time at one service.
+struct Timing
+{
+  Micros handshake = 0; // smoothed: SYN forwarded to ACK seen
+  Micros response = 0;  // smoothed: request forwarded to first answer ACK
+  Micros claim = 0;     // smoothed: slot kept to flow admitted
 
-  // A request got its first answer byte.
+  void OnHandshake(Micros aTook);
   void OnResponse(Micros aTook);
+  // A slot was kept for aTook before the flow that got it was there.
+  void OnAdmitted(Micros aTook);
+
+  // Time that a flow spends on its way to and from the server, over the time
+  // that the server works on it.
+  double Pipeline() const;
+
+  // A request older than this runs much longer than most; 0: not known yet.
+  Micros StragglerAge() const;
 };
 
 }
--- a/src/core/table.cpp
+++ b/src/core/table.cpp
@@ -61,12 +61,9 @@
   if (csv_init(&parser, CSV_STRICT | CSV_APPEND_NULL) != 0) {
     return false;
   }
-  bool whole = csv_parse(&parser,
-                         aCsv.data(),
-                         aCsv.size(),
-                         OnField,
-                         OnRow,
-                         &aReader) == aCsv.size();
+  bool whole =
+    csv_parse(&parser, aCsv.data(), aCsv.size(), OnField, OnRow, &aReader) ==
+    aCsv.size();
   whole = csv_fini(&parser, OnField, OnRow, &aReader) == 0 && whole;
   csv_free(&parser);
   return whole;
@@ -93,9 +90,7 @@
       { this->row, std::string(aColumn), std::move(aReason) });
   }
 
-  uint32_t Number(std::string_view aColumn,
-                  uint32_t aMin,
-                  uint32_t aMax) const
+  uint32_t Number(std::string_view aColumn, uint32_t aMin, uint32_t aMax) const
   {
     uint32_t value = 0;
     const std::string& text = this->Text(aColumn);
@@ -147,10 +142,10 @@
   for (const char* column : kColumns) {
     auto count = std::count(aHeader.begin(), aHeader.end(), column);
     if (count != 1) {
-      aFaults.push_back({ 1,
-                          column,
-                          count == 0 ? "column is missing"
-                                     : "column stands twice" });
+      aFaults.push_back(
+        { 1,
+          column,
+          count == 0 ? "column is missing" : "column stands twice" });
       continue;
     }
     aPlaces.push_back(std::find(aHeader.begin(), aHeader.end(), column) -
@@ -192,15 +187,13 @@
   Service service;
   service.name = aReader.Name("service");
   service.key.address = aReader.Ip("address");
-  service.key.port =
-    static_cast<uint16_t>(aReader.Number("port", 1, 65535));
+  service.key.port = static_cast<uint16_t>(aReader.Number("port", 1, 65535));
   service.waitMs = aReader.Number("wait_ms", 0, kMaxWaitMs);
   const std::string& protocol = aReader.Text("protocol");
   service.key.protocol = protocol == "udp" ? Protocol::Udp : Protocol::Tcp;
   if (protocol != "tcp" && protocol != "udp") {
-    aReader.Fault(
-      "protocol",
-      absl::StrCat("'", protocol, "' is neither 'tcp' nor 'udp'"));
+    aReader.Fault("protocol",
+                  absl::StrCat("'", protocol, "' is neither 'tcp' nor 'udp'"));
   }
   return service;
 }
@@ -240,8 +233,7 @@
     if (aKnown.waitMs != aService.waitMs) {
       aReader.Fault("wait_ms", "differs from the service's first row");
     }
-    auto [owner, fresh] =
-      this->byKey.try_emplace(aService.key, aService.name);
+    auto [owner, fresh] = this->byKey.try_emplace(aService.key, aService.name);
     if (owner->second != aService.name) {
       aReader.Fault("address",
                     absl::StrCat("already used by service '",
@@ -261,11 +253,11 @@
     if (fresh) {
       return;
     }
-    aReader.Fault("server",
-                  owner->second == aService
-                    ? "stands twice in this service"
-                    : absl::StrCat(
-                        "already a server of service '", owner->second, "'"));
+    aReader.Fault(
+      "server",
+      owner->second == aService
+        ? "stands twice in this service"
+        : absl::StrCat("already a server of service '", owner->second, "'"));
   }
 };
 
@@ -273,11 +265,10 @@
 CheckServing(const Table& aTable, std::vector<TableFault>& aFaults)
 {
   for (const Service& service : aTable.services) {
-    bool serving = std::any_of(service.rows.begin(),
-                               service.rows.end(),
-                               [](const ServerRow& aRow) {
-                                 return !aRow.draining;
-                               });
+    bool serving =
+      std::any_of(service.rows.begin(),
+                  service.rows.end(),
+                  [](const ServerRow& aRow) { return !aRow.draining; });
     if (!serving) {
       aFaults.push_back({ 0,
                           "state",
@@ -324,8 +315,8 @@
       check.faults.push_back(
         { i + 1,
           "",
-          absl::StrCat("has ", csv.rows[i].size(), " fields, not ",
-                       csv.rows[0].size()) });
+          absl::StrCat(
+            "has ", csv.rows[i].size(), " fields, not ", csv.rows[0].size()) });
       continue;
     }
     builder.Add({ csv.rows[i], places, i + 1, check.faults });
@@ -373,9 +364,8 @@
                                         user->second,
                                         "'") });
       }
-      if (!aZones.empty() && std::find(aZones.begin(),
-                                       aZones.end(),
-                                       row.zone) == aZones.end()) {
+      if (!aZones.empty() &&
+          std::find(aZones.begin(), aZones.end(), row.zone) == aZones.end()) {
         faults.push_back({ 0,
                            "zone",
                            absl::StrCat("no instance is in zone '",
@@ -387,10 +377,10 @@
   }
   for (const Service& service : aNow.services) {
     bool gone = FindService(aNext, service.name) == nullptr;
-    bool drained = std::all_of(
-      service.rows.begin(), service.rows.end(), [](const ServerRow& aRow) {
-        return aRow.draining;
-      });
+    bool drained =
+      std::all_of(service.rows.begin(),
+                  service.rows.end(),
+                  [](const ServerRow& aRow) { return aRow.draining; });
     if (gone && !drained) {
       faults.push_back({ 0,
                          "service",
@@ -434,18 +424,17 @@
       absl::StrAppend(
         &csv,
         absl::StrJoin(
-          std::make_tuple(
-            service.name,
-            FormatAddress(service.key.address),
-            service.key.port,
-            service.key.protocol == Protocol::Tcp ? "tcp" : "udp",
-            FormatAddress(row.address),
-            row.zone,
-            row.weight,
-            row.slots,
-            row.connections,
-            service.waitMs,
-            row.draining ? "draining" : "serving"),
+          std::make_tuple(service.name,
+                          FormatAddress(service.key.address),
+                          service.key.port,
+                          service.key.protocol == Protocol::Tcp ? "tcp" : "udp",
+                          FormatAddress(row.address),
+                          row.zone,
+                          row.weight,
+                          row.slots,
+                          row.connections,
+                          service.waitMs,
+                          row.draining ? "draining" : "serving"),
           ","),
         "\n");
     }
@@ -489,9 +478,8 @@
 std::string
 FormatInstance(InstanceId aInstance)
 {
-  return absl::StrCat(FormatAddress(InstanceAddress(aInstance)),
-                      ":",
-                      InstancePort(aInstance));
+  return absl::StrCat(
+    FormatAddress(InstanceAddress(aInstance)), ":", InstancePort(aInstance));
 }
 
 bool
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -292,7 +292,10 @@
     kExitUnknown,
     "unknown",
     { { "reason", result.text }, { "change", request.changeId } },
-    absl::StrCat("unknown: ", result.text, "\nchange ", request.changeId,
+    absl::StrCat("unknown: ",
+                 result.text,
+                 "\nchange ",
+                 request.changeId,
                  "; see 'gentianctl table log' later"));
 }
 
@@ -319,8 +322,14 @@
       }
       entry = *logged;
     }
-    lines.push_back(absl::StrCat(version, "  ", entry.unixSeconds, "  ",
-                                 entry.author, "  ", entry.changeId, "  ",
+    lines.push_back(absl::StrCat(version,
+                                 "  ",
+                                 entry.unixSeconds,
+                                 "  ",
+                                 entry.author,
+                                 "  ",
+                                 entry.changeId,
+                                 "  ",
                                  entry.summary));
     entries.push_back({ { "version", version },
                         { "unix_seconds", entry.unixSeconds },
@@ -356,8 +365,15 @@
   nlohmann::json instances = nlohmann::json::array();
   for (const msg::ZoneStatus& zone : fleet->zones) {
     for (const msg::InstanceStatus& instance : zone.instances) {
-      absl::StrAppend(&text, "\n", zone.zone, "  ", instance.instance, "  ",
-                      instance.state, "  version ", instance.tableVersion);
+      absl::StrAppend(&text,
+                      "\n",
+                      zone.zone,
+                      "  ",
+                      instance.instance,
+                      "  ",
+                      instance.state,
+                      "  version ",
+                      instance.tableVersion);
       instances.push_back({ { "zone", zone.zone },
                             { "instance", instance.instance },
                             { "state", instance.state },
@@ -412,10 +428,10 @@
   options.positional_help(
     "table get FILE | table check FILE | table apply FILE | table log | "
     "status");
-  options.add_options()("platform",
-                        "URL of the platform's object API",
-                        cxxopts::value<std::string>()->default_value(
-                          "http://127.0.0.1:8080"))(
+  options.add_options()(
+    "platform",
+    "URL of the platform's object API",
+    cxxopts::value<std::string>()->default_value("http://127.0.0.1:8080"))(
     "author",
     "who changes the table",
     cxxopts::value<std::string>()->default_value(
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -29,9 +29,8 @@
   root.addAppender(console);
   log4cplus::LogLevel level =
     log4cplus::getLogLevelManager().fromString(aLevel);
-  root.setLogLevel(level == log4cplus::NOT_SET_LOG_LEVEL
-                     ? log4cplus::INFO_LOG_LEVEL
-                     : level);
+  root.setLogLevel(
+    level == log4cplus::NOT_SET_LOG_LEVEL ? log4cplus::INFO_LOG_LEVEL : level);
 }
 
 void
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -52,8 +52,7 @@
   uint64_t packets = FabricPackets(aNode);
   while (MonotonicNow() - start < kLongestStop &&
          MonotonicNow() - lastPacket < kQuietStop) {
-    timespec wait{ 0,
-                   std::chrono::nanoseconds(kStopCheck).count() };
+    timespec wait{ 0, std::chrono::nanoseconds(kStopCheck).count() };
     if (sigtimedwait(&aSignals, nullptr, &wait) > 0) {
       LogWarn(kLogMain, "A second signal ends the stop at once.");
       return;
@@ -95,18 +94,19 @@
   std::atomic<bool> stop = false;
   std::vector<std::thread> threads;
   for (size_t i = 0; i < sockets.size(); ++i) {
-    threads.emplace_back([&, i] {
-      Worker(*node, sockets[i], *counts[i]).Run(stop);
-    });
+    threads.emplace_back(
+      [&, i] { Worker(*node, sockets[i], *counts[i]).Run(stop); });
   }
-  threads.emplace_back(
-    [&] { RunTicks(*node, sockets[0], control, stop); });
+  threads.emplace_back([&] { RunTicks(*node, sockets[0], control, stop); });
   absl::StatusOr<std::unique_ptr<Watcher>> watcher =
     Watcher::Make(*node, sockets[0], control);
   if (watcher.ok()) {
     LogInfo(kLogMain,
-            absl::StrCat("Instance ", FormatInstance(node->Self()),
-                         " serves zone ", aSettings.instance.zone, "."));
+            absl::StrCat("Instance ",
+                         FormatInstance(node->Self()),
+                         " serves zone ",
+                         aSettings.instance.zone,
+                         "."));
     int signal = 0;
     sigwait(&signals, &signal);
     Sender sender(*node, sockets[0], control);
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -120,8 +120,7 @@
 
   void AddRetries(std::vector<MetricFamily>& aFamilies) const
   {
-    MetricFamily& family =
-      Add(aFamilies, "retries_total", "Retries by reason");
+    MetricFamily& family = Add(aFamilies, "retries_total", "Retries by reason");
     for (size_t i = 0; i < kRetryNames.size(); ++i) {
       Put(family,
           "reason",
@@ -148,8 +147,9 @@
     for (const auto& [key, slot] : this->node.Current()->services) {
       absl::MutexLock lock(&slot->mutex);
       const Engine& engine = slot->engine;
+      const std::string& name = slot->name;
       auto put = [&](MetricFamily& aFamily, double aNumber) {
-        Put(aFamily, "service", slot->name, aNumber);
+        Put(aFamily, "service", name, aNumber);
       };
       put(flows, static_cast<double>(engine.Flows().Size()));
       put(heldNow, static_cast<double>(engine.HeldNow()));
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -210,7 +210,8 @@
   Micros last = this->lastTick.load();
   Micros limit = this->settings.peers.probeMs * kMillisecond *
                  MembershipOptions{}.suspectPeriods;
-  if (aNow - last < limit || !this->lastTick.compare_exchange_strong(last, aNow)) {
+  if (aNow - last < limit ||
+      !this->lastTick.compare_exchange_strong(last, aNow)) {
     return;
   }
   this->LoseTrust(aNow);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -54,14 +54,13 @@
 };
 
 constexpr std::array<std::string_view, static_cast<size_t>(Path::Count)>
-  kPathNames{ "fabric_in", "peer_in",   "to_server",   "to_peer",   "to_caller",
-              "notes_out", "notes_in",  "control_out", "control_in" };
+  kPathNames{ "fabric_in", "peer_in",  "to_server",   "to_peer",   "to_caller",
+              "notes_out", "notes_in", "control_out", "control_in" };
 
 // Counters of one thread; read by the metrics page.
 struct ThreadCounts
 {
-  std::array<std::atomic<uint64_t>, static_cast<size_t>(Path::Count)>
-    packets{};
+  std::array<std::atomic<uint64_t>, static_cast<size_t>(Path::Count)> packets{};
   std::array<std::atomic<uint64_t>, static_cast<size_t>(Path::Count)> bytes{};
   std::array<std::atomic<uint64_t>, static_cast<size_t>(Reason::Count)>
     reasons{};
--- a/src/daemon/sender.cpp
+++ b/src/daemon/sender.cpp
@@ -31,8 +31,7 @@
   int on = 1;
   sockaddr_in address = MakeTarget(aEndpoint);
   bool good =
-    fd >= 0 &&
-    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) == 0 &&
+    fd >= 0 && setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) == 0 &&
     bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
   if (!good) {
     std::string text = absl::StrCat(
@@ -43,10 +42,8 @@
     return absl::UnavailableError(text);
   }
   // Larger buffers only help; their absence is no error.
-  setsockopt(
-    fd, SOL_SOCKET, SO_RCVBUF, &kSocketBufferBytes, sizeof(int));
-  setsockopt(
-    fd, SOL_SOCKET, SO_SNDBUF, &kSocketBufferBytes, sizeof(int));
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kSocketBufferBytes, sizeof(int));
+  setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kSocketBufferBytes, sizeof(int));
   setsockopt(
     fd, SOL_SOCKET, SO_RCVTIMEO, &kReceiveTimeout, sizeof(kReceiveTimeout));
   return fd;
@@ -83,9 +80,10 @@
   close(aSockets.peer);
 }
 
-Sender::Sender(Node& aNode, const Sockets& aSockets, ThreadCounts& aCounts)
-  : node(aNode)
-  , sockets(aSockets)
+Sender::Sender(const Node& aNode,
+               const Sockets& aSockets,
+               ThreadCounts& aCounts)
+  : sockets(aSockets)
   , counts(aCounts)
   , serverPort(static_cast<uint16_t>(aNode.GetSettings().fabric.serverPort))
 {
@@ -126,18 +124,14 @@
       std::span<const uint8_t> header =
         EncodeRelayHeader(aDecision.walk, aVersion);
       this->counts.Add(Path::ToPeer, header.size() + aPacket.size());
-      this->Push(this->toPeers,
-                 this->sockets.peer,
-                 aDecision.peer,
-                 header,
-                 aPacket);
+      this->Push(
+        this->toPeers, this->sockets.peer, aDecision.peer, header, aPacket);
       break;
     }
     case Action::SendNote: {
       std::span<const uint8_t> note = EncodeNote(aDecision.note, aService);
       this->counts.Add(Path::NotesOut, note.size());
-      this->Push(
-        this->toPeers, this->sockets.peer, aDecision.peer, note, {});
+      this->Push(this->toPeers, this->sockets.peer, aDecision.peer, note, {});
       break;
     }
     case Action::Refuse:
--- a/src/daemon/sender.h
+++ b/src/daemon/sender.h
@@ -28,7 +28,7 @@
 class Sender
 {
 public:
-  Sender(Node& aNode, const Sockets& aSockets, ThreadCounts& aCounts);
+  Sender(const Node& aNode, const Sockets& aSockets, ThreadCounts& aCounts);
 
   // aPacket must live until Flush; decisions that bring a packet of their own
   // are moved from.
@@ -67,7 +67,6 @@
   void FlushQueue(Queue& aQueue, int aSocket);
   std::span<const uint8_t> Keep(std::vector<uint8_t> aBytes);
 
-  Node& node;
   Sockets sockets;
   ThreadCounts& counts;
   InstanceId fabricAnswer = kNoInstance;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -79,7 +79,9 @@
   } else if (!IsGoodText(aField, *text)) {
     aReader.Fault(&aNode,
                   FullName(aField),
-                  absl::StrCat("'", *text, "' is not of the form ",
+                  absl::StrCat("'",
+                               *text,
+                               "' is not of the form ",
                                aField.type == SettingType::Address ||
                                    aField.type == SettingType::Addresses
                                  ? "a.b.c.d"
@@ -103,8 +105,13 @@
     } else if (*value < aField.min || *value > aField.max) {
       aReader.Fault(&aNode,
                     FullName(aField),
-                    absl::StrCat(*value, " is not from ", aField.min, " to ",
-                                 aField.max, " ", ToAbsl(aField.unit)));
+                    absl::StrCat(*value,
+                                 " is not from ",
+                                 aField.min,
+                                 " to ",
+                                 aField.max,
+                                 " ",
+                                 ToAbsl(aField.unit)));
     } else {
       **number = *value;
     }
@@ -150,7 +157,9 @@
 void
 FindUnknown(SettingsReader& aReader, const toml::table& aRoot)
 {
-  for (const auto& [section, node] : aRoot) {
+  for (const auto& entry : aRoot) {
+    const toml::key& section = entry.first;
+    const toml::node& node = entry.second;
     const toml::table* keys = node.as_table();
     bool known = std::any_of(kSettingFields.begin(),
                              kSettingFields.end(),
@@ -163,10 +172,10 @@
     }
     for (const auto& [key, value] : *keys) {
       if (FindField(section.str(), key.str()) == nullptr) {
-        aReader.Fault(&value,
-                      absl::StrCat(ToAbsl(section.str()), ".",
-                                   ToAbsl(key.str())),
-                      "key is not known");
+        aReader.Fault(
+          &value,
+          absl::StrCat(ToAbsl(section.str()), ".", ToAbsl(key.str())),
+          "key is not known");
       }
     }
   }
@@ -216,8 +225,11 @@
   toml::parse_result parsed = toml::parse(aText, aFile);
   if (!parsed) {
     return absl::InvalidArgumentError(
-      absl::StrCat(ToAbsl(aFile), ":", parsed.error().source().begin.line,
-                   ": ", ToAbsl(parsed.error().description())));
+      absl::StrCat(ToAbsl(aFile),
+                   ":",
+                   parsed.error().source().begin.line,
+                   ": ",
+                   ToAbsl(parsed.error().description())));
   }
   const toml::table& root = parsed.table();
   SettingsReader reader{ aFile, {} };
--- a/src/daemon/watcher.cpp
+++ b/src/daemon/watcher.cpp
@@ -86,8 +86,7 @@
   std::unique_ptr<Watcher> watcher(
     new Watcher(aNode, aSockets, aCounts, *watch, *status));
   watcher->watchThread = std::thread([w = watcher.get()] { w->RunWatch(); });
-  watcher->statusThread =
-    std::thread([w = watcher.get()] { w->RunStatus(); });
+  watcher->statusThread = std::thread([w = watcher.get()] { w->RunStatus(); });
   return watcher;
 }
 
@@ -116,8 +115,8 @@
 Watcher::Pause(int32_t aFailures)
 {
   thread_local std::mt19937_64 random{ std::random_device{}() };
-  auto longest =
-    std::min(kLongestPause, kFirstPause * (1 << std::min(aFailures, kMaxDoublings)));
+  auto longest = std::min(
+    kLongestPause, kFirstPause * (1 << std::min(aFailures, kMaxDoublings)));
   std::uniform_int_distribution<int64_t> pick(longest.count() / 2,
                                               longest.count());
   auto until =
--- a/src/daemon/watcher.h
+++ b/src/daemon/watcher.h
@@ -13,10 +13,9 @@
 class Watcher
 {
 public:
-  static absl::StatusOr<std::unique_ptr<Watcher>> Make(
-    Node& aNode,
-    const Sockets& aSockets,
-    ThreadCounts& aCounts);
+  static absl::StatusOr<std::unique_ptr<Watcher>> Make(Node& aNode,
+                                                       const Sockets& aSockets,
+                                                       ThreadCounts& aCounts);
   ~Watcher();
 
 private:
--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -96,8 +96,7 @@
 Worker::Source(size_t aPlace) const
 {
   const sockaddr_in& source = this->batch.sources[aPlace];
-  return MakeInstanceId(ntohl(source.sin_addr.s_addr),
-                        ntohs(source.sin_port));
+  return MakeInstanceId(ntohl(source.sin_addr.s_addr), ntohs(source.sin_port));
 }
 
 void
@@ -106,8 +105,7 @@
   this->counts.Add(Path::FabricIn, aDatagram.size());
   bool known = std::find(this->fabricSources.begin(),
                          this->fabricSources.end(),
-                         InstanceAddress(aSource)) !=
-               this->fabricSources.end();
+                         InstanceAddress(aSource)) != this->fabricSources.end();
   if (!known) {
     this->counts.Add(Reason::UnknownSource);
     return;
@@ -142,8 +140,8 @@
   }
   this->counts.Add(Reason::TooLarge);
   if (aSegment.dontFragment) {
-    this->sender.SendToCaller(MakeUnreachable(
-      aPacket, kIcmpFragmentationNeeded, this->maxPacket));
+    this->sender.SendToCaller(
+      MakeUnreachable(aPacket, kIcmpFragmentationNeeded, this->maxPacket));
   }
   return true;
 }
@@ -239,10 +237,8 @@
     service->second->engine.OnPacket(aArrival, this->out);
     version = service->second->engine.Version();
   }
-  this->sender.CarryOut({ this->out.data(), this->out.size() },
-                        aArrival.packet,
-                        key,
-                        version);
+  this->sender.CarryOut(
+    { this->out.data(), this->out.size() }, aArrival.packet, key, version);
 }
 
 }
--- a/src/platform/objects.cpp
+++ b/src/platform/objects.cpp
@@ -193,8 +193,8 @@
 {
   absl::StatusOr<Answer> answer = this->Perform(
     { .step = "watch object",
-      .url = absl::StrCat(
-        this->UrlOf(aName), "?wait_ms=", this->options.watchMs),
+      .url =
+        absl::StrCat(this->UrlOf(aName), "?wait_ms=", this->options.watchMs),
       .condition = absl::StrCat("If-None-Match: \"", aVersion, "\""),
       .timeoutMs = this->options.watchMs + kWatchSlackMs });
   if (!answer.ok()) {
--- a/src/platform/store.cpp
+++ b/src/platform/store.cpp
@@ -37,17 +37,16 @@
 DecodeJson(std::string_view aStep, std::string_view aBytes)
 {
   auto buffer = std::make_shared<TMemoryBuffer>();
-  buffer->resetBuffer(reinterpret_cast<uint8_t*>(
-                        const_cast<char*>(aBytes.data())),
-                      static_cast<uint32_t>(aBytes.size()),
-                      TMemoryBuffer::OBSERVE);
+  buffer->resetBuffer(
+    reinterpret_cast<uint8_t*>(const_cast<char*>(aBytes.data())),
+    static_cast<uint32_t>(aBytes.size()),
+    TMemoryBuffer::OBSERVE);
   TJSONProtocol protocol(buffer);
   T message;
   try {
     message.read(&protocol);
   } catch (const std::exception& error) {
-    return absl::DataLossError(
-      absl::StrCat(ToAbsl(aStep), ": ", error.what()));
+    return absl::DataLossError(absl::StrCat(ToAbsl(aStep), ": ", error.what()));
   }
   return message;
 }
@@ -69,6 +68,7 @@
 ToMessages(const std::vector<ServerRow>& aRows)
 {
   std::vector<msg::Row> rows;
+  rows.reserve(aRows.size());
   for (const ServerRow& row : aRows) {
     rows.push_back(ToMessage(row));
   }
@@ -172,8 +172,7 @@
   Service service;
   service.name = part->name;
   bool good = ParseAddress(part->address, service.key.address) &&
-              part->port > 0 && part->port <= UINT16_MAX &&
-              part->waitMs >= 0 &&
+              part->port > 0 && part->port <= UINT16_MAX && part->waitMs >= 0 &&
               (part->protocol == "tcp" || part->protocol == "udp") &&
               FromMessages(part->rows, service.rows);
   for (const std::vector<msg::Row>& rows : part->former) {
@@ -207,12 +206,8 @@
 {
   std::array<uint8_t, EVP_MAX_MD_SIZE> digest{};
   unsigned int count = 0;
-  EVP_Digest(aBytes.data(),
-             aBytes.size(),
-             digest.data(),
-             &count,
-             EVP_sha256(),
-             nullptr);
+  EVP_Digest(
+    aBytes.data(), aBytes.size(), digest.data(), &count, EVP_sha256(), nullptr);
   return absl::BytesToHexString(
     absl::string_view(reinterpret_cast<const char*>(digest.data()), count));
 }
@@ -226,9 +221,8 @@
   }
   absl::StatusOr<Service> service = DecodePart(aBytes);
   if (service.ok() && service->name != aName.name) {
-    return absl::DataLossError(
-      absl::StrCat("check table part: '", aName.name, "' holds '",
-                   service->name, "'"));
+    return absl::DataLossError(absl::StrCat(
+      "check table part: '", aName.name, "' holds '", service->name, "'"));
   }
   return service;
 }
@@ -241,8 +235,7 @@
     const Service* now = FindByName(aNow, service.name);
     if (now == nullptr) {
       changes.push_back(absl::StrCat("+", service.name));
-    } else if (!(now->rows == service.rows) ||
-               now->waitMs != service.waitMs) {
+    } else if (!(now->rows == service.rows) || now->waitMs != service.waitMs) {
       changes.push_back(absl::StrCat("~", service.name));
     }
   }
--- a/src/platform/store.h
+++ b/src/platform/store.h
@@ -242,9 +242,7 @@
   std::vector<TableFault> faults =
     CheckChange(*current, aRequest.next, aRequest.zones);
   if (!faults.empty()) {
-    return { ApplyOutcome::Refused,
-             now->head.version,
-             FormatFaults(faults) };
+    return { ApplyOutcome::Refused, now->head.version, FormatFaults(faults) };
   }
   Table next = MakeSuccessor(*current, aRequest.next);
   msg::TableHead head;
@@ -275,8 +273,7 @@
     }
   }
   std::string body = EncodeHead(head);
-  absl::StatusOr<int64_t> put =
-    aApi.Put(kHeadName, now->objectVersion, body);
+  absl::StatusOr<int64_t> put = aApi.Put(kHeadName, now->objectVersion, body);
   ApplyResult result{ ApplyOutcome::Accepted, head.version, "" };
   if (!put.ok()) {
     result = ResolveLostAnswer(aApi, head, aRetry);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-using apache::thrift::TException;
 using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
 
--- a/src/wire/packet.cpp
+++ b/src/wire/packet.cpp
@@ -223,9 +223,8 @@
 std::span<const uint8_t, kGeneveBytes>
 GeneveHeader()
 {
-  static constexpr std::array<uint8_t, kGeneveBytes> kHeader{ 0,    0, 0x08,
-                                                              0x00, 0, 0,
-                                                              0,    0 };
+  static constexpr std::array<uint8_t, kGeneveBytes> kHeader{ 0, 0, 0x08, 0x00,
+                                                              0, 0, 0,    0 };
   return kHeader;
 }
 
@@ -301,8 +300,7 @@
 std::vector<uint8_t>
 MakeUnreachable(std::span<const uint8_t> aPacket, uint8_t aCode, uint16_t aMtu)
 {
-  size_t quoted =
-    std::min(aPacket.size(), kIpv4Bytes + kIcmpQuotedBytes);
+  size_t quoted = std::min(aPacket.size(), kIpv4Bytes + kIcmpQuotedBytes);
   std::vector<uint8_t> answer(kIpv4Bytes + kIcmpBytes + quoted);
   std::span<uint8_t> icmp = std::span(answer).subspan(kIpv4Bytes);
   icmp[0] = kIcmpUnreachable;
--- /dev/null
+++ b/tests/core/rank_test.cpp
@@ -0,0 +1,101 @@
+#include "core/rank.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace gentianspindle {
+
+namespace {
+
+const ServiceKey kService{ 0xCB007100, 443, Protocol::Tcp };
+
+std::vector<RankedServer>
+MakeServers(size_t aCount, uint32_t aWeight)
+{
+  std::vector<RankedServer> servers;
+  for (size_t i = 0; i < aCount; ++i) {
+    servers.push_back({ 0x0A000001 + static_cast<Address>(i),
+                        aWeight,
+                        static_cast<ServerIndex>(i) });
+  }
+  return servers;
+}
+
+std::map<ServerIndex, size_t>
+CountFirst(const Ranking& aRanking, size_t aFlows)
+{
+  std::map<ServerIndex, size_t> counts;
+  for (size_t i = 0; i < aFlows; ++i) {
+    ++counts[aRanking.For(HashFlow(kService, i))[0]];
+  }
+  return counts;
+}
+
+}
+
+TEST_CASE("Ranking shares flows by weight")
+{
+  std::vector<RankedServer> servers = MakeServers(4, 10);
+  servers[3].weight = 30;
+  std::map<ServerIndex, size_t> counts =
+    CountFirst(Ranking::Make(kService, servers), 60'000);
+  for (ServerIndex i = 0; i < 3; ++i) {
+    CHECK(counts[i] > 8'500);
+    CHECK(counts[i] < 11'500);
+  }
+  CHECK(counts[3] > 28'000);
+  CHECK(counts[3] < 32'000);
+}
+
+TEST_CASE("Ranking moves only the flows of a removed server")
+{
+  std::vector<RankedServer> servers = MakeServers(14, 10);
+  Ranking before = Ranking::Make(kService, servers);
+  servers.erase(servers.begin() + 5);
+  Ranking after = Ranking::Make(kService, servers);
+  for (FlowKey flow = 0; flow < 20'000; ++flow) {
+    uint64_t hash = HashFlow(kService, flow);
+    ServerIndex old = before.For(hash)[0];
+    ServerIndex now = after.For(hash)[0];
+    // The second rank of a removed default server takes its flows.
+    REQUIRE(now == (old == 5 ? before.For(hash)[1] : old));
+  }
+}
+
+TEST_CASE("Owners are instances of the server's zone, evenly")
+{
+  std::vector<Member> members{ { 1, "a" }, { 2, "a" }, { 3, "b" } };
+  std::vector<OwnedServer> servers;
+  for (Address i = 0; i < 20; ++i) {
+    servers.push_back({ i + 1, i < 10 ? "a" : "b" });
+  }
+  std::vector<InstanceId> owners = AssignOwners(members, servers);
+  size_t first = 0;
+  for (size_t i = 0; i < 10; ++i) {
+    CHECK((owners[i] == 1 || owners[i] == 2));
+    first += owners[i] == 1 ? 1 : 0;
+  }
+  CHECK(first >= 3);
+  CHECK(first <= 7);
+  for (size_t i = 10; i < 20; ++i) {
+    CHECK(owners[i] == 3);
+  }
+}
+
+TEST_CASE("A zone that is cut off keeps its servers")
+{
+  std::vector<Member> members{ { 1, "a" }, { 2, "b", false } };
+  std::vector<OwnedServer> servers{ { 10, "b" }, { 11, "a" } };
+  std::vector<InstanceId> owners = AssignOwners(members, servers);
+  CHECK(owners[0] == kNoInstance);
+  CHECK(owners[1] == 1);
+}
+
+TEST_CASE("A zone without instances is served by the others")
+{
+  std::vector<Member> members{ { 1, "a" }, { 2, "a" } };
+  std::vector<OwnedServer> servers{ { 10, "c" } };
+  CHECK(AssignOwners(members, servers)[0] != kNoInstance);
+}
+
+}
--- /dev/null
+++ b/tests/core/table_test.cpp
@@ -0,0 +1,119 @@
+#include "core/table.h"
+#include "support/examples.h"
+
+#include <catch2/catch.hpp>
+
+namespace gentianspindle {
+
+namespace {
+
+const std::string kHeader =
+  "service,address,port,protocol,server,zone,weight,slots,connections,"
+  "wait_ms,state\n";
+
+bool
+HasFault(const std::vector<TableFault>& aFaults,
+         size_t aRow,
+         const std::string& aColumn,
+         const std::string& aReason)
+{
+  return std::any_of(
+    aFaults.begin(), aFaults.end(), [&](const TableFault& aFault) {
+      return aFault.row == aRow && aFault.column == aColumn &&
+             aFault.reason.find(aReason) != std::string::npos;
+    });
+}
+
+}
+
+TEST_CASE("A table survives being written and read")
+{
+  Table table = MakeTable(Panji());
+  TableCheck check = ParseTable(FormatTable(table));
+  REQUIRE(check.faults.empty());
+  CHECK(check.table.services == table.services);
+}
+
+TEST_CASE("All faults of a table are found at once")
+{
+  TableCheck check = ParseTable(
+    kHeader + "a,203.0.113.1,443,tcp,10.0.0.1,z,10,2,2000,400,serving\n"
+              "a,203.0.113.1,443,tcp,10.0.0.1,z,10,2,2000,400,serving\n"
+              "a,203.0.113.1,444,tcp,10.0.0.2,z,0,2,2000,400,serving\n"
+              "b,203.0.113.1,443,tcp,10.0.0.1,z,10,2,1,99999,gone\n"
+              "c,203.0.113.3,443,icmp,10.0.0.256,z!,10,2,2000,400,draining\n"
+              "short,row\n");
+  CHECK(HasFault(check.faults, 3, "server", "twice"));
+  CHECK(HasFault(check.faults, 4, "address", "differ"));
+  CHECK(HasFault(check.faults, 4, "weight", "from 1 to 1000"));
+  CHECK(HasFault(check.faults, 5, "address", "service 'a'"));
+  CHECK(HasFault(check.faults, 5, "server", "service 'a'"));
+  CHECK(HasFault(check.faults, 5, "connections", "below slots"));
+  CHECK(HasFault(check.faults, 5, "wait_ms", "60000"));
+  CHECK(HasFault(check.faults, 5, "state", "neither"));
+  CHECK(HasFault(check.faults, 6, "protocol", "neither"));
+  CHECK(HasFault(check.faults, 6, "server", "not an IPv4"));
+  CHECK(HasFault(check.faults, 6, "zone", "not a name"));
+  CHECK(HasFault(check.faults, 7, "", "2 fields"));
+  CHECK(HasFault(check.faults, 0, "state", "no serving server"));
+}
+
+TEST_CASE("Columns must be known, whole and single")
+{
+  TableCheck check = ParseTable("service,address,port,port,hue\na,b,c,d,e\n");
+  CHECK(HasFault(check.faults, 1, "port", "twice"));
+  CHECK(HasFault(check.faults, 1, "hue", "not known"));
+  CHECK(HasFault(check.faults, 1, "server", "missing"));
+}
+
+TEST_CASE("A server cannot pass to another service while flows may live")
+{
+  Table now = MakeTable(Panji());
+  Table next = now;
+  ServerRow moved = next.services[0].rows.back();
+  next.services[0].rows.pop_back();
+  next.services[1].rows.push_back(moved);
+  CHECK(HasFault(CheckChange(now, next, {}), 0, "server", "still serves"));
+
+  // Nor after the row is gone, as long as its former row is kept.
+  Table without = now;
+  without.services[0].rows.pop_back();
+  Table second = MakeSuccessor(now, without);
+  CHECK(CheckChange(now, without, {}).empty());
+  CHECK(HasFault(CheckChange(second, next, {}), 0, "server", "still serves"));
+}
+
+TEST_CASE("A zone without instances is refused")
+{
+  Table table = MakeTable(Panji());
+  std::vector<std::string> zones{ "jkt", "bdg", "smg" };
+  CHECK(HasFault(CheckChange({}, table, zones), 0, "zone", "'sby'"));
+}
+
+TEST_CASE("A service is removed only when it is drained")
+{
+  Table now = MakeTable(Panji());
+  Table next = now;
+  next.services.pop_back();
+  CHECK(HasFault(CheckChange(now, next, {}), 0, "service", "is serving"));
+  for (ServerRow& row : now.services[1].rows) {
+    row.draining = true;
+  }
+  CHECK(CheckChange(now, next, {}).empty());
+}
+
+TEST_CASE("A successor keeps a bounded history of former rows")
+{
+  Table table = MakeTable(Panji());
+  for (uint32_t weight = 20; weight < 30; ++weight) {
+    Table next = table;
+    next.services[0].rows[0].weight = weight;
+    table = MakeSuccessor(table, next);
+  }
+  CHECK(table.version == 11);
+  REQUIRE(table.services[0].former.size() == kMaxFormerRows);
+  CHECK(table.services[0].former[0][0].weight == 28);
+  CHECK(table.services[1].former.empty());
+}
+
+}
--- /dev/null
+++ b/tests/daemon/settings_test.cpp
@@ -0,0 +1,65 @@
+#include "daemon/settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace gentianspindle {
+
+namespace {
+
+const std::string kGood = R"([instance]
+address = "10.0.0.1"
+zone = "jkt"
+[fabric]
+sources = ["10.0.9.1"]
+answer = "10.0.9.1:6081"
+[peers]
+seeds = ["10.0.0.1:6082", "10.0.0.2:6082"]
+key = "sixteen-or-more-characters"
+[platform]
+url = "http://10.0.8.1:8080"
+[metrics]
+listen = "10.0.0.1:9100"
+)";
+
+std::string
+FaultOf(const std::string& aText)
+{
+  return std::string(ParseSettings(aText, "f.toml").status().message());
+}
+
+std::string
+Replaced(const std::string& aOld, const std::string& aNew)
+{
+  std::string text = kGood;
+  text.replace(text.find(aOld), aOld.size(), aNew);
+  return text;
+}
+
+}
+
+TEST_CASE("Good settings are read with their defaults")
+{
+  absl::StatusOr<Settings> settings = ParseSettings(kGood, "f.toml");
+  REQUIRE(settings.ok());
+  CHECK(settings->instance.zone == "jkt");
+  CHECK(settings->fabric.port == 6081);
+  CHECK(settings->peers.seeds.size() == 2);
+}
+
+TEST_CASE("Bad settings are refused with file, line, key and reason")
+{
+  CHECK(FaultOf(Replaced("zone =", "zoen =")) ==
+        "f.toml:3: instance.zoen: key is not known\n"
+        "f.toml:0: instance.zone: is missing");
+  CHECK(FaultOf(Replaced("10.0.0.1\"", "10.0.0\"")) ==
+        "f.toml:2: instance.address: '10.0.0' is not of the form a.b.c.d");
+  CHECK(FaultOf(Replaced("zone = \"jkt\"", "zone = \"jkt\"\nworkers = 0")) ==
+        "f.toml:4: instance.workers: 0 is not from 1 to 64 threads");
+  CHECK(FaultOf(Replaced("\"jkt\"", "7")) ==
+        "f.toml:3: instance.zone: must be a string");
+  CHECK(FaultOf(Replaced("sixteen-or-more-characters", "short")) ==
+        "f.toml:9: peers.key: is shorter than 16 characters");
+  CHECK(FaultOf("[instance\n").find("f.toml:1") == 0);
+}
+
+}
--- /dev/null
+++ b/tests/fuzz/packet_fuzz.cpp
@@ -0,0 +1,37 @@
+// libFuzzer target: whatever the fabric hands in, nothing crashes, and what
+// is answered is well formed.
+#include "wire/packet.h"
+
+#include <cstdlib>
+#include <vector>
+
+extern "C" int
+LLVMFuzzerTestOneInput(const uint8_t* aData, size_t aBytes)
+{
+  using namespace gentianspindle;
+  std::vector<uint8_t> datagram(aData, aData + aBytes);
+  std::span<const uint8_t> inner;
+  Segment segment;
+  (void)ParseGeneve(datagram, inner);
+  // Most inputs have a wrong checksum; mend it so that the rest is reached.
+  std::vector<uint8_t> packet = datagram;
+  if (packet.size() >= kIpv4Bytes) {
+    packet[10] = packet[11] = 0;
+    uint16_t sum = Checksum(std::span(packet).first(kIpv4Bytes));
+    packet[10] = static_cast<uint8_t>(sum >> 8);
+    packet[11] = static_cast<uint8_t>(sum);
+  }
+  if (ParseSegment(packet, segment) != Reason::None) {
+    return 0;
+  }
+  if (segment.Opens()) {
+    ClampMss(packet, 1300);
+  }
+  std::vector<uint8_t> reset = MakeReset(packet, segment);
+  Segment answer;
+  if (!reset.empty() && ParseSegment(reset, answer) != Reason::None) {
+    std::abort();
+  }
+  (void)MakeUnreachable(packet, kIcmpPortUnreachable, 0);
+  return 0;
+}
--- /dev/null
+++ b/tests/platform/store_test.cpp
@@ -0,0 +1,155 @@
+#include "platform/store.h"
+#include "support/examples.h"
+#include "support/platform_standin.h"
+
+#include <catch2/catch.hpp>
+
+namespace gentianspindle {
+
+namespace {
+
+constexpr RetryOptions kQuickRetry{ 4, std::chrono::milliseconds(1) };
+
+HttpObjects
+Connect(const PlatformStandin& aPlatform)
+{
+  return *HttpObjects::Make({ aPlatform.Url(), 1000, 300 });
+}
+
+ApplyRequest
+MakeRequest(const std::string& aAuthor, const std::string& aChange)
+{
+  ApplyRequest request;
+  request.next = MakeTable(Panji());
+  request.author = aAuthor;
+  request.changeId = aChange;
+  return request;
+}
+
+}
+
+TEST_CASE("Objects have versions, conditions and watches")
+{
+  PlatformStandin platform;
+  REQUIRE(platform.Start() > 0);
+  HttpObjects api = Connect(platform);
+  CHECK(absl::IsNotFound(api.Get("a").status()));
+  CHECK(*api.Put("a", kNoObject, "one") == 1);
+  CHECK(absl::IsAborted(api.Put("a", kNoObject, "x").status()));
+  CHECK(*api.Put("a", 1, "two") == 2);
+  CHECK(absl::IsAborted(api.Put("a", 1, "x").status()));
+  CHECK(api.Get("a")->body == "two");
+  CHECK(api.Watch("a", 1)->version == 2);
+  CHECK(absl::IsDeadlineExceeded(api.Watch("a", 2).status()));
+  platform.down = true;
+  absl::Status away = api.Get("a").status();
+  CHECK(absl::IsUnavailable(away));
+  CHECK(std::string(away.message()).find(platform.Url()) != std::string::npos);
+}
+
+TEST_CASE("A table is accepted once and read back whole")
+{
+  PlatformStandin platform;
+  REQUIRE(platform.Start() > 0);
+  HttpObjects api = Connect(platform);
+  ApplyResult result = ApplyTable(api, MakeRequest("ani", "c1"), kQuickRetry);
+  REQUIRE(result.outcome == ApplyOutcome::Accepted);
+  CHECK(result.version == 1);
+  absl::StatusOr<Head> head = FetchHead(api);
+  REQUIRE(head.ok());
+  CHECK(head->head.author == "ani");
+  PartCache cache;
+  absl::StatusOr<Table> table = FetchTable(api, head->head, cache);
+  REQUIRE(table.ok());
+  CHECK(table->services == MakeTable(Panji()).services);
+  uint64_t calls = platform.calls;
+  REQUIRE(FetchTable(api, head->head, cache).ok());
+  CHECK(platform.calls == calls); // unchanged parts do not travel
+}
+
+TEST_CASE("Of two operators who race, one is told who was first")
+{
+  PlatformStandin platform;
+  REQUIRE(platform.Start() > 0);
+  for (int round = 0; round < 200; ++round) {
+    std::array<ApplyResult, 2> results;
+    std::vector<std::thread> threads;
+    for (size_t i = 0; i < results.size(); ++i) {
+      threads.emplace_back([&, i] {
+        HttpObjects api = Connect(platform);
+        ApplyRequest request =
+          MakeRequest(i == 0 ? "ani" : "budi",
+                      std::to_string(round) + (i == 0 ? "a" : "b"));
+        request.next.services[0].rows[0].weight =
+          static_cast<uint32_t>(1 + (round * 2 + i) % 900);
+        results[i] = ApplyTable(api, request, kQuickRetry);
+      });
+    }
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    HttpObjects api = Connect(platform);
+    int64_t version = FetchHead(api)->head.version;
+    for (size_t i = 0; i < results.size(); ++i) {
+      REQUIRE(results[i].outcome != ApplyOutcome::Unknown);
+      if (results[i].outcome == ApplyOutcome::Refused) {
+        REQUIRE(results[1 - i].outcome == ApplyOutcome::Accepted);
+        REQUIRE(results[i].text.find(i == 0 ? "budi" : "ani") !=
+                std::string::npos);
+        REQUIRE(results[1 - i].version == version);
+      }
+    }
+  }
+}
+
+TEST_CASE("A lost answer is resolved by reading back")
+{
+  PlatformStandin platform;
+  REQUIRE(platform.Start() > 0);
+  HttpObjects api = Connect(platform);
+  // Two parts and the head: lose the answer to each of the three writes.
+  platform.lostAnswers = 3;
+  ApplyResult result = ApplyTable(api, MakeRequest("ani", "c1"), kQuickRetry);
+  CHECK(result.outcome == ApplyOutcome::Accepted);
+  CHECK(FetchHead(api)->head.changeId == "c1");
+}
+
+TEST_CASE("Without the platform nothing is claimed")
+{
+  PlatformStandin platform;
+  REQUIRE(platform.Start() > 0);
+  HttpObjects api = Connect(platform);
+  platform.down = true;
+  ApplyResult result = ApplyTable(api, MakeRequest("ani", "c1"), kQuickRetry);
+  CHECK(result.outcome == ApplyOutcome::Unknown);
+}
+
+TEST_CASE("A refused table changes nothing")
+{
+  PlatformStandin platform;
+  REQUIRE(platform.Start() > 0);
+  HttpObjects api = Connect(platform);
+  ApplyTable(api, MakeRequest("ani", "c1"), kQuickRetry);
+  ApplyRequest request = MakeRequest("budi", "c2");
+  std::swap(request.next.services[0].rows[0].address,
+            request.next.services[1].rows[0].address);
+  ApplyResult result = ApplyTable(api, request, kQuickRetry);
+  CHECK(result.outcome == ApplyOutcome::Refused);
+  CHECK(result.text.find("still serves") != std::string::npos);
+  CHECK(FetchHead(api)->head.changeId == "c1");
+}
+
+TEST_CASE("A part that was tampered with is not taken")
+{
+  Service service = MakeTable(Panji()).services[0];
+  std::string part = EncodePart(service);
+  msg::PartName name;
+  name.name = service.name;
+  name.digest = Digest(part);
+  CHECK(CheckPart(part, name).ok());
+  part[part.size() / 2] ^= 1;
+  CHECK(absl::IsDataLoss(CheckPart(part, name).status()));
+  CHECK_FALSE(DecodePart("{broken").ok());
+}
+
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -34,8 +34,7 @@
 {
   for (size_t i = 0; i < aOptions.zones.size(); ++i) {
     Node& node = this->nodes.emplace_back();
-    node.id =
-      MakeInstanceId(kFirstInstance + static_cast<Address>(i), kPort);
+    node.id = MakeInstanceId(kFirstInstance + static_cast<Address>(i), kPort);
     node.zone = aOptions.zones[i];
     this->Tick(i);
   }
@@ -59,8 +58,7 @@
       this->CarryOut(aInstance, engine->Current().key, nullptr, out);
     }
   }
-  this->clock.After(this->options.tick,
-                    [=, this] { this->Tick(aInstance); });
+  this->clock.After(this->options.tick, [=, this] { this->Tick(aInstance); });
 }
 
 void
@@ -259,14 +257,13 @@
     if (share(this->random) < this->options.loss) {
       continue;
     }
-    Micros extra = this->options.reorder == 0
-                     ? 0
-                     : static_cast<Micros>(this->random() %
-                                           this->options.reorder);
+    Micros extra =
+      this->options.reorder == 0
+        ? 0
+        : static_cast<Micros>(this->random() % this->options.reorder);
     size_t instance = up[this->random() % up.size()];
-    this->clock.After(extra, [=, this] {
-      this->Deliver(instance, aSegment, false, 0, {});
-    });
+    this->clock.After(
+      extra, [=, this] { this->Deliver(instance, aSegment, false, 0, {}); });
   }
 }
 
@@ -340,9 +337,7 @@
 }
 
 void
-Fleet::SendNote(size_t aFrom,
-                const ServiceKey& aService,
-                const Decision& aWhat)
+Fleet::SendNote(size_t aFrom, const ServiceKey& aService, const Decision& aWhat)
 {
   size_t to = this->Find(aWhat.peer);
   ++this->notes;
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -20,9 +20,9 @@
   std::vector<std::string> zones; // zone of each instance
   Micros insideZone = 200;        // one way
   Micros betweenZones = 1 * kMillisecond;
-  double loss = 0;     // of callers' packets
-  double copies = 0;   // of callers' packets
-  Micros reorder = 0;  // greatest extra delay of a caller's packet
+  double loss = 0;    // of callers' packets
+  double copies = 0;  // of callers' packets
+  Micros reorder = 0; // greatest extra delay of a caller's packet
   Micros tick = 2 * kMillisecond;
   uint64_t seed = 1;
 };
@@ -61,11 +61,11 @@
     InstanceId id = kNoInstance;
     std::string zone;
     bool up = true;
-    bool listed = true;  // others believe it is there
+    bool listed = true; // others believe it is there
     bool leaving = false;
     bool cut = false;
     std::map<Address, std::unique_ptr<Engine>> engines; // by service address
-    Table table; // in force here
+    Table table;                                        // in force here
   };
 
   void Tick(size_t aInstance);
@@ -83,7 +83,9 @@
                 const ServiceKey& aService,
                 const Segment* aSegment,
                 Outbox& aOut);
-  void SendNote(size_t aFrom, const ServiceKey& aService, const Decision& aWhat);
+  void SendNote(size_t aFrom,
+                const ServiceKey& aService,
+                const Decision& aWhat);
   bool Reaches(size_t aFrom, size_t aTo) const;
   Micros Delay(size_t aFrom, size_t aTo) const;
   size_t Find(InstanceId aInstance) const;
--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -79,8 +79,8 @@
 void
 Load::ScheduleArrival(size_t aService)
 {
-  double rate =
-    this->options.rate(this->clock.Now() - this->start) * this->shares[aService];
+  double rate = this->options.rate(this->clock.Now() - this->start) *
+                this->shares[aService];
   std::exponential_distribution<double> gap(rate / kSecond);
   this->clock.After(static_cast<Micros>(gap(this->random)), [=, this] {
     if (this->clock.Now() - this->start >= this->options.duration) {
@@ -110,9 +110,8 @@
   this->Emit(flow, kTcpSyn, 0);
   this->StartTimer(flow);
   if (this->options.deadline > 0) {
-    this->clock.After(this->options.deadline, [=, this] {
-      this->GiveUp(flow);
-    });
+    this->clock.After(this->options.deadline,
+                      [=, this] { this->GiveUp(flow); });
   }
 }
 
@@ -205,8 +204,8 @@
   backend.open.insert(flow);
   this->result.overConnections +=
     backend.open.size() > backend.connections ? 1 : 0;
-  bool request = aSegment.payload > 0 && caller->second.waiting &&
-                 caller->second.work > 0;
+  bool request =
+    aSegment.payload > 0 && caller->second.waiting && caller->second.work > 0;
   if (request) {
     backend.queue.push_back({ flow, caller->second.work });
     caller->second.work = 0; // a retransmitted request runs no second time
@@ -230,8 +229,7 @@
         ? this->options.slowness(aServer, this->clock.Now() - this->start)
         : 1;
     auto took = static_cast<Micros>(static_cast<double>(job.work) * factor);
-    this->clock.After(took,
-                      [=, this] { this->Finish(aServer, job, took); });
+    this->clock.After(took, [=, this] { this->Finish(aServer, job, took); });
   }
 }
 
@@ -241,9 +239,8 @@
   Backend& backend = this->backends.at(aServer);
   --backend.busy;
   this->result.busyTime[aServer] += aTook;
-  this->clock.After(this->options.callerDelay, [=, this] {
-    this->OnAnswer(aJob.flow, aServer);
-  });
+  this->clock.After(this->options.callerDelay,
+                    [=, this] { this->OnAnswer(aJob.flow, aServer); });
   this->StartJobs(aServer);
 }
 
--- a/tests/support/platform_standin.cpp
+++ b/tests/support/platform_standin.cpp
@@ -18,17 +18,20 @@
 
 PlatformStandin::PlatformStandin()
 {
-  this->server.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
-  this->server.Get("/v1/objects/(.+)",
-                   [this](const httplib::Request& aRequest,
-                          httplib::Response& aResponse) {
-                     this->OnGet(aRequest, aResponse);
-                   });
-  this->server.Put("/v1/objects/(.+)",
-                   [this](const httplib::Request& aRequest,
-                          httplib::Response& aResponse) {
-                     this->OnPut(aRequest, aResponse);
-                   });
+  this->server.set_tcp_nodelay(true);
+  this->server.new_task_queue = [] {
+    return new httplib::ThreadPool(kThreads);
+  };
+  this->server.Get(
+    "/v1/objects/(.+)",
+    [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      this->OnGet(aRequest, aResponse);
+    });
+  this->server.Put(
+    "/v1/objects/(.+)",
+    [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      this->OnPut(aRequest, aResponse);
+    });
 }
 
 PlatformStandin::~PlatformStandin()
@@ -50,8 +53,7 @@
   if (aPort == 0) {
     this->port = this->server.bind_to_any_port("127.0.0.1");
   } else {
-    this->port =
-      this->server.bind_to_port("127.0.0.1", aPort) ? aPort : -1;
+    this->port = this->server.bind_to_port("127.0.0.1", aPort) ? aPort : -1;
   }
   if (this->port > 0) {
     this->thread = std::thread([this] { this->server.listen_after_bind(); });
@@ -126,9 +128,9 @@
     std::lock_guard lock(this->mutex);
     Value& value = this->values[aRequest.matches[1]];
     bool absent = aRequest.get_header_value("If-None-Match") == "*";
-    bool good = absent ? value.version == 0
-                       : Tag(value.version) ==
-                           aRequest.get_header_value("If-Match");
+    bool good = absent
+                  ? value.version == 0
+                  : Tag(value.version) == aRequest.get_header_value("If-Match");
     if (!good) {
       aResponse.status = 412;
       return;
--- a/tests/support/platform_standin.h
+++ b/tests/support/platform_standin.h
@@ -22,9 +22,9 @@
   std::string Url() const;
 
   // Faults.
-  std::atomic<bool> down = false;      // answers 503
-  std::atomic<int> delayMs = 0;        // before each answer
-  std::atomic<int> lostAnswers = 0;    // writes that take effect, then 503
+  std::atomic<bool> down = false;   // answers 503
+  std::atomic<int> delayMs = 0;     // before each answer
+  std::atomic<int> lostAnswers = 0; // writes that take effect, then 503
   std::atomic<uint64_t> calls = 0;
 
 private:
--- a/tests/support/traffic.cpp
+++ b/tests/support/traffic.cpp
@@ -20,8 +20,7 @@
 constexpr size_t kGeneve = 8;
 constexpr size_t kBufferBytes = 4096;
 constexpr int kSocketBuffer = 8 << 20;
-constexpr std::array<uint8_t, kGeneve> kGeneveHeader{ 0, 0, 8, 0,
-                                                      0, 0, 0, 0 };
+constexpr std::array<uint8_t, kGeneve> kGeneveHeader{ 0, 0, 8, 0, 0, 0, 0, 0 };
 
 Micros
 Now()
@@ -124,8 +123,7 @@
 void
 Traffic::After(Micros aDelay, std::function<void()> aRun)
 {
-  this->events.push(
-    { this->now + aDelay, ++this->order, std::move(aRun) });
+  this->events.push({ this->now + aDelay, ++this->order, std::move(aRun) });
 }
 
 TrafficResult
@@ -150,10 +148,9 @@
     if (this->options.onLoop) {
       this->options.onLoop(this->now);
     }
-    Micros next =
-      this->events.empty() ? this->now : this->events.top().at;
-    timespec wait{ 0, std::clamp<Micros>(next - Now(), 0, kMillisecond) *
-                        1000 };
+    Micros next = this->events.empty() ? this->now : this->events.top().at;
+    timespec wait{ 0,
+                   std::clamp<Micros>(next - Now(), 0, kMillisecond) * 1000 };
     if (ppoll(waits.data(), waits.size(), &wait, nullptr) <= 0) {
       continue;
     }
@@ -173,9 +170,9 @@
   constexpr Address kFirstCaller = 0x0A000001;
   constexpr uint64_t kPortsPerCaller = 20'000;
   uint64_t number = this->nextCaller++;
-  FlowKey flow = MakeFlowKey(
-    static_cast<Address>(kFirstCaller + number / kPortsPerCaller),
-    static_cast<uint16_t>(10'000 + number % kPortsPerCaller));
+  FlowKey flow =
+    MakeFlowKey(static_cast<Address>(kFirstCaller + number / kPortsPerCaller),
+                static_cast<uint16_t>(10'000 + number % kPortsPerCaller));
   Caller& caller = this->callers[flow];
   caller.service = number % this->options.table.services.size();
   caller.sent = static_cast<uint32_t>(this->random());
@@ -211,8 +208,7 @@
   std::vector<uint8_t> packet = ip.serialize();
   datagram.insert(datagram.end(), packet.begin(), packet.end());
   InstanceId instance =
-    this->options
-      .instances[this->random() % this->options.instances.size()];
+    this->options.instances[this->random() % this->options.instances.size()];
   sockaddr_in target =
     Target(InstanceAddress(instance), InstancePort(instance));
   sendto(this->fabric,
@@ -250,8 +246,7 @@
   } else if (caller.state == CallerState::Requesting) {
     ++this->result.retransmissions;
     caller.sent -= kRequestBytes;
-    this->SendFromCaller(
-      aFlow, Tins::TCP::ACK | Tins::TCP::PSH, kRequestBytes);
+    this->SendFromCaller(aFlow, Tins::TCP::ACK | Tins::TCP::PSH, kRequestBytes);
     caller.sent += kRequestBytes;
   }
   this->StartTimer(aFlow);
@@ -318,9 +313,9 @@
     return;
   }
   auto found = aBackend.connections.find(flow);
-  bool known = found != aBackend.connections.end() &&
-               tcp.ack_seq() - ServerStart(aBackend.address, flow) <
-                 uint32_t{ 1 } << 30;
+  bool known =
+    found != aBackend.connections.end() &&
+    tcp.ack_seq() - ServerStart(aBackend.address, flow) < uint32_t{ 1 } << 30;
   if (!known) {
     if (this->callers.contains(flow)) {
       ++this->result.wrongServer;
@@ -479,11 +474,10 @@
 bool
 Traffic::SeenAnywhere(FlowKey aFlow) const
 {
-  return std::any_of(this->backends.begin(),
-                     this->backends.end(),
-                     [&](const Backend& aBackend) {
-                       return aBackend.seen.contains(aFlow);
-                     });
+  return std::any_of(
+    this->backends.begin(), this->backends.end(), [&](const Backend& aBackend) {
+      return aBackend.seen.contains(aFlow);
+    });
 }
 
 }
