Keep short cuts through a table change, and merge handed-over flows

Causes, each from a trace of a random history: (1) a lookup that begins again because the sender has another table version erased the known place of the flow, as if the place had been wrong; two flags now. (2) A handed-over flow was skipped where the successor had passed the same flow on earlier.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -140,8 +140,8 @@
   bool settled = server.knowledge == Knowledge::All ||
                  aVisit.Now() - server.ownedSince >= this->options.idle;
   FlowIndex known = this->flows.Find(aVisit.Flow());
-  bool passedOn =
-    known != kNoFlow && this->flows.At(known).state == FlowState::Passed;
+  bool passedOn = known != kNoFlow &&
+                  (this->flows.At(known).passedSteps >> aVisit.walk.step & 1U);
   if (settled || passedOn) {
     return false;
   }
@@ -160,6 +160,13 @@
     });
 }
 
+bool
+Engine::IsPlacedHere(FlowIndex aFlow) const
+{
+  FlowState state = this->flows.At(aFlow).state;
+  return state != FlowState::Passed && state != FlowState::Elsewhere;
+}
+
 ServerIndex
 Engine::FindServer(Address aAddress) const
 {
@@ -269,8 +276,8 @@
   Walk& walk = aVisit.walk;
   bool directed = walk.Has(kWalkGranted) || walk.Has(kWalkAdopt) ||
                   walk.Has(kWalkPinned) || walk.Has(kWalkExhausted);
-  if (!aVisit.opens && !directed && !walk.Has(kWalkRestarted)) {
-    this->Restart(aVisit);
+  if (!aVisit.opens && !directed && !walk.Has(kWalkRealigned)) {
+    this->Restart(aVisit, kWalkRealigned);
     return;
   }
   auto place = std::find(
@@ -280,10 +287,10 @@
 }
 
 void
-Engine::Restart(Visit& aVisit)
+Engine::Restart(Visit& aVisit, WalkFlag aWhy)
 {
   aVisit.walk.flags &= static_cast<uint16_t>(~kWalkPinned);
-  aVisit.walk.flags |= kWalkRestarted;
+  aVisit.walk.flags |= aWhy;
   aVisit.walk.step = 0;
   aVisit.walk.adopt = 0;
 }
@@ -317,7 +324,7 @@
     this->Forward(aVisit, aFlow);
     return true;
   }
-  if (aVisit.walk.Has(kWalkRestarted)) {
+  if (aVisit.walk.Has(kWalkMissed)) {
     this->EraseFlow(aFlow);
     return false;
   }
@@ -374,7 +381,7 @@
     return true;
   }
   if (walk.Has(kWalkPinned)) {
-    this->Restart(aVisit);
+    this->Restart(aVisit, kWalkMissed);
   }
   return false;
 }
@@ -817,9 +824,15 @@
   }
   for (const HandedFlow& flow : aFlows) {
     ServerIndex at = this->FindServer(flow.server);
-    if (at == kNoServer || this->flows.Find(flow.key) != kNoFlow) {
+    FlowIndex known = this->flows.Find(flow.key);
+    bool better = known == kNoFlow || (flow.state != FlowState::Passed &&
+                                       !this->IsPlacedHere(known));
+    if (at == kNoServer || !better) {
       continue;
     }
+    if (known != kNoFlow) {
+      this->EraseFlow(known);
+    }
     FlowIndex place = this->flows.Insert(flow.key, at, flow.state, aNow);
     Flow& copy = this->flows.At(place);
     copy.requestAt = aNow;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -53,14 +53,15 @@
 
 // Bits of Walk::flags.
 using WalkFlag = uint16_t;
-constexpr WalkFlag kWalkSawCold = 1;    // an owner could not say no
-constexpr WalkFlag kWalkExhausted = 2;  // all asked; back to the arbiter
-constexpr WalkFlag kWalkGranted = 4;    // held SYN for the claiming server
-constexpr WalkFlag kWalkAdopt = 8;      // nobody knows the flow; take it over
-constexpr WalkFlag kWalkPinned = 16;    // the asker knows the flow's server
-constexpr WalkFlag kWalkRestarted = 32; // from the start, without short cuts
-constexpr WalkFlag kWalkSawBusy = 64;   // a server was full, not just broken
-constexpr WalkFlag kWalkLookup = 128;   // datagram that may be known further on
+constexpr WalkFlag kWalkSawCold = 1;     // an owner could not say no
+constexpr WalkFlag kWalkExhausted = 2;   // all asked; back to the arbiter
+constexpr WalkFlag kWalkGranted = 4;     // held SYN for the claiming server
+constexpr WalkFlag kWalkAdopt = 8;       // nobody knows the flow; take it over
+constexpr WalkFlag kWalkPinned = 16;     // the asker knows the flow's server
+constexpr WalkFlag kWalkMissed = 32;     // a short cut was wrong; use none
+constexpr WalkFlag kWalkSawBusy = 64;    // a server was full, not just broken
+constexpr WalkFlag kWalkRealigned = 256; // begun again by another table
+constexpr WalkFlag kWalkLookup = 128; // datagram that may be known further on
 
 // Where a packet stands on its way along the lookup order.
 struct Walk
@@ -219,6 +220,7 @@
   bool IsMine(ServerIndex aServer) const;
   bool MayHaveRefusable(const ServerState& aServer, Micros aNow) const;
   bool MayKnowLess(const Visit& aVisit, ServerIndex aServer) const;
+  bool IsPlacedHere(FlowIndex aFlow) const;
   bool IsFormerDefault(FlowKey aFlow, ServerIndex aServer) const;
   ServerIndex FindServer(Address aAddress) const;
   void SetState(FlowIndex aFlow, FlowState aState);
@@ -233,7 +235,7 @@
   bool TakeKnown(Visit& aVisit, FlowIndex aFlow);
   bool TakeDirected(Visit& aVisit);
   void Realign(Visit& aVisit);
-  void Restart(Visit& aVisit);
+  void Restart(Visit& aVisit, WalkFlag aWhy);
   void AskForKnown(Visit& aVisit, ServerIndex aServer);
   bool AskToAdmit(Visit& aVisit, ServerIndex aServer);
   void EndOfLookup(Visit& aVisit);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -279,9 +279,6 @@
   if (!node.up || engine == node.engines.end()) {
     return;
   }
-  static const char* tr = getenv("GS_TRACE");
-  bool traced = tr && aSegment.flow == strtoull(tr, nullptr, 0);
-  if (traced) fprintf(stderr, "%ld inst %zu gets flags %x payload %u seq %u ack %u relayed %d walk step %d hops %d flags %d first %lx adopt %x\n", (long)this->clock.Now(), aInstance, aSegment.flags, aSegment.payload, aSegment.sequence, aSegment.acknowledged, aRelayed, aWalk.step, aWalk.hops, aWalk.flags, (long)aWalk.first, aWalk.adopt);
   Outbox out;
   engine->second->OnPacket({ .now = this->clock.Now(),
                              .segment = &aSegment,
@@ -290,7 +287,6 @@
                              .version = aVersion,
                              .walk = aWalk },
                            out);
-  if (traced) for (auto& d : out) fprintf(stderr, "    -> action %d reason %s server %x peer %lx step %d flags %d\n", (int)d.action, std::string(ReasonName(d.reason)).c_str(), d.server, (long)d.peer, d.walk.step, d.walk.flags);
   this->CarryOut(aInstance, aSegment.service, &aSegment, out);
 }
 
--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -145,7 +145,6 @@
     Caller& late = found->second;
     if (++late.tries > kMaxTries) {
       ++this->result.broken;
-    if (getenv("GS_SHOW")) fprintf(stderr, "broken flow %lu opened %ld now %ld established %d server %x\n", aFlow, (long)late.openedAt, (long)this->clock.Now(), late.established, late.server);
       this->callers.erase(found);
       return;
     }
@@ -200,7 +199,6 @@
   }
   if (caller->second.server != aServer) {
     ++this->result.twoServers;
-    if (getenv("GS_SHOW")) fprintf(stderr, "two servers flow %lu flags %x at %x has %x now %ld\n", flow, aSegment.flags, aServer, caller->second.server, (long)this->clock.Now());
     return;
   }
   backend.open.insert(flow);
