Let a second instance know each flow that is not at its default server

Cause, from traces of random histories: where one instance owned both the default server and the flow's own, its death (or a planned stop whose hand-over left that flow out) lost the only knowledge of the place, and the successor adopted the flow at the default server. Now the next owner on the walk is told too, the hand-over of a default server names the flows placed at other own servers, and a cold owner takes the word of whoever knows.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -380,6 +380,13 @@
     this->Adopt(aVisit, server);
     return true;
   }
+  // The asker knows that the flow is here; a cold owner takes its word.
+  bool trusts = walk.Has(kWalkPinned) && !aVisit.opens &&
+                this->MayKnowLess(aVisit, server);
+  if (trusts) {
+    this->Adopt(aVisit, server);
+    return true;
+  }
   if (walk.Has(kWalkPinned)) {
     this->Restart(aVisit, kWalkMissed);
   }
@@ -646,18 +653,36 @@
   ++this->counts.admitted;
   aVisit.out.push_back(
     { .action = Action::Forward, .server = server.row.address });
-  bool tell = aVisit.walk.first != this->self &&
-              aVisit.walk.first != kNoInstance &&
-              !aVisit.walk.Has(kWalkGranted);
-  if (tell) {
+  InstanceId witness = this->PickWitness(aVisit);
+  if (witness != kNoInstance) {
     aVisit.out.push_back(
       { .action = Action::SendNote,
-        .peer = aVisit.walk.first,
+        .peer = witness,
         .note = {
           NoteKind::Found, aVisit.Flow(), server.row.address, this->self } });
   }
 }
 
+// A flow at its default server is found without any state. Of the others,
+// two instances know: the one that owns the server and the one that was asked
+// first, or, where both are this one, the next owner on the walk. So the
+// death of one instance loses none.
+InstanceId
+Engine::PickWitness(const Visit& aVisit) const
+{
+  const Walk& walk = aVisit.walk;
+  if (walk.first != this->self) {
+    return walk.Has(kWalkGranted) ? kNoInstance : walk.first;
+  }
+  for (size_t i = 0; walk.step > 0 && i < aVisit.order.size(); ++i) {
+    InstanceId owner = this->servers[aVisit.order[i]].owner;
+    if (owner != this->self && owner != kNoInstance) {
+      return owner;
+    }
+  }
+  return kNoInstance;
+}
+
 // Goes on with a flow that began before this instance owned its server.
 void
 Engine::Adopt(Visit& aVisit, ServerIndex aServer)
@@ -796,12 +821,14 @@
       const Flow& flow = this->flows.At(place);
       Order order = this->LookupOrder(flow.key);
       bool isDefault = !order.empty() && order[0] == aServer;
-      bool placed = state != FlowState::Passed && state != FlowState::Elsewhere;
+      bool placed = this->IsPlacedHere(place);
       bool here = placed && flow.server == aServer && !(isDefault && guessable);
-      if (here || (isDefault && !placed)) {
+      // The successor of the default server has to know where else to send.
+      bool mark = isDefault && flow.server != aServer;
+      if (here || mark || (isDefault && !placed)) {
         found.push_back({ flow.key,
                           this->servers[flow.server].row.address,
-                          state,
+                          mark && placed ? FlowState::Elsewhere : state,
                           flow.sentEnd,
                           flow.ackBase,
                           flow.lastAck,
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -242,6 +242,7 @@
   void EndOfOffers(Visit& aVisit);
   void Forward(Visit& aVisit, FlowIndex aFlow);
   void ForwardNew(Visit& aVisit, ServerIndex aServer);
+  InstanceId PickWitness(const Visit& aVisit) const;
   void Adopt(Visit& aVisit, ServerIndex aServer);
   void PassOn(Visit& aVisit, Reason aReason);
   void RelayTo(Visit& aVisit, InstanceId aPeer);
@@ -263,6 +264,7 @@
   FlowKey TakeMark(ServerState& aServer, Micros aNow, Mark& aMark);
   void OnClaim(const Note& aNote, Micros aNow, Outbox& aOut);
   void OnVoid(const Note& aNote);
+  void OnFound(const Note& aNote, Micros aNow);
   void Grant(FlowKey aFlow,
              ServerIndex aServer,
              InstanceId aClaimant,
--- a/src/core/hold.cpp
+++ b/src/core/hold.cpp
@@ -131,24 +131,32 @@
     case NoteKind::Claim:
       this->OnClaim(aNote, aNow, aOut);
       break;
-    case NoteKind::Found: {
-      FlowIndex flow = this->flows.Find(aNote.flow);
-      ServerIndex server = this->FindServer(aNote.server);
-      bool passed =
-        flow != kNoFlow && this->flows.At(flow).state == FlowState::Passed;
-      if (passed && server != kNoServer) {
-        this->CountIn(this->flows.At(flow), -1);
-        this->flows.At(flow).server = server;
-        this->flows.At(flow).lastSeen = aNow;
-        this->flows.Move(flow, FlowState::Elsewhere);
-        this->CountIn(this->flows.At(flow), 1);
-      }
+    case NoteKind::Found:
+      this->OnFound(aNote, aNow);
       break;
-    }
   }
   this->OfferFreeSlots(aNow, aOut);
 }
 
+void
+Engine::OnFound(const Note& aNote, Micros aNow)
+{
+  FlowIndex flow = this->flows.Find(aNote.flow);
+  ServerIndex server = this->FindServer(aNote.server);
+  bool here = flow != kNoFlow && this->IsPlacedHere(flow);
+  if (here || server == kNoServer) {
+    return;
+  }
+  uint16_t passedSteps = 0;
+  if (flow != kNoFlow) {
+    passedSteps = this->flows.At(flow).passedSteps;
+    this->EraseFlow(flow);
+  }
+  flow = this->flows.Insert(aNote.flow, server, FlowState::Elsewhere, aNow);
+  this->flows.At(flow).passedSteps = passedSteps;
+  this->CountIn(this->flows.At(flow), 1);
+}
+
 void
 Engine::OnVoid(const Note& aNote)
 {
