--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -88,13 +88,39 @@
   5: binary mac,
 }
 
-struct TablePull { 1: i64 haveVersion }
+// Asks a peer for its table; parts whose digest the asker has stay away.
+struct TablePull { 1: i64 haveVersion, 2: list<string> haveDigests }
 struct TableAnswer { 1: TableHead head, 2: list<binary> parts }
 
+// A flow on its way to the next owner of a server.
+struct HandedFlow {
+  1: i64 flow,
+  2: i32 server,
+  3: i16 state,
+  4: i32 sentEnd,
+  5: i32 ackBase,
+  6: i32 lastAck,
+  7: i16 passedSteps,
+  8: bool finSeen,
+}
+
+// Part of a hand-over; knowledge is complete with the last part.
+struct HandOver {
+  1: i32 address, // service
+  2: i16 port,
+  3: i16 protocol,
+  4: i32 server,
+  5: list<HandedFlow> flows,
+  6: bool last,
+}
+
+struct Answer { 1: bool accepted }
+
 union Control {
-  1: Probe probe,
-  2: TablePull pull,
-  3: TableAnswer table,
+  1: TablePull pull,
+  2: TableAnswer table,
+  3: HandOver handOver,
+  4: Answer answer,
 }
 
 // Written once per zone by one instance.
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -95,7 +95,9 @@
 }
 
 void
-Engine::SetOwners(std::span<const InstanceId> aOwners, Micros aNow)
+Engine::SetOwners(std::span<const InstanceId> aOwners,
+                  std::span<const InstanceId> aPresent,
+                  Micros aNow)
 {
   this->ownedServers = 0;
   for (size_t i = 0; i < this->servers.size(); ++i) {
@@ -106,6 +108,13 @@
     if (has && !had) {
       server.ownedSince = aNow;
       server.reserved = 0;
+      server.formerOwner = server.owner;
+    }
+    bool present =
+      std::find(aPresent.begin(), aPresent.end(), server.formerOwner) !=
+      aPresent.end();
+    if (!present) {
+      server.formerOwner = kNoInstance;
     }
     // A server that nobody has owned yet needs no hand-over; once an owner
     // is known, only that owner's word makes a successor warm.
@@ -381,8 +390,8 @@
     return true;
   }
   // The asker knows that the flow is here; a cold owner takes its word.
-  bool trusts = walk.Has(kWalkPinned) && !aVisit.opens &&
-                this->MayKnowLess(aVisit, server);
+  bool trusts =
+    walk.Has(kWalkPinned) && !aVisit.opens && this->MayKnowLess(aVisit, server);
   if (trusts) {
     this->Adopt(aVisit, server);
     return true;
@@ -423,6 +432,9 @@
       walk.first = this->self;
     }
     if (!aVisit.opens) {
+      if (this->AskFormerOwner(aVisit, state)) {
+        return;
+      }
       this->AskForKnown(aVisit, server);
       // With all exceptions known and no former ranking, an unknown flow of
       // this default server can only be here.
@@ -457,6 +469,23 @@
   return asked;
 }
 
+// Until the hand-over has arrived, the former owner knows best. It sends what
+// it knows back with the flow's server, and the rest as it came.
+bool
+Engine::AskFormerOwner(Visit& aVisit, const ServerState& aServer)
+{
+  bool ask = aServer.knowledge == Knowledge::None &&
+             aServer.formerOwner != kNoInstance &&
+             !aVisit.walk.Has(kWalkAskedFormer) &&
+             !aVisit.walk.Has(kWalkMissed);
+  if (!ask) {
+    return false;
+  }
+  aVisit.walk.flags |= kWalkAskedFormer;
+  this->RelayTo(aVisit, aServer.formerOwner);
+  return true;
+}
+
 // The flow is not in this table: a warm owner says no, a cold one cannot.
 void
 Engine::AskForKnown(Visit& aVisit, ServerIndex aServer)
@@ -810,9 +839,10 @@
 }
 
 std::vector<HandedFlow>
-Engine::Exceptions(ServerIndex aServer) const
+Engine::Exceptions(Address aServer) const
 {
   std::vector<HandedFlow> found;
+  ServerIndex server = this->FindServer(aServer);
   for (size_t i = 0; i < kFlowStates; ++i) {
     auto state = static_cast<FlowState>(i);
     bool guessable = state == FlowState::Idle || state == FlowState::Closing;
@@ -820,11 +850,11 @@
     for (; place != kNoFlow; place = this->flows.At(place).next) {
       const Flow& flow = this->flows.At(place);
       Order order = this->LookupOrder(flow.key);
-      bool isDefault = !order.empty() && order[0] == aServer;
+      bool isDefault = !order.empty() && order[0] == server;
       bool placed = this->IsPlacedHere(place);
-      bool here = placed && flow.server == aServer && !(isDefault && guessable);
+      bool here = placed && flow.server == server && !(isDefault && guessable);
       // The successor of the default server has to know where else to send.
-      bool mark = isDefault && flow.server != aServer;
+      bool mark = isDefault && flow.server != server;
       if (here || mark || (isDefault && !placed)) {
         found.push_back({ flow.key,
                           this->servers[flow.server].row.address,
@@ -840,14 +870,15 @@
   return found;
 }
 
-void
+bool
 Engine::TakeOver(Address aServer,
                  std::span<const HandedFlow> aFlows,
+                 bool aLast,
                  Micros aNow)
 {
   ServerIndex server = this->FindServer(aServer);
-  if (server == kNoServer) {
-    return;
+  if (server == kNoServer || !this->IsMine(server)) {
+    return false;
   }
   for (const HandedFlow& flow : aFlows) {
     ServerIndex at = this->FindServer(flow.server);
@@ -870,7 +901,11 @@
     copy.finSeen = flow.finSeen;
     this->CountIn(copy, 1);
   }
-  this->servers[server].knowledge = Knowledge::Exceptions;
+  if (aLast) {
+    this->servers[server].knowledge = Knowledge::Exceptions;
+    this->servers[server].formerOwner = kNoInstance;
+  }
+  return true;
 }
 
 }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -53,14 +53,15 @@
 
 // Bits of Walk::flags.
 using WalkFlag = uint16_t;
-constexpr WalkFlag kWalkSawCold = 1;     // an owner could not say no
-constexpr WalkFlag kWalkExhausted = 2;   // all asked; back to the arbiter
-constexpr WalkFlag kWalkGranted = 4;     // held SYN for the claiming server
-constexpr WalkFlag kWalkAdopt = 8;       // nobody knows the flow; take it over
-constexpr WalkFlag kWalkPinned = 16;     // the asker knows the flow's server
-constexpr WalkFlag kWalkMissed = 32;     // a short cut was wrong; use none
-constexpr WalkFlag kWalkSawBusy = 64;    // a server was full, not just broken
-constexpr WalkFlag kWalkRealigned = 256; // begun again by another table
+constexpr WalkFlag kWalkSawCold = 1;   // an owner could not say no
+constexpr WalkFlag kWalkExhausted = 2; // all asked; back to the arbiter
+constexpr WalkFlag kWalkGranted = 4;   // held SYN for the claiming server
+constexpr WalkFlag kWalkAdopt = 8;     // nobody knows the flow; take it over
+constexpr WalkFlag kWalkPinned = 16;   // the asker knows the flow's server
+constexpr WalkFlag kWalkMissed = 32;   // a short cut was wrong; use none
+constexpr WalkFlag kWalkSawBusy = 64;  // a server was full, not just broken
+constexpr WalkFlag kWalkAskedFormer = 512; // the former owner does not know
+constexpr WalkFlag kWalkRealigned = 256;   // begun again by another table
 constexpr WalkFlag kWalkLookup = 128; // datagram that may be known further on
 
 // Where a packet stands on its way along the lookup order.
@@ -163,8 +164,11 @@
                   bool aFresh,
                   Micros aNow);
 
-  // Owner of each of Servers(), in their order.
-  void SetOwners(std::span<const InstanceId> aOwners, Micros aNow);
+  // Owner of each of Servers(), in their order. aPresent: instances that
+  // answer, leaving ones included.
+  void SetOwners(std::span<const InstanceId> aOwners,
+                 std::span<const InstanceId> aPresent,
+                 Micros aNow);
 
   // All servers whose flows may live, removed ones included.
   std::span<const ServerState> Servers() const { return this->servers; }
@@ -181,10 +185,12 @@
 
   // Flows of aServer that its next owner cannot guess: those not at their
   // default server, those with an open request, and marks.
-  std::vector<HandedFlow> Exceptions(ServerIndex aServer) const;
-  // The whole of what the former owner of aServer knew has arrived.
-  void TakeOver(Address aServer,
+  std::vector<HandedFlow> Exceptions(Address aServer) const;
+  // A part of what the former owner of aServer knew; aLast: now all of it.
+  // False where this instance does not own it, or not yet.
+  bool TakeOver(Address aServer,
                 std::span<const HandedFlow> aFlows,
+                bool aLast,
                 Micros aNow);
 
   const FlowTable& Flows() const { return this->flows; }
@@ -236,6 +242,7 @@
   bool TakeDirected(Visit& aVisit);
   void Realign(Visit& aVisit);
   void Restart(Visit& aVisit, WalkFlag aWhy);
+  bool AskFormerOwner(Visit& aVisit, const ServerState& aServer);
   void AskForKnown(Visit& aVisit, ServerIndex aServer);
   bool AskToAdmit(Visit& aVisit, ServerIndex aServer);
   void EndOfLookup(Visit& aVisit);
--- a/src/core/server.h
+++ b/src/core/server.h
@@ -36,6 +36,8 @@
 
   // Below: meaningful at the owner only.
   Knowledge knowledge = Knowledge::None;
+  // Gave the server away and still answers; kNoInstance otherwise.
+  InstanceId formerOwner = kNoInstance;
   Micros ownedSince = 0;
   std::array<uint32_t, kFlowStates> counts{};
   uint32_t reserved = 0;     // slots kept for claimed flows
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -145,6 +145,20 @@
   aSender.Flush();
 }
 
+void
+AnnounceTable(Node& aNode, Sender& aSender, const Table& aTable)
+{
+  if (!aNode.PutInForce(aTable, MonotonicNow())) {
+    return;
+  }
+  LogInfo(kLogTable, absl::StrCat("Version ", aTable.version, " is in force."));
+  {
+    absl::MutexLock lock(&aNode.control);
+    aNode.members.SetTableVersion(aTable.version);
+  }
+  SpreadNews(aNode, aSender);
+}
+
 void
 RunTicks(Node& aNode,
          const Sockets& aSockets,
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -22,6 +22,10 @@
          ThreadCounts& aCounts,
          const std::atomic<bool>& aStop);
 
+// Puts aTable in force where its version is higher, and tells the peers.
+void
+AnnounceTable(Node& aNode, Sender& aSender, const Table& aTable);
+
 // Tells the peers at once what is new, for example a table version.
 void
 SpreadNews(Node& aNode, Sender& aSender);
--- /dev/null
+++ b/src/daemon/link.cpp
@@ -0,0 +1,484 @@
+#include "daemon/link.h"
+
+#include "daemon/control.h"
+#include "daemon/log.h"
+#include "platform/store.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cstring>
+#include <poll.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <unistd.h>
+
+namespace gentianspindle {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr size_t kMaxFrameBytes = 8 << 20;
+constexpr timeval kTimeout{ 2, 0 };
+constexpr int kAcceptMs = 100;
+constexpr int kBacklog = 64;
+constexpr size_t kFlowsPerPart = 500;
+// Parts are paced so that a hand-over leaves room for other control.
+constexpr std::chrono::milliseconds kPartPause{ 5 };
+constexpr std::chrono::milliseconds kClientPause{ 20 };
+constexpr std::chrono::milliseconds kRetryPause{ 100 };
+constexpr int kHandOverTries = 50;
+// A daemon that is behind waits this long for its own watch before it pulls.
+constexpr Micros kPullGrace = 300 * kMillisecond;
+constexpr size_t kShortDigest = 16;
+
+template<typename T>
+std::string
+Pack(const T& aMessage)
+{
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol protocol(buffer);
+  aMessage.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+absl::StatusOr<msg::Control>
+Unpack(const std::string& aBytes)
+{
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  buffer->resetBuffer(
+    reinterpret_cast<uint8_t*>(const_cast<char*>(aBytes.data())),
+    static_cast<uint32_t>(aBytes.size()),
+    TMemoryBuffer::OBSERVE);
+  TCompactProtocol protocol(buffer);
+  msg::Control message;
+  try {
+    message.read(&protocol);
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+  return message;
+}
+
+// A connected socket that closes itself.
+class Stream
+{
+public:
+  explicit Stream(int aSocket)
+    : socket(aSocket)
+  {
+    setsockopt(aSocket, SOL_SOCKET, SO_RCVTIMEO, &kTimeout, sizeof(kTimeout));
+    setsockopt(aSocket, SOL_SOCKET, SO_SNDTIMEO, &kTimeout, sizeof(kTimeout));
+  }
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+  ~Stream() { close(this->socket); }
+
+  bool Connect(InstanceId aPeer, Address aSource) const
+  {
+    sockaddr_in source{};
+    source.sin_family = AF_INET;
+    source.sin_addr.s_addr = htonl(aSource);
+    sockaddr_in target = source;
+    target.sin_addr.s_addr = htonl(InstanceAddress(aPeer));
+    target.sin_port = htons(InstancePort(aPeer));
+    return bind(this->socket,
+                reinterpret_cast<sockaddr*>(&source),
+                sizeof(source)) == 0 &&
+           connect(this->socket,
+                   reinterpret_cast<sockaddr*>(&target),
+                   sizeof(target)) == 0;
+  }
+
+  bool Send(Node& aNode, const msg::Control& aMessage) const
+  {
+    std::string sealed;
+    {
+      absl::MutexLock lock(&aNode.control);
+      sealed = aNode.linkSealer.Seal(Pack(aMessage));
+    }
+    uint32_t bytes = htonl(static_cast<uint32_t>(sealed.size()));
+    std::string frame(reinterpret_cast<const char*>(&bytes), sizeof(bytes));
+    frame += sealed;
+    size_t sent = 0;
+    while (sent < frame.size()) {
+      ssize_t count = send(
+        this->socket, frame.data() + sent, frame.size() - sent, MSG_NOSIGNAL);
+      if (count <= 0) {
+        return false;
+      }
+      sent += static_cast<size_t>(count);
+    }
+    return true;
+  }
+
+  absl::StatusOr<msg::Control> Receive(Node& aNode) const
+  {
+    uint32_t bytes = 0;
+    if (!this->Read(&bytes, sizeof(bytes)) || ntohl(bytes) > kMaxFrameBytes) {
+      return absl::UnavailableError("receive message: no frame");
+    }
+    std::string sealed(ntohl(bytes), '\0');
+    if (!this->Read(sealed.data(), sealed.size())) {
+      return absl::UnavailableError("receive message: short frame");
+    }
+    absl::MutexLock lock(&aNode.control);
+    absl::StatusOr<Sealer::Opened> opened = aNode.linkSealer.Open(sealed);
+    return opened.ok() ? Unpack(opened->body)
+                       : absl::StatusOr<msg::Control>(opened.status());
+  }
+
+private:
+  bool Read(void* aTarget, size_t aBytes) const
+  {
+    size_t got = 0;
+    while (got < aBytes) {
+      ssize_t count =
+        recv(this->socket, static_cast<char*>(aTarget) + got, aBytes - got, 0);
+      if (count <= 0) {
+        return false;
+      }
+      got += static_cast<size_t>(count);
+    }
+    return true;
+  }
+
+  int socket;
+};
+
+int
+OpenStream()
+{
+  return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+}
+
+msg::HandedFlow
+ToMessage(const HandedFlow& aFlow)
+{
+  msg::HandedFlow flow;
+  flow.flow = static_cast<int64_t>(aFlow.key);
+  flow.server = static_cast<int32_t>(aFlow.server);
+  flow.state = static_cast<int16_t>(aFlow.state);
+  flow.sentEnd = static_cast<int32_t>(aFlow.sentEnd);
+  flow.ackBase = static_cast<int32_t>(aFlow.ackBase);
+  flow.lastAck = static_cast<int32_t>(aFlow.lastAck);
+  flow.passedSteps = static_cast<int16_t>(aFlow.passedSteps);
+  flow.finSeen = aFlow.finSeen;
+  return flow;
+}
+
+bool
+FromMessage(const msg::HandedFlow& aMessage, HandedFlow& aFlow)
+{
+  if (aMessage.state < 0 ||
+      aMessage.state >= static_cast<int16_t>(FlowState::Count)) {
+    return false;
+  }
+  aFlow.key = static_cast<FlowKey>(aMessage.flow);
+  aFlow.server = static_cast<Address>(aMessage.server);
+  aFlow.state = static_cast<FlowState>(aMessage.state);
+  aFlow.sentEnd = static_cast<uint32_t>(aMessage.sentEnd);
+  aFlow.ackBase = static_cast<uint32_t>(aMessage.ackBase);
+  aFlow.lastAck = static_cast<uint32_t>(aMessage.lastAck);
+  aFlow.passedSteps = static_cast<uint16_t>(aMessage.passedSteps);
+  aFlow.finSeen = aMessage.finSeen;
+  return true;
+}
+
+// The peer's side of a hand-over.
+msg::Control
+TakeHandOver(Node& aNode, const msg::HandOver& aPart)
+{
+  ServiceKey key{ static_cast<Address>(aPart.address),
+                  static_cast<uint16_t>(aPart.port),
+                  static_cast<Protocol>(aPart.protocol) };
+  std::shared_ptr<const Snapshot> snapshot = aNode.Current();
+  auto service = snapshot->services.find(key);
+  msg::Answer answer;
+  answer.accepted = false;
+  if (service != snapshot->services.end()) {
+    std::vector<HandedFlow> flows;
+    flows.reserve(aPart.flows.size());
+    for (const msg::HandedFlow& flow : aPart.flows) {
+      if (HandedFlow copy; FromMessage(flow, copy)) {
+        flows.push_back(copy);
+      }
+    }
+    absl::MutexLock lock(&service->second->mutex);
+    answer.accepted = service->second->engine.TakeOver(
+      static_cast<Address>(aPart.server), flows, aPart.last, MonotonicNow());
+  }
+  msg::Control message;
+  message.__set_answer(answer);
+  return message;
+}
+
+msg::Control
+AnswerPull(Node& aNode, const msg::TablePull& aPull)
+{
+  Table table = aNode.CopyTable();
+  msg::TableAnswer answer;
+  answer.head.format = kTableFormat;
+  answer.head.version = table.version;
+  for (const Service& service : table.services) {
+    std::string part = EncodePart(service);
+    msg::PartName& name = answer.head.parts.emplace_back();
+    name.name = service.name;
+    name.digest = Digest(part);
+    bool has =
+      std::find(aPull.haveDigests.begin(),
+                aPull.haveDigests.end(),
+                name.digest.substr(0, kShortDigest)) != aPull.haveDigests.end();
+    if (!has) {
+      answer.parts.push_back(std::move(part));
+    }
+  }
+  msg::Control message;
+  message.__set_table(answer);
+  return message;
+}
+
+// Joins the parts that came with those that were here.
+absl::StatusOr<Table>
+JoinParts(const msg::TableAnswer& aAnswer, PartCache aParts)
+{
+  for (const std::string& part : aAnswer.parts) {
+    aParts.emplace(Digest(part), part);
+  }
+  Table table;
+  table.version = aAnswer.head.version;
+  for (const msg::PartName& name : aAnswer.head.parts) {
+    auto part = aParts.find(name.digest);
+    if (part == aParts.end()) {
+      return absl::DataLossError(
+        absl::StrCat("pull table: part '", name.name, "' is missing"));
+    }
+    absl::StatusOr<Service> service = CheckPart(part->second, name);
+    if (!service.ok()) {
+      return service.status();
+    }
+    table.services.push_back(*std::move(service));
+  }
+  return table;
+}
+
+}
+
+absl::StatusOr<std::unique_ptr<Link>>
+Link::Make(Node& aNode, const Sockets& aSockets, ThreadCounts& aCounts)
+{
+  int listener = OpenStream();
+  int on = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(InstanceAddress(aNode.Self()));
+  address.sin_port = htons(InstancePort(aNode.Self()));
+  bool good =
+    bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+      0 &&
+    listen(listener, kBacklog) == 0;
+  if (!good) {
+    close(listener);
+    return absl::UnavailableError(absl::StrCat("listen at TCP ",
+                                               FormatInstance(aNode.Self()),
+                                               ": ",
+                                               std::strerror(errno)));
+  }
+  std::unique_ptr<Link> link(new Link(aNode, aSockets, aCounts, listener));
+  link->server = std::thread([l = link.get()] { l->RunServer(); });
+  link->client = std::thread([l = link.get()] { l->RunClient(); });
+  return link;
+}
+
+Link::Link(Node& aNode,
+           const Sockets& aSockets,
+           ThreadCounts& aCounts,
+           int aListener)
+  : node(aNode)
+  , sender(aNode, aSockets, aCounts)
+  , listener(aListener)
+{
+}
+
+Link::~Link()
+{
+  this->stop = true;
+  this->server.join();
+  this->client.join();
+  close(this->listener);
+}
+
+void
+Link::RunServer()
+{
+  while (!this->stop) {
+    pollfd wait{ this->listener, POLLIN, 0 };
+    if (poll(&wait, 1, kAcceptMs) <= 0) {
+      continue;
+    }
+    int peer = accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (peer >= 0) {
+      this->Serve(peer);
+    }
+  }
+}
+
+// Answers the messages of one connection, one after the other.
+void
+Link::Serve(int aSocket)
+{
+  Stream stream(aSocket);
+  while (!this->stop) {
+    absl::StatusOr<msg::Control> message = stream.Receive(this->node);
+    if (!message.ok()) {
+      return;
+    }
+    msg::Control answer;
+    if (message->__isset.handOver) {
+      answer = TakeHandOver(this->node, message->handOver);
+    } else if (message->__isset.pull) {
+      answer = AnswerPull(this->node, message->pull);
+    } else {
+      return;
+    }
+    if (!stream.Send(this->node, answer)) {
+      return;
+    }
+  }
+}
+
+void
+Link::RunClient()
+{
+  while (!this->stop) {
+    this->handingOver = true;
+    for (const Given& given : this->node.TakeGiven()) {
+      bool done = false;
+      for (int i = 0; i < kHandOverTries && !done && !this->stop; ++i) {
+        done = this->HandOver(given);
+        if (!done) {
+          this->node.CountRetry(RetryReason::HandOverFailed);
+          std::this_thread::sleep_for(kRetryPause);
+        }
+      }
+      LogInfo(kLogHandOver,
+              absl::StrCat(done ? "Handed " : "Could not hand ",
+                           FormatAddress(given.server),
+                           " over to ",
+                           FormatInstance(given.successor),
+                           "."));
+    }
+    this->handingOver = false;
+    this->PullIfBehind();
+    std::this_thread::sleep_for(kClientPause);
+  }
+}
+
+// Sends all that this instance knows of one server, in parts. The successor
+// refuses as long as its view does not make it the owner.
+bool
+Link::HandOver(const Given& aGiven)
+{
+  std::vector<HandedFlow> flows;
+  {
+    absl::MutexLock lock(&aGiven.slot->mutex);
+    flows = aGiven.slot->engine.Exceptions(aGiven.server);
+  }
+  Stream stream(OpenStream());
+  if (!stream.Connect(aGiven.successor, InstanceAddress(this->node.Self()))) {
+    return false;
+  }
+  size_t sent = 0;
+  do {
+    msg::HandOver part;
+    part.address = static_cast<int32_t>(aGiven.service.address);
+    part.port = static_cast<int16_t>(aGiven.service.port);
+    part.protocol = static_cast<int16_t>(aGiven.service.protocol);
+    part.server = static_cast<int32_t>(aGiven.server);
+    size_t end = std::min(flows.size(), sent + kFlowsPerPart);
+    for (; sent < end; ++sent) {
+      part.flows.push_back(ToMessage(flows[sent]));
+    }
+    part.last = sent == flows.size();
+    msg::Control message;
+    message.__set_handOver(part);
+    if (!stream.Send(this->node, message)) {
+      return false;
+    }
+    absl::StatusOr<msg::Control> answer = stream.Receive(this->node);
+    if (!answer.ok() || !answer->answer.accepted) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPartPause);
+  } while (sent < flows.size());
+  return true;
+}
+
+// Pulls the table from the peer with the highest version, where the own watch
+// did not bring it in time.
+void
+Link::PullIfBehind()
+{
+  int64_t own = this->node.TableVersion();
+  MemberNews best;
+  {
+    absl::MutexLock lock(&this->node.control);
+    for (const MemberNews& member : this->node.members.All()) {
+      bool ahead = member.tableVersion > std::max(own, best.tableVersion) &&
+                   member.status != MemberStatus::Dead;
+      best = ahead ? member : best;
+    }
+  }
+  Micros now = MonotonicNow();
+  if (best.instance == kNoInstance || best.tableVersion <= own) {
+    this->behindSince = 0;
+    return;
+  }
+  this->behindSince = this->behindSince == 0 ? now : this->behindSince;
+  if (now - this->behindSince < kPullGrace) {
+    return;
+  }
+  if (!this->PullFrom(best.instance)) {
+    this->node.CountRetry(RetryReason::PullFailed);
+    this->behindSince = 0;
+  }
+}
+
+bool
+Link::PullFrom(InstanceId aPeer)
+{
+  PartCache parts;
+  msg::TablePull pull;
+  Table own = this->node.CopyTable();
+  pull.haveVersion = own.version;
+  for (const Service& service : own.services) {
+    std::string part = EncodePart(service);
+    std::string digest = Digest(part);
+    pull.haveDigests.push_back(digest.substr(0, kShortDigest));
+    parts.emplace(digest, part);
+  }
+  msg::Control message;
+  message.__set_pull(pull);
+  Stream stream(OpenStream());
+  if (!stream.Connect(aPeer, InstanceAddress(this->node.Self())) ||
+      !stream.Send(this->node, message)) {
+    return false;
+  }
+  absl::StatusOr<msg::Control> answer = stream.Receive(this->node);
+  if (!answer.ok() || !answer->__isset.table) {
+    return false;
+  }
+  absl::StatusOr<Table> table = JoinParts(answer->table, std::move(parts));
+  if (!table.ok()) {
+    LogWarn(kLogTable, std::string(table.status().message()));
+    return false;
+  }
+  AnnounceTable(this->node, this->sender, *table);
+  return true;
+}
+
+}
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 // gentianspindled: one instance of the load balancer.
 #include "daemon/control.h"
+#include "daemon/link.h"
 #include "daemon/log.h"
 #include "daemon/metrics.h"
 #include "daemon/settings.h"
@@ -38,7 +39,10 @@
 // Gives the servers of this instance away and goes on relaying until the
 // fabric has stopped handing it packets. A second signal ends at once.
 void
-StopAsPlanned(Node& aNode, Sender& aSender, const sigset_t& aSignals)
+StopAsPlanned(Node& aNode,
+              Sender& aSender,
+              const Link& aLink,
+              const sigset_t& aSignals)
 {
   LogInfo(kLogMain, "A planned stop begins.");
   {
@@ -58,7 +62,8 @@
       return;
     }
     uint64_t seen = FabricPackets(aNode);
-    lastPacket = seen != packets ? MonotonicNow() : lastPacket;
+    bool busy = seen != packets || aLink.IsHandingOver();
+    lastPacket = busy ? MonotonicNow() : lastPacket;
     packets = seen;
   }
   LogInfo(kLogMain, "The planned stop is done.");
@@ -100,7 +105,9 @@
   threads.emplace_back([&] { RunTicks(*node, sockets[0], control, stop); });
   absl::StatusOr<std::unique_ptr<Watcher>> watcher =
     Watcher::Make(*node, sockets[0], control);
-  if (watcher.ok()) {
+  absl::StatusOr<std::unique_ptr<Link>> link =
+    Link::Make(*node, sockets[0], control);
+  if (watcher.ok() && link.ok()) {
     LogInfo(kLogMain,
             absl::StrCat("Instance ",
                          FormatInstance(node->Self()),
@@ -110,7 +117,8 @@
     int signal = 0;
     sigwait(&signals, &signal);
     Sender sender(*node, sockets[0], control);
-    StopAsPlanned(*node, sender, signals);
+    StopAsPlanned(*node, sender, **link, signals);
+    link->reset();
     watcher->reset();
   }
   stop = true;
@@ -120,7 +128,7 @@
   for (Sockets& pair : sockets) {
     CloseSockets(pair);
   }
-  return watcher.status();
+  return watcher.ok() ? link.status() : watcher.status();
 }
 
 int
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -100,6 +100,7 @@
             ParseInstances(aSettings.peers.seeds),
             std::random_device{}())
   , sealer(KeysOf(aSettings), SelfOf(aSettings), FirstSequence())
+  , linkSealer(KeysOf(aSettings), SelfOf(aSettings), FirstSequence())
   , settings(aSettings)
   , options(MakeOptions(aSettings))
   , self(SelfOf(aSettings))
@@ -116,6 +117,20 @@
   return node;
 }
 
+std::vector<Given>
+Node::TakeGiven()
+{
+  absl::MutexLock lock(&this->apply);
+  return std::exchange(this->given, {});
+}
+
+Table
+Node::CopyTable()
+{
+  absl::MutexLock lock(&this->apply);
+  return this->table;
+}
+
 ThreadCounts&
 Node::NewCounts()
 {
@@ -164,9 +179,9 @@
 Node::AssignLocked(Snapshot& aSnapshot, Micros aNow)
 {
   std::vector<OwnedServer> all;
-  std::vector<ServiceSlot*> slots;
+  std::vector<std::shared_ptr<ServiceSlot>> slots;
   for (auto& [key, slot] : aSnapshot.services) {
-    slots.push_back(slot.get());
+    slots.push_back(slot);
     absl::MutexLock lock(&slot->mutex);
     for (const ServerState& server : slot->engine.Servers()) {
       all.push_back({ server.row.address, server.row.zone });
@@ -174,10 +189,21 @@
   }
   std::vector<InstanceId> owners = AssignOwners(this->candidates, all);
   std::span<const InstanceId> rest = owners;
-  for (ServiceSlot* slot : slots) {
+  for (const std::shared_ptr<ServiceSlot>& slot : slots) {
     absl::MutexLock lock(&slot->mutex);
-    size_t count = slot->engine.Servers().size();
-    slot->engine.SetOwners(rest.first(count), aNow);
+    std::span<const ServerState> servers = slot->engine.Servers();
+    size_t count = servers.size();
+    for (size_t i = 0; i < count; ++i) {
+      bool gave = servers[i].owner == this->self && rest[i] != this->self &&
+                  rest[i] != kNoInstance;
+      if (gave) {
+        this->given.push_back({ slot,
+                                slot->engine.Current().key,
+                                servers[i].row.address,
+                                rest[i] });
+      }
+    }
+    slot->engine.SetOwners(rest.first(count), this->present, aNow);
     rest = rest.subspan(count);
   }
 }
@@ -197,8 +223,12 @@
   std::shared_ptr<const Snapshot> now = this->Current();
   auto fresh = std::make_shared<Snapshot>(*now);
   fresh->peers.clear();
+  this->present.clear();
   for (const MemberNews& member : all) {
     fresh->peers.insert(member.instance);
+    if (member.status != MemberStatus::Dead) {
+      this->present.push_back(member.instance);
+    }
   }
   this->AssignLocked(*fresh, aNow);
   this->Publish(std::move(fresh));
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -94,6 +94,16 @@
   kRetryNames{ "watch_failed",      "fetch_failed", "status_write_failed",
                "status_write_lost", "pull_failed",  "hand_over_failed" };
 
+// A server that this instance gave away; its successor is to learn what this
+// instance knows.
+struct Given
+{
+  std::shared_ptr<ServiceSlot> slot;
+  ServiceKey service;
+  Address server = 0;
+  InstanceId successor = kNoInstance;
+};
+
 class Node
 {
 public:
@@ -110,6 +120,9 @@
   bool PutInForce(const Table& aTable, Micros aNow);
   int64_t TableVersion() const { return this->Current()->tableVersion; }
 
+  // The table in force, to be handed to a peer.
+  Table CopyTable();
+
   // Recomputes the owners from the members.
   void ApplyMembers(Micros aNow);
 
@@ -119,6 +132,9 @@
   void NoteTick(Micros aNow) { this->lastTick = aNow; }
   void LoseTrust(Micros aNow);
 
+  // Servers given away since the last call.
+  std::vector<Given> TakeGiven();
+
   ThreadCounts& NewCounts();
   void CountRetry(RetryReason aReason)
   {
@@ -127,7 +143,8 @@
 
   absl::Mutex control;
   Membership members ABSL_GUARDED_BY(control);
-  Sealer sealer ABSL_GUARDED_BY(control);
+  Sealer sealer ABSL_GUARDED_BY(control);     // of datagrams
+  Sealer linkSealer ABSL_GUARDED_BY(control); // of messages over TCP
 
   std::vector<std::unique_ptr<ThreadCounts>> counts;
   std::array<std::atomic<uint64_t>, static_cast<size_t>(RetryReason::Count)>
@@ -147,6 +164,8 @@
   absl::Mutex apply;
   Table table ABSL_GUARDED_BY(apply);
   std::vector<Member> candidates ABSL_GUARDED_BY(apply);
+  std::vector<InstanceId> present ABSL_GUARDED_BY(apply);
+  std::vector<Given> given ABSL_GUARDED_BY(apply);
   std::shared_ptr<const Snapshot> snapshot;
   std::atomic<Micros> lastTick = 0;
   std::atomic<bool> sawNoTable = false;
--- a/src/daemon/watcher.cpp
+++ b/src/daemon/watcher.cpp
@@ -175,15 +175,7 @@
       LogWarn(kLogTable, std::string(table.status().message()));
       return false;
     }
-    if (this->node.PutInForce(*table, MonotonicNow())) {
-      LogInfo(kLogTable,
-              absl::StrCat("Version ", table->version, " is in force."));
-      {
-        absl::MutexLock lock(&this->node.control);
-        this->node.members.SetTableVersion(table->version);
-      }
-      SpreadNews(this->node, this->sender);
-    }
+    AnnounceTable(this->node, this->sender, *table);
   }
   aObjectVersion = object->version;
   return true;
--- a/src/wire/gen/messages_types.cpp
+++ b/src/wire/gen/messages_types.cpp
@@ -773,6 +773,10 @@
 void TablePull::__set_haveVersion(const int64_t val) {
   this->haveVersion = val;
 }
+
+void TablePull::__set_haveDigests(const std::vector<std::string> & val) {
+  this->haveDigests = val;
+}
 std::ostream& operator<<(std::ostream& out, const TablePull& obj)
 {
   obj.printTo(out);
@@ -783,22 +787,26 @@
 void swap(TablePull &a, TablePull &b) {
   using ::std::swap;
   swap(a.haveVersion, b.haveVersion);
+  swap(a.haveDigests, b.haveDigests);
   swap(a.__isset, b.__isset);
 }
 
-TablePull::TablePull(const TablePull& other51) noexcept {
-  haveVersion = other51.haveVersion;
-  __isset = other51.__isset;
+TablePull::TablePull(const TablePull& other57) {
+  haveVersion = other57.haveVersion;
+  haveDigests = other57.haveDigests;
+  __isset = other57.__isset;
 }
-TablePull& TablePull::operator=(const TablePull& other52) noexcept {
-  haveVersion = other52.haveVersion;
-  __isset = other52.__isset;
+TablePull& TablePull::operator=(const TablePull& other58) {
+  haveVersion = other58.haveVersion;
+  haveDigests = other58.haveDigests;
+  __isset = other58.__isset;
   return *this;
 }
 void TablePull::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "TablePull(";
   out << "haveVersion=" << to_string(haveVersion);
+  out << ", " << "haveDigests=" << to_string(haveDigests);
   out << ")";
 }
 
@@ -828,15 +836,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TableAnswer::TableAnswer(const TableAnswer& other59) {
-  head = other59.head;
-  parts = other59.parts;
-  __isset = other59.__isset;
+TableAnswer::TableAnswer(const TableAnswer& other65) {
+  head = other65.head;
+  parts = other65.parts;
+  __isset = other65.__isset;
 }
-TableAnswer& TableAnswer::operator=(const TableAnswer& other60) {
-  head = other60.head;
-  parts = other60.parts;
-  __isset = other60.__isset;
+TableAnswer& TableAnswer::operator=(const TableAnswer& other66) {
+  head = other66.head;
+  parts = other66.parts;
+  __isset = other66.__isset;
   return *this;
 }
 void TableAnswer::printTo(std::ostream& out) const {
@@ -848,15 +856,217 @@
 }
 
 
-Control::~Control() noexcept {
+HandedFlow::~HandedFlow() noexcept {
+}
+
+
+void HandedFlow::__set_flow(const int64_t val) {
+  this->flow = val;
+}
+
+void HandedFlow::__set_server(const int32_t val) {
+  this->server = val;
+}
+
+void HandedFlow::__set_state(const int16_t val) {
+  this->state = val;
+}
+
+void HandedFlow::__set_sentEnd(const int32_t val) {
+  this->sentEnd = val;
+}
+
+void HandedFlow::__set_ackBase(const int32_t val) {
+  this->ackBase = val;
+}
+
+void HandedFlow::__set_lastAck(const int32_t val) {
+  this->lastAck = val;
+}
+
+void HandedFlow::__set_passedSteps(const int16_t val) {
+  this->passedSteps = val;
+}
+
+void HandedFlow::__set_finSeen(const bool val) {
+  this->finSeen = val;
+}
+std::ostream& operator<<(std::ostream& out, const HandedFlow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(HandedFlow &a, HandedFlow &b) {
+  using ::std::swap;
+  swap(a.flow, b.flow);
+  swap(a.server, b.server);
+  swap(a.state, b.state);
+  swap(a.sentEnd, b.sentEnd);
+  swap(a.ackBase, b.ackBase);
+  swap(a.lastAck, b.lastAck);
+  swap(a.passedSteps, b.passedSteps);
+  swap(a.finSeen, b.finSeen);
+  swap(a.__isset, b.__isset);
+}
+
+HandedFlow::HandedFlow(const HandedFlow& other67) noexcept {
+  flow = other67.flow;
+  server = other67.server;
+  state = other67.state;
+  sentEnd = other67.sentEnd;
+  ackBase = other67.ackBase;
+  lastAck = other67.lastAck;
+  passedSteps = other67.passedSteps;
+  finSeen = other67.finSeen;
+  __isset = other67.__isset;
+}
+HandedFlow& HandedFlow::operator=(const HandedFlow& other68) noexcept {
+  flow = other68.flow;
+  server = other68.server;
+  state = other68.state;
+  sentEnd = other68.sentEnd;
+  ackBase = other68.ackBase;
+  lastAck = other68.lastAck;
+  passedSteps = other68.passedSteps;
+  finSeen = other68.finSeen;
+  __isset = other68.__isset;
+  return *this;
+}
+void HandedFlow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HandedFlow(";
+  out << "flow=" << to_string(flow);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "sentEnd=" << to_string(sentEnd);
+  out << ", " << "ackBase=" << to_string(ackBase);
+  out << ", " << "lastAck=" << to_string(lastAck);
+  out << ", " << "passedSteps=" << to_string(passedSteps);
+  out << ", " << "finSeen=" << to_string(finSeen);
+  out << ")";
+}
+
+
+HandOver::~HandOver() noexcept {
+}
+
+
+void HandOver::__set_address(const int32_t val) {
+  this->address = val;
+}
+
+void HandOver::__set_port(const int16_t val) {
+  this->port = val;
+}
+
+void HandOver::__set_protocol(const int16_t val) {
+  this->protocol = val;
+}
+
+void HandOver::__set_server(const int32_t val) {
+  this->server = val;
+}
+
+void HandOver::__set_flows(const std::vector<HandedFlow> & val) {
+  this->flows = val;
+}
+
+void HandOver::__set_last(const bool val) {
+  this->last = val;
+}
+std::ostream& operator<<(std::ostream& out, const HandOver& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+void swap(HandOver &a, HandOver &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.protocol, b.protocol);
+  swap(a.server, b.server);
+  swap(a.flows, b.flows);
+  swap(a.last, b.last);
+  swap(a.__isset, b.__isset);
+}
+
+HandOver::HandOver(const HandOver& other75) {
+  address = other75.address;
+  port = other75.port;
+  protocol = other75.protocol;
+  server = other75.server;
+  flows = other75.flows;
+  last = other75.last;
+  __isset = other75.__isset;
+}
+HandOver& HandOver::operator=(const HandOver& other76) {
+  address = other76.address;
+  port = other76.port;
+  protocol = other76.protocol;
+  server = other76.server;
+  flows = other76.flows;
+  last = other76.last;
+  __isset = other76.__isset;
+  return *this;
+}
+void HandOver::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HandOver(";
+  out << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "protocol=" << to_string(protocol);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "flows=" << to_string(flows);
+  out << ", " << "last=" << to_string(last);
+  out << ")";
+}
+
+
+Answer::~Answer() noexcept {
 }
 
 
-void Control::__set_probe(const Probe& val) {
-  this->probe = val;
-__isset.probe = true;
+void Answer::__set_accepted(const bool val) {
+  this->accepted = val;
+}
+std::ostream& operator<<(std::ostream& out, const Answer& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
+
+void swap(Answer &a, Answer &b) {
+  using ::std::swap;
+  swap(a.accepted, b.accepted);
+  swap(a.__isset, b.__isset);
+}
+
+Answer::Answer(const Answer& other77) noexcept {
+  accepted = other77.accepted;
+  __isset = other77.__isset;
+}
+Answer& Answer::operator=(const Answer& other78) noexcept {
+  accepted = other78.accepted;
+  __isset = other78.__isset;
+  return *this;
+}
+void Answer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Answer(";
+  out << "accepted=" << to_string(accepted);
+  out << ")";
+}
+
+
+Control::~Control() noexcept {
+}
+
+
 void Control::__set_pull(const TablePull& val) {
   this->pull = val;
 __isset.pull = true;
@@ -866,6 +1076,16 @@
   this->table = val;
 __isset.table = true;
 }
+
+void Control::__set_handOver(const HandOver& val) {
+  this->handOver = val;
+__isset.handOver = true;
+}
+
+void Control::__set_answer(const Answer& val) {
+  this->answer = val;
+__isset.answer = true;
+}
 std::ostream& operator<<(std::ostream& out, const Control& obj)
 {
   obj.printTo(out);
@@ -875,31 +1095,35 @@
 
 void swap(Control &a, Control &b) {
   using ::std::swap;
-  swap(a.probe, b.probe);
   swap(a.pull, b.pull);
   swap(a.table, b.table);
+  swap(a.handOver, b.handOver);
+  swap(a.answer, b.answer);
   swap(a.__isset, b.__isset);
 }
 
-Control::Control(const Control& other61) {
-  probe = other61.probe;
-  pull = other61.pull;
-  table = other61.table;
-  __isset = other61.__isset;
+Control::Control(const Control& other79) {
+  pull = other79.pull;
+  table = other79.table;
+  handOver = other79.handOver;
+  answer = other79.answer;
+  __isset = other79.__isset;
 }
-Control& Control::operator=(const Control& other62) {
-  probe = other62.probe;
-  pull = other62.pull;
-  table = other62.table;
-  __isset = other62.__isset;
+Control& Control::operator=(const Control& other80) {
+  pull = other80.pull;
+  table = other80.table;
+  handOver = other80.handOver;
+  answer = other80.answer;
+  __isset = other80.__isset;
   return *this;
 }
 void Control::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Control(";
-  out << "probe="; (__isset.probe ? (out << to_string(probe)) : (out << "<null>"));
-  out << ", " << "pull="; (__isset.pull ? (out << to_string(pull)) : (out << "<null>"));
+  out << "pull="; (__isset.pull ? (out << to_string(pull)) : (out << "<null>"));
   out << ", " << "table="; (__isset.table ? (out << to_string(table)) : (out << "<null>"));
+  out << ", " << "handOver="; (__isset.handOver ? (out << to_string(handOver)) : (out << "<null>"));
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
   out << ")";
 }
 
@@ -949,23 +1173,23 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceStatus::InstanceStatus(const InstanceStatus& other63) {
-  instance = other63.instance;
-  zone = other63.zone;
-  state = other63.state;
-  tableVersion = other63.tableVersion;
-  flows = other63.flows;
-  problem = other63.problem;
-  __isset = other63.__isset;
-}
-InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other64) {
-  instance = other64.instance;
-  zone = other64.zone;
-  state = other64.state;
-  tableVersion = other64.tableVersion;
-  flows = other64.flows;
-  problem = other64.problem;
-  __isset = other64.__isset;
+InstanceStatus::InstanceStatus(const InstanceStatus& other81) {
+  instance = other81.instance;
+  zone = other81.zone;
+  state = other81.state;
+  tableVersion = other81.tableVersion;
+  flows = other81.flows;
+  problem = other81.problem;
+  __isset = other81.__isset;
+}
+InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other82) {
+  instance = other82.instance;
+  zone = other82.zone;
+  state = other82.state;
+  tableVersion = other82.tableVersion;
+  flows = other82.flows;
+  problem = other82.problem;
+  __isset = other82.__isset;
   return *this;
 }
 void InstanceStatus::printTo(std::ostream& out) const {
@@ -1016,19 +1240,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ZoneStatus::ZoneStatus(const ZoneStatus& other71) {
-  zone = other71.zone;
-  writer = other71.writer;
-  sequence = other71.sequence;
-  instances = other71.instances;
-  __isset = other71.__isset;
+ZoneStatus::ZoneStatus(const ZoneStatus& other89) {
+  zone = other89.zone;
+  writer = other89.writer;
+  sequence = other89.sequence;
+  instances = other89.instances;
+  __isset = other89.__isset;
 }
-ZoneStatus& ZoneStatus::operator=(const ZoneStatus& other72) {
-  zone = other72.zone;
-  writer = other72.writer;
-  sequence = other72.sequence;
-  instances = other72.instances;
-  __isset = other72.__isset;
+ZoneStatus& ZoneStatus::operator=(const ZoneStatus& other90) {
+  zone = other90.zone;
+  writer = other90.writer;
+  sequence = other90.sequence;
+  instances = other90.instances;
+  __isset = other90.__isset;
   return *this;
 }
 void ZoneStatus::printTo(std::ostream& out) const {
--- a/src/wire/gen/messages_types.h
+++ b/src/wire/gen/messages_types.h
@@ -88,6 +88,12 @@
 
 class TableAnswer;
 
+class HandedFlow;
+
+class HandOver;
+
+class Answer;
+
 class Control;
 
 class InstanceStatus;
@@ -788,30 +794,36 @@
 std::ostream& operator<<(std::ostream& out, const Sealed& obj);
 
 typedef struct _TablePull__isset {
-  _TablePull__isset() : haveVersion(false) {}
+  _TablePull__isset() : haveVersion(false), haveDigests(false) {}
   bool haveVersion :1;
+  bool haveDigests :1;
 } _TablePull__isset;
 
 class TablePull {
  public:
 
-  TablePull(const TablePull&) noexcept;
-  TablePull& operator=(const TablePull&) noexcept;
+  TablePull(const TablePull&);
+  TablePull& operator=(const TablePull&);
   TablePull() noexcept
             : haveVersion(0) {
   }
 
   virtual ~TablePull() noexcept;
   int64_t haveVersion;
+  std::vector<std::string>  haveDigests;
 
   _TablePull__isset __isset;
 
   void __set_haveVersion(const int64_t val);
 
+  void __set_haveDigests(const std::vector<std::string> & val);
+
   bool operator == (const TablePull & rhs) const
   {
     if (!(haveVersion == rhs.haveVersion))
       return false;
+    if (!(haveDigests == rhs.haveDigests))
+      return false;
     return true;
   }
   bool operator != (const TablePull &rhs) const {
@@ -882,11 +894,230 @@
 
 std::ostream& operator<<(std::ostream& out, const TableAnswer& obj);
 
+typedef struct _HandedFlow__isset {
+  _HandedFlow__isset() : flow(false), server(false), state(false), sentEnd(false), ackBase(false), lastAck(false), passedSteps(false), finSeen(false) {}
+  bool flow :1;
+  bool server :1;
+  bool state :1;
+  bool sentEnd :1;
+  bool ackBase :1;
+  bool lastAck :1;
+  bool passedSteps :1;
+  bool finSeen :1;
+} _HandedFlow__isset;
+
+class HandedFlow {
+ public:
+
+  HandedFlow(const HandedFlow&) noexcept;
+  HandedFlow& operator=(const HandedFlow&) noexcept;
+  HandedFlow() noexcept
+             : flow(0),
+               server(0),
+               state(0),
+               sentEnd(0),
+               ackBase(0),
+               lastAck(0),
+               passedSteps(0),
+               finSeen(0) {
+  }
+
+  virtual ~HandedFlow() noexcept;
+  int64_t flow;
+  int32_t server;
+  int16_t state;
+  int32_t sentEnd;
+  int32_t ackBase;
+  int32_t lastAck;
+  int16_t passedSteps;
+  bool finSeen;
+
+  _HandedFlow__isset __isset;
+
+  void __set_flow(const int64_t val);
+
+  void __set_server(const int32_t val);
+
+  void __set_state(const int16_t val);
+
+  void __set_sentEnd(const int32_t val);
+
+  void __set_ackBase(const int32_t val);
+
+  void __set_lastAck(const int32_t val);
+
+  void __set_passedSteps(const int16_t val);
+
+  void __set_finSeen(const bool val);
+
+  bool operator == (const HandedFlow & rhs) const
+  {
+    if (!(flow == rhs.flow))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(sentEnd == rhs.sentEnd))
+      return false;
+    if (!(ackBase == rhs.ackBase))
+      return false;
+    if (!(lastAck == rhs.lastAck))
+      return false;
+    if (!(passedSteps == rhs.passedSteps))
+      return false;
+    if (!(finSeen == rhs.finSeen))
+      return false;
+    return true;
+  }
+  bool operator != (const HandedFlow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HandedFlow & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HandedFlow &a, HandedFlow &b);
+
+std::ostream& operator<<(std::ostream& out, const HandedFlow& obj);
+
+typedef struct _HandOver__isset {
+  _HandOver__isset() : address(false), port(false), protocol(false), server(false), flows(false), last(false) {}
+  bool address :1;
+  bool port :1;
+  bool protocol :1;
+  bool server :1;
+  bool flows :1;
+  bool last :1;
+} _HandOver__isset;
+
+class HandOver {
+ public:
+
+  HandOver(const HandOver&);
+  HandOver& operator=(const HandOver&);
+  HandOver() noexcept
+           : address(0),
+             port(0),
+             protocol(0),
+             server(0),
+             last(0) {
+  }
+
+  virtual ~HandOver() noexcept;
+  int32_t address;
+  int16_t port;
+  int16_t protocol;
+  int32_t server;
+  std::vector<HandedFlow>  flows;
+  bool last;
+
+  _HandOver__isset __isset;
+
+  void __set_address(const int32_t val);
+
+  void __set_port(const int16_t val);
+
+  void __set_protocol(const int16_t val);
+
+  void __set_server(const int32_t val);
+
+  void __set_flows(const std::vector<HandedFlow> & val);
+
+  void __set_last(const bool val);
+
+  bool operator == (const HandOver & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(protocol == rhs.protocol))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(flows == rhs.flows))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    return true;
+  }
+  bool operator != (const HandOver &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HandOver & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HandOver &a, HandOver &b);
+
+std::ostream& operator<<(std::ostream& out, const HandOver& obj);
+
+typedef struct _Answer__isset {
+  _Answer__isset() : accepted(false) {}
+  bool accepted :1;
+} _Answer__isset;
+
+class Answer {
+ public:
+
+  Answer(const Answer&) noexcept;
+  Answer& operator=(const Answer&) noexcept;
+  Answer() noexcept
+         : accepted(0) {
+  }
+
+  virtual ~Answer() noexcept;
+  bool accepted;
+
+  _Answer__isset __isset;
+
+  void __set_accepted(const bool val);
+
+  bool operator == (const Answer & rhs) const
+  {
+    if (!(accepted == rhs.accepted))
+      return false;
+    return true;
+  }
+  bool operator != (const Answer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Answer & ) const;
+
+  template <class Protocol_>
+  uint32_t read(Protocol_* iprot);
+  template <class Protocol_>
+  uint32_t write(Protocol_* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Answer &a, Answer &b);
+
+std::ostream& operator<<(std::ostream& out, const Answer& obj);
+
 typedef struct _Control__isset {
-  _Control__isset() : probe(false), pull(false), table(false) {}
-  bool probe :1;
+  _Control__isset() : pull(false), table(false), handOver(false), answer(false) {}
   bool pull :1;
   bool table :1;
+  bool handOver :1;
+  bool answer :1;
 } _Control__isset;
 
 class Control {
@@ -898,24 +1129,23 @@
   }
 
   virtual ~Control() noexcept;
-  Probe probe;
   TablePull pull;
   TableAnswer table;
+  HandOver handOver;
+  Answer answer;
 
   _Control__isset __isset;
 
-  void __set_probe(const Probe& val);
-
   void __set_pull(const TablePull& val);
 
   void __set_table(const TableAnswer& val);
 
+  void __set_handOver(const HandOver& val);
+
+  void __set_answer(const Answer& val);
+
   bool operator == (const Control & rhs) const
   {
-    if (__isset.probe != rhs.__isset.probe)
-      return false;
-    else if (__isset.probe && !(probe == rhs.probe))
-      return false;
     if (__isset.pull != rhs.__isset.pull)
       return false;
     else if (__isset.pull && !(pull == rhs.pull))
@@ -924,6 +1154,14 @@
       return false;
     else if (__isset.table && !(table == rhs.table))
       return false;
+    if (__isset.handOver != rhs.__isset.handOver)
+      return false;
+    else if (__isset.handOver && !(handOver == rhs.handOver))
+      return false;
+    if (__isset.answer != rhs.__isset.answer)
+      return false;
+    else if (__isset.answer && !(answer == rhs.answer))
+      return false;
     return true;
   }
   bool operator != (const Control &rhs) const {
--- a/src/wire/gen/messages_types.tcc
+++ b/src/wire/gen/messages_types.tcc
@@ -1140,6 +1140,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->haveDigests.clear();
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->haveDigests.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
+            {
+              xfer += iprot->readString(this->haveDigests[_i55]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.haveDigests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1162,6 +1182,18 @@
   xfer += oprot->writeI64(this->haveVersion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("haveDigests", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->haveDigests.size()));
+    std::vector<std::string> ::const_iterator _iter56;
+    for (_iter56 = this->haveDigests.begin(); _iter56 != this->haveDigests.end(); ++_iter56)
+    {
+      xfer += oprot->writeString((*_iter56));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1201,14 +1233,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->parts.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->parts.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += iprot->readBinary(this->parts[_i57]);
+              xfer += iprot->readBinary(this->parts[_i63]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1242,10 +1274,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parts.size()));
-    std::vector<std::string> ::const_iterator _iter58;
-    for (_iter58 = this->parts.begin(); _iter58 != this->parts.end(); ++_iter58)
+    std::vector<std::string> ::const_iterator _iter64;
+    for (_iter64 = this->parts.begin(); _iter64 != this->parts.end(); ++_iter64)
     {
-      xfer += oprot->writeBinary((*_iter58));
+      xfer += oprot->writeBinary((*_iter64));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1257,7 +1289,7 @@
 }
 
 template <class Protocol_>
-uint32_t Control::read(Protocol_* iprot) {
+uint32_t HandedFlow::read(Protocol_* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1279,14 +1311,341 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->probe.read(iprot);
-          this->__isset.probe = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->flow);
+          this->__isset.flow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sentEnd);
+          this->__isset.sentEnd = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ackBase);
+          this->__isset.ackBase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lastAck);
+          this->__isset.lastAck = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->passedSteps);
+          this->__isset.passedSteps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->finSeen);
+          this->__isset.finSeen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t HandedFlow::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HandedFlow");
+
+  xfer += oprot->writeFieldBegin("flow", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->flow);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I16, 3);
+  xfer += oprot->writeI16(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentEnd", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->sentEnd);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ackBase", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->ackBase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastAck", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->lastAck);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("passedSteps", ::apache::thrift::protocol::T_I16, 7);
+  xfer += oprot->writeI16(this->passedSteps);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("finSeen", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->finSeen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t HandOver::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->address);
+          this->__isset.address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->protocol);
+          this->__isset.protocol = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->flows.clear();
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->flows.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
+            {
+              xfer += this->flows[_i73].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.flows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->last);
+          this->__isset.last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t HandOver::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HandOver");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I16, 2);
+  xfer += oprot->writeI16(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("protocol", ::apache::thrift::protocol::T_I16, 3);
+  xfer += oprot->writeI16(this->protocol);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("flows", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->flows.size()));
+    std::vector<HandedFlow> ::const_iterator _iter74;
+    for (_iter74 = this->flows.begin(); _iter74 != this->flows.end(); ++_iter74)
+    {
+      xfer += (*_iter74).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->last);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t Answer::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepted);
+          this->__isset.accepted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t Answer::write(Protocol_* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Answer");
+
+  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->accepted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+template <class Protocol_>
+uint32_t Control::read(Protocol_* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->pull.read(iprot);
           this->__isset.pull = true;
@@ -1294,7 +1653,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->table.read(iprot);
           this->__isset.table = true;
@@ -1302,6 +1661,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->handOver.read(iprot);
+          this->__isset.handOver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1320,21 +1695,26 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Control");
 
-  if (this->__isset.probe) {
-    xfer += oprot->writeFieldBegin("probe", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->probe.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.pull) {
-    xfer += oprot->writeFieldBegin("pull", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += oprot->writeFieldBegin("pull", ::apache::thrift::protocol::T_STRUCT, 1);
     xfer += this->pull.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.table) {
-    xfer += oprot->writeFieldBegin("table", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += oprot->writeFieldBegin("table", ::apache::thrift::protocol::T_STRUCT, 2);
     xfer += this->table.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.handOver) {
+    xfer += oprot->writeFieldBegin("handOver", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->handOver.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answer) {
+    xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1507,14 +1887,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->instances.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->instances.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->instances[_i69].read(iprot);
+              xfer += this->instances[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1556,10 +1936,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceStatus> ::const_iterator _iter70;
-    for (_iter70 = this->instances.begin(); _iter70 != this->instances.end(); ++_iter70)
+    std::vector<InstanceStatus> ::const_iterator _iter88;
+    for (_iter88 = this->instances.begin(); _iter88 != this->instances.end(); ++_iter88)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -92,7 +92,11 @@
 Fleet::AssignAt(Node& aNode)
 {
   std::vector<Member> members;
+  std::vector<InstanceId> present;
   for (const Node& node : this->nodes) {
+    if (node.listed) {
+      present.push_back(node.id);
+    }
     if (node.listed && !node.leaving) {
       members.push_back({ node.id, node.zone, true });
     }
@@ -107,7 +111,7 @@
   std::span<const InstanceId> rest = owners;
   for (auto& [address, engine] : aNode.engines) {
     size_t count = engine->Servers().size();
-    engine->SetOwners(rest.first(count), this->clock.Now());
+    engine->SetOwners(rest.first(count), present, this->clock.Now());
     rest = rest.subspan(count);
   }
 }
@@ -159,10 +163,14 @@
       continue;
     }
     Engine& from = this->At(this->Find(aBefore[i]), aService);
-    Engine& to = this->At(this->Find(aAfter[i]), aService);
     Address server = from.Servers()[i].row.address;
-    to.TakeOver(
-      server, from.Exceptions(static_cast<ServerIndex>(i)), this->clock.Now());
+    size_t to = this->Find(aAfter[i]);
+    std::vector<HandedFlow> flows = from.Exceptions(server);
+    this->clock.After(this->options.handOver, [=, this] {
+      if (this->nodes[to].up) {
+        this->At(to, aService).TakeOver(server, flows, true, this->clock.Now());
+      }
+    });
   }
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -23,6 +23,7 @@
   double loss = 0;    // of callers' packets
   double copies = 0;  // of callers' packets
   Micros reorder = 0; // greatest extra delay of a caller's packet
+  Micros handOver = 50 * kMillisecond; // until a hand-over arrives
   Micros tick = 2 * kMillisecond;
   uint64_t seed = 1;
 };
