Mend planned stops of real daemons: leaving members, joining, hand-over

Causes, found by replacing seven daemons one after the other at traffic: a member that had left was suspected, and so took servers back for the time of suspicion; a fresh daemon that knew no peer took every flow for its own; a daemon that had owned a server for a moment made its successor believe that nothing was known.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -838,6 +838,15 @@
   }
 }
 
+bool
+Engine::KnowsAll(Address aServer, Micros aNow) const
+{
+  ServerIndex place = this->FindServer(aServer);
+  return place != kNoServer &&
+         (this->servers[place].knowledge != Knowledge::None ||
+          aNow - this->servers[place].ownedSince >= this->options.idle);
+}
+
 std::vector<HandedFlow>
 Engine::Exceptions(Address aServer) const
 {
@@ -901,7 +910,7 @@
     copy.finSeen = flow.finSeen;
     this->CountIn(copy, 1);
   }
-  if (aLast) {
+  if (aLast && this->servers[server].knowledge == Knowledge::None) {
     this->servers[server].knowledge = Knowledge::Exceptions;
     this->servers[server].formerOwner = kNoInstance;
   }
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -186,6 +186,8 @@
   // Flows of aServer that its next owner cannot guess: those not at their
   // default server, those with an open request, and marks.
   std::vector<HandedFlow> Exceptions(Address aServer) const;
+  // Does this instance know enough of aServer to make a successor know?
+  bool KnowsAll(Address aServer, Micros aNow) const;
   // A part of what the former owner of aServer knew; aLast: now all of it.
   // False where this instance does not own it, or not yet.
   bool TakeOver(Address aServer,
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -117,8 +117,13 @@
   if (found == this->members.end() || this->acked) {
     return;
   }
-  if (found->second.news.status == MemberStatus::Alive ||
-      found->second.news.status == MemberStatus::Leaving) {
+  if (found->second.news.status == MemberStatus::Leaving) {
+    // It said goodbye; its zone is not cut off without it.
+    this->members.erase(found);
+    ++this->changes;
+    return;
+  }
+  if (found->second.news.status == MemberStatus::Alive) {
     this->SetStatus(found->second, MemberStatus::Suspect, aNow);
   }
 }
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -108,6 +108,7 @@
   SkippedUnreachable,
   OwnerChanged,
   NoTable,
+  NotJoined,
   SocketFull,
   Count,
 };
@@ -144,6 +145,7 @@
     "skipped_unreachable",
     "owner_changed",
     "no_table",
+    "not_joined",
     "socket_full",
   };
 
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -68,8 +68,10 @@
     LogWarn(kLogMembers, "Peers took this instance for dead; it is cold now.");
     aNode.LoseTrust(now);
   }
-  if (after != aBefore) {
+  if (after != aBefore || !aNode.Current()->joined) {
     aNode.ApplyMembers(now);
+  }
+  if (after != aBefore) {
     LogMembers(aNode);
   }
 }
--- a/src/daemon/link.cpp
+++ b/src/daemon/link.cpp
@@ -403,7 +403,7 @@
     for (; sent < end; ++sent) {
       part.flows.push_back(ToMessage(flows[sent]));
     }
-    part.last = sent == flows.size();
+    part.last = sent == flows.size() && aGiven.complete;
     msg::Control message;
     message.__set_handOver(part);
     if (!stream.Send(this->node, message)) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// An instance that nobody answers for so many probe periods goes on alone.
+constexpr Micros kAlonePeriods = 10;
+
 std::vector<InstanceId>
 ParseInstances(const std::vector<std::string>& aTexts)
 {
@@ -149,6 +152,7 @@
   auto next = std::make_shared<Snapshot>();
   next->tableVersion = aTable.version;
   next->peers = now->peers;
+  next->joined = now->joined;
   // A service that this instance saw come into being has no flows yet.
   bool knewBefore = this->table.version > 0 || this->sawNoTable;
   for (const Service& service : aTable.services) {
@@ -168,7 +172,9 @@
     next->services.emplace(service.key, slot);
   }
   this->table = aTable;
-  this->AssignLocked(*next, aNow);
+  if (next->joined) {
+    this->AssignLocked(*next, aNow);
+  }
   this->Publish(std::move(next));
   return true;
 }
@@ -197,10 +203,12 @@
       bool gave = servers[i].owner == this->self && rest[i] != this->self &&
                   rest[i] != kNoInstance;
       if (gave) {
-        this->given.push_back({ slot,
-                                slot->engine.Current().key,
-                                servers[i].row.address,
-                                rest[i] });
+        this->given.push_back(
+          { slot,
+            slot->engine.Current().key,
+            servers[i].row.address,
+            rest[i],
+            slot->engine.KnowsAll(servers[i].row.address, aNow) });
       }
     }
     slot->engine.SetOwners(rest.first(count), this->present, aNow);
@@ -230,7 +238,13 @@
       this->present.push_back(member.instance);
     }
   }
-  this->AssignLocked(*fresh, aNow);
+  // An instance that knows only itself would take every flow for its own.
+  Micros alone = kAlonePeriods * this->settings.peers.probeMs * kMillisecond;
+  fresh->joined =
+    now->joined || all.size() > 1 || aNow - this->startedAt >= alone;
+  if (fresh->joined) {
+    this->AssignLocked(*fresh, aNow);
+  }
   this->Publish(std::move(fresh));
 }
 
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -37,6 +37,7 @@
   int64_t tableVersion = 0;
   absl::flat_hash_map<ServiceKey, std::shared_ptr<ServiceSlot>> services;
   absl::flat_hash_set<InstanceId> peers;
+  bool joined = false; // the members are known
 };
 
 enum class Path : uint8_t
@@ -102,8 +103,13 @@
   ServiceKey service;
   Address server = 0;
   InstanceId successor = kNoInstance;
+  bool complete = false; // this instance knew all exceptions itself
 };
 
+// Now on the monotonic clock.
+Micros
+MonotonicNow();
+
 class Node
 {
 public:
@@ -169,6 +175,7 @@
   std::shared_ptr<const Snapshot> snapshot;
   std::atomic<Micros> lastTick = 0;
   std::atomic<bool> sawNoTable = false;
+  Micros startedAt = MonotonicNow();
 
 public:
   // The platform said that no table was ever accepted, so that the first one
@@ -176,8 +183,4 @@
   void NoteNoTable() { this->sawNoTable = true; }
 };
 
-// Now on the monotonic clock.
-Micros
-MonotonicNow();
-
 }
--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -222,6 +222,10 @@
 void
 Worker::Decide(Arrival& aArrival)
 {
+  if (!this->snapshot->joined) {
+    this->counts.Add(Reason::NotJoined);
+    return;
+  }
   const ServiceKey& key = aArrival.segment->service;
   auto service = this->snapshot->services.find(key);
   if (service == this->snapshot->services.end()) {
--- /dev/null
+++ b/tests/daemon/process_test.cpp
@@ -0,0 +1,187 @@
+// Real daemons on loopback: the whole path, planned stops, platform away.
+#include "platform/store.h"
+#include "support/daemon_process.h"
+#include "support/examples.h"
+#include "support/platform_standin.h"
+#include "support/traffic.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <memory>
+
+namespace gentianspindle {
+
+namespace {
+
+struct Running
+{
+  PlatformStandin platform;
+  LocalFleet fleet;
+  Table table;
+  std::vector<std::unique_ptr<DaemonProcess>> daemons;
+
+  explicit Running(const Deployment& aDeployment)
+  {
+    REQUIRE(this->platform.Start() > 0);
+    this->fleet = LocalFleet::Make(this->platform.Url(), aDeployment.instances);
+    Deployment patient = aDeployment;
+    patient.waitMs = 5000;
+    this->table = this->fleet.Localize(MakeTable(patient));
+    for (size_t i = 0; i < aDeployment.instances.size(); ++i) {
+      this->daemons.push_back(std::make_unique<DaemonProcess>(this->fleet, i));
+    }
+    REQUIRE(this->AllShow("gentianspindle_member",
+                          static_cast<double>(this->daemons.size())));
+  }
+
+  bool AllShow(const std::string& aMetric, double aValue)
+  {
+    return WaitFor([&] {
+      return std::all_of(this->daemons.begin(),
+                         this->daemons.end(),
+                         [&](const std::unique_ptr<DaemonProcess>& aDaemon) {
+                           return aDaemon->Metric(aMetric) == aValue;
+                         });
+    });
+  }
+
+  void Apply()
+  {
+    HttpObjects api = *HttpObjects::Make({ this->platform.Url() });
+    ApplyRequest request;
+    request.next = this->table;
+    request.author = "test";
+    request.changeId = "c1";
+    REQUIRE(ApplyTable(api, request, {}).outcome == ApplyOutcome::Accepted);
+    REQUIRE(this->AllShow("gentianspindle_table_version", 1));
+  }
+
+  TrafficOptions MakeTraffic() const
+  {
+    TrafficOptions options;
+    options.table = this->table;
+    options.serverPort = this->fleet.fabricPort;
+    options.answerPort = this->fleet.answerPort;
+    for (size_t i = 0; i < this->daemons.size(); ++i) {
+      options.instances.push_back(this->fleet.FabricEndpoint(i));
+    }
+    return options;
+  }
+
+  // Endpoints of the instances but aLeft.
+  std::vector<InstanceId> Without(size_t aLeft) const
+  {
+    std::vector<InstanceId> endpoints;
+    for (size_t i = 0; i < this->daemons.size(); ++i) {
+      if (i != aLeft) {
+        endpoints.push_back(this->fleet.FabricEndpoint(i));
+      }
+    }
+    return endpoints;
+  }
+};
+
+void
+CheckWhole(const TrafficResult& aResult)
+{
+  CHECK(aResult.broken == 0);
+  CHECK(aResult.wrongService == 0);
+  CHECK(aResult.wrongServer == 0);
+  CHECK(aResult.refusedButSeen == 0);
+  CHECK(aResult.badChecksum == 0);
+  CHECK(aResult.whole + aResult.refused == aResult.opened);
+}
+
+}
+
+TEST_CASE("Seven daemons serve 10,000 sprayed flows whole")
+{
+  Running run(Panji());
+  run.Apply();
+  TrafficOptions options = run.MakeTraffic();
+  options.flows = 10'000;
+  options.flowsPerSecond = 1500;
+  options.serviceTime = kMillisecond;
+  Traffic traffic(options);
+  REQUIRE(traffic.Open());
+  TrafficResult result = traffic.Run();
+  CheckWhole(result);
+  CHECK(result.refused == 0);
+  CHECK(result.flowsPerServer.size() == 18);
+}
+
+TEST_CASE("Replacing all seven daemons at traffic breaks no flow")
+{
+  Running run(Panji());
+  run.Apply();
+  TrafficOptions options = run.MakeTraffic();
+  options.flows = 4000;
+  options.flowsPerSecond = 50;
+  options.serviceTime = kMillisecond;
+  options.requestsPerFlow = 30;
+  options.thinkTime = 200 * kMillisecond;
+  size_t next = 0;
+  bool stopping = false;
+  Micros readyAt = 0;
+  Traffic* running = nullptr;
+  std::vector<int> statuses;
+  // One step after the other, each begun when the former is seen to be done.
+  options.onLoop = [&](Micros aNow) {
+    if (next == run.daemons.size() || aNow < readyAt) {
+      return;
+    }
+    if (readyAt == 0) {
+      readyAt = aNow + 2 * kSecond;
+      return;
+    }
+    std::unique_ptr<DaemonProcess>& daemon = run.daemons[next];
+    if (!stopping) {
+      daemon->Signal(SIGTERM);
+      // The fabric learns of it some time later.
+      stopping = true;
+      readyAt = aNow + 500 * kMillisecond;
+      return;
+    }
+    running->SetInstances(run.Without(next));
+    if (!daemon->HasEnded()) {
+      readyAt = aNow + 100 * kMillisecond;
+      return;
+    }
+    statuses.push_back(daemon->ExitStatus());
+    daemon = std::make_unique<DaemonProcess>(run.fleet, next);
+    ++next;
+    stopping = false;
+    readyAt = aNow + 3 * kSecond;
+    if (next == run.daemons.size()) {
+      running->SetInstances(run.Without(run.daemons.size()));
+    }
+  };
+  Traffic traffic(options);
+  running = &traffic;
+  REQUIRE(traffic.Open());
+  TrafficResult result = traffic.Run();
+  CheckWhole(result);
+  CHECK(result.refused == 0);
+  CHECK(statuses == std::vector<int>(7, 0));
+}
+
+TEST_CASE("A daemon that starts while the platform is away asks its peers")
+{
+  Running run(Talleres());
+  run.Apply();
+  run.platform.down = true;
+  run.daemons[2]->Signal(SIGKILL);
+  REQUIRE(WaitFor([&] { return run.daemons[2]->HasEnded(); }));
+  run.daemons[2] = std::make_unique<DaemonProcess>(run.fleet, 2);
+  REQUIRE(run.AllShow("gentianspindle_table_version", 1));
+  REQUIRE(run.AllShow("gentianspindle_member", 6));
+  TrafficOptions options = run.MakeTraffic();
+  options.flows = 1000;
+  options.flowsPerSecond = 500;
+  options.serviceTime = kMillisecond;
+  Traffic traffic(options);
+  REQUIRE(traffic.Open());
+  CheckWhole(traffic.Run());
+}
+
+}
--- /dev/null
+++ b/tests/support/daemon_process.cpp
@@ -0,0 +1,148 @@
+#include "support/daemon_process.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <httplib.h>
+#include <spawn.h>
+#include <sstream>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace gentianspindle {
+
+namespace {
+
+uint16_t
+FreePort(int aType)
+{
+  int fd = socket(AF_INET, aType, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  socklen_t bytes = sizeof(address);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &bytes);
+  close(fd);
+  return ntohs(address.sin_port);
+}
+
+}
+
+LocalFleet
+LocalFleet::Make(const std::string& aPlatform,
+                 const std::vector<std::string>& aZones)
+{
+  static uint8_t made = 0;
+  LocalFleet fleet;
+  fleet.net = static_cast<uint8_t>(1 + (getpid() + 50 * made++) % 250);
+  fleet.fabricPort = FreePort(SOCK_DGRAM);
+  fleet.peerPort = FreePort(SOCK_STREAM);
+  fleet.metricsPort = FreePort(SOCK_STREAM);
+  fleet.answerPort = FreePort(SOCK_DGRAM);
+  fleet.platform = aPlatform;
+  fleet.zones = aZones;
+  return fleet;
+}
+
+Address
+LocalFleet::InstanceAt(size_t aInstance) const
+{
+  return 0x7F000000 | (Address{ this->net } << 16) | 0x0900 |
+         static_cast<Address>(aInstance + 1);
+}
+
+InstanceId
+LocalFleet::FabricEndpoint(size_t aInstance) const
+{
+  return MakeInstanceId(this->InstanceAt(aInstance), this->fabricPort);
+}
+
+Table
+LocalFleet::Localize(Table aTable) const
+{
+  for (Service& service : aTable.services) {
+    for (ServerRow& row : service.rows) {
+      row.address =
+        0x7F000000 | (Address{ this->net } << 16) | (row.address & 0xFFFF);
+    }
+  }
+  return aTable;
+}
+
+DaemonProcess::DaemonProcess(const LocalFleet& aFleet, size_t aInstance)
+  : address(FormatAddress(aFleet.InstanceAt(aInstance)))
+  , metricsPort(aFleet.metricsPort)
+{
+  std::ostringstream seeds;
+  for (size_t i = 0; i < aFleet.zones.size(); ++i) {
+    seeds << (i == 0 ? "" : ", ") << '"' << FormatAddress(aFleet.InstanceAt(i))
+          << ':' << aFleet.peerPort << '"';
+  }
+  std::string path = "daemon-" + this->address + ".toml";
+  std::ofstream(path) << "[instance]\naddress = \"" << this->address
+                      << "\"\nzone = \"" << aFleet.zones[aInstance]
+                      << "\"\n[fabric]\nport = " << aFleet.fabricPort
+                      << "\nserver_port = " << aFleet.fabricPort
+                      << "\nsources = [\"127.0.0.1\"]\nanswer = \"127.0.0.1:"
+                      << aFleet.answerPort
+                      << "\"\n[peers]\nport = " << aFleet.peerPort
+                      << "\nseeds = [" << seeds.str()
+                      << "]\nkey = \"key-of-the-tests-only\"\n"
+                      << "probe_ms = 200\n[platform]\nurl = \""
+                      << aFleet.platform
+                      << "\"\nwatch_ms = 1000\n[metrics]\nlisten = \""
+                      << this->address << ':' << aFleet.metricsPort
+                      << "\"\n[log]\nlevel = \"WARN\"\n";
+  std::string program = GENTIANSPINDLE_DAEMON;
+  std::string option = "--settings";
+  std::array<char*, 4> words{
+    program.data(), option.data(), path.data(), nullptr
+  };
+  posix_spawn(
+    &this->pid, program.c_str(), nullptr, nullptr, words.data(), environ);
+}
+
+DaemonProcess::~DaemonProcess()
+{
+  if (!this->HasEnded()) {
+    kill(this->pid, SIGKILL);
+    waitpid(this->pid, &this->status, 0);
+  }
+}
+
+void
+DaemonProcess::Signal(int aSignal) const
+{
+  kill(this->pid, aSignal);
+}
+
+bool
+DaemonProcess::HasEnded()
+{
+  if (!this->ended && waitpid(this->pid, &this->status, WNOHANG) == this->pid) {
+    this->ended = true;
+  }
+  return this->ended;
+}
+
+double
+DaemonProcess::Metric(const std::string& aName) const
+{
+  httplib::Client client(this->address, this->metricsPort);
+  client.set_connection_timeout(0, 200'000);
+  auto page = client.Get("/metrics");
+  if (!page) {
+    return -1;
+  }
+  std::string line = "\n" + aName + " ";
+  size_t at = page->body.find(line);
+  return at == std::string::npos
+           ? -1
+           : std::stod(page->body.substr(at + line.size()));
+}
+
+}
