Hand over flows that count as elsewhere, and let one owner admit at a time

Causes, from traces of histories in which news of members reaches each instance at another moment: (1) the first packet after a change of owner made the former owner's entry count as being elsewhere, and such entries were left out of the hand-over; (2) the former and the new owner both admitted while their views differed, and each said 'no' for the other's flows; (3) a hand-over went to the successor of the moment, though that one left as well; (4) a joining daemon did not know whom to ask. Ruled out: loss of datagrams (no retransmission fails), false suspicion (no member was taken for dead).

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -96,6 +96,7 @@
 
 void
 Engine::SetOwners(std::span<const InstanceId> aOwners,
+                  std::span<const InstanceId> aOthers,
                   std::span<const InstanceId> aPresent,
                   Micros aNow)
 {
@@ -108,7 +109,8 @@
     if (has && !had) {
       server.ownedSince = aNow;
       server.reserved = 0;
-      server.formerOwner = server.owner;
+      server.formerOwner =
+        server.owner == kNoInstance ? aOthers[i] : server.owner;
     }
     bool present =
       std::find(aPresent.begin(), aPresent.end(), server.formerOwner) !=
@@ -431,10 +433,10 @@
     if (walk.first == kNoInstance) {
       walk.first = this->self;
     }
+    if (this->AskFormerOwner(aVisit, state)) {
+      return;
+    }
     if (!aVisit.opens) {
-      if (this->AskFormerOwner(aVisit, state)) {
-        return;
-      }
       this->AskForKnown(aVisit, server);
       // With all exceptions known and no former ranking, an unknown flow of
       // this default server can only be here.
@@ -469,8 +471,10 @@
   return asked;
 }
 
-// Until the hand-over has arrived, the former owner knows best. It sends what
-// it knows back with the flow's server, and the rest as it came.
+// Until the hand-over has arrived, the former owner knows best. As long as its
+// view makes it the owner, it also admits; were both to admit, each would say
+// "no" for the other's flows. Once its view has changed it sends a flow that
+// it knows back with its server, and the rest as it came.
 bool
 Engine::AskFormerOwner(Visit& aVisit, const ServerState& aServer)
 {
@@ -838,6 +842,13 @@
   }
 }
 
+InstanceId
+Engine::OwnerOf(Address aServer) const
+{
+  ServerIndex place = this->FindServer(aServer);
+  return place == kNoServer ? kNoInstance : this->servers[place].owner;
+}
+
 bool
 Engine::KnowsAll(Address aServer, Micros aNow) const
 {
@@ -861,13 +872,23 @@
       Order order = this->LookupOrder(flow.key);
       bool isDefault = !order.empty() && order[0] == server;
       bool placed = this->IsPlacedHere(place);
-      bool here = placed && flow.server == server && !(isDefault && guessable);
+      bool passed = state == FlowState::Passed;
+      // A flow at the server given away counts as being elsewhere from the
+      // first packet after the change of owner.
+      bool here =
+        !passed && flow.server == server && !(isDefault && guessable);
       // The successor of the default server has to know where else to send.
       bool mark = isDefault && flow.server != server;
-      if (here || mark || (isDefault && !placed)) {
+      FlowState handed = state;
+      if (mark && placed) {
+        handed = FlowState::Elsewhere;
+      } else if (here && !placed) {
+        handed = FlowState::Idle;
+      }
+      if (here || mark || (isDefault && passed)) {
         found.push_back({ flow.key,
                           this->servers[flow.server].row.address,
-                          mark && placed ? FlowState::Elsewhere : state,
+                          handed,
                           flow.sentEnd,
                           flow.ackBase,
                           flow.lastAck,
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -164,9 +164,11 @@
                   bool aFresh,
                   Micros aNow);
 
-  // Owner of each of Servers(), in their order. aPresent: instances that
-  // answer, leaving ones included.
+  // Owner of each of Servers(), in their order. aOthers: what the owners would
+  // be without this instance, so who owned a server before it came.
+  // aPresent: instances that answer, leaving ones included.
   void SetOwners(std::span<const InstanceId> aOwners,
+                 std::span<const InstanceId> aOthers,
                  std::span<const InstanceId> aPresent,
                  Micros aNow);
 
@@ -186,6 +188,8 @@
   // Flows of aServer that its next owner cannot guess: those not at their
   // default server, those with an open request, and marks.
   std::vector<HandedFlow> Exceptions(Address aServer) const;
+  // Present owner of aServer; kNoInstance where there is none.
+  InstanceId OwnerOf(Address aServer) const;
   // Does this instance know enough of aServer to make a successor know?
   bool KnowsAll(Address aServer, Micros aNow) const;
   // A part of what the former owner of aServer knew; aLast: now all of it.
--- a/src/core/rank.cpp
+++ b/src/core/rank.cpp
@@ -155,4 +155,16 @@
   return owners;
 }
 
+std::vector<InstanceId>
+AssignOwnersWithout(InstanceId aInstance,
+                    std::span<const Member> aMembers,
+                    std::span<const OwnedServer> aServers)
+{
+  std::vector<Member> others(aMembers.begin(), aMembers.end());
+  std::erase_if(others, [=](const Member& aMember) {
+    return aMember.instance == aInstance;
+  });
+  return AssignOwners(others, aServers);
+}
+
 }
--- a/src/core/rank.h
+++ b/src/core/rank.h
@@ -67,4 +67,10 @@
 AssignOwners(std::span<const Member> aMembers,
              std::span<const OwnedServer> aServers);
 
+// The owners if aInstance were not there.
+std::vector<InstanceId>
+AssignOwnersWithout(InstanceId aInstance,
+                    std::span<const Member> aMembers,
+                    std::span<const OwnedServer> aServers);
+
 }
--- a/src/daemon/link.cpp
+++ b/src/daemon/link.cpp
@@ -368,9 +368,7 @@
       LogInfo(kLogHandOver,
               absl::StrCat(done ? "Handed " : "Could not hand ",
                            FormatAddress(given.server),
-                           " over to ",
-                           FormatInstance(given.successor),
-                           "."));
+                           " over."));
     }
     this->handingOver = false;
     this->PullIfBehind();
@@ -378,18 +376,24 @@
   }
 }
 
-// Sends all that this instance knows of one server, in parts. The successor
-// refuses as long as its view does not make it the owner.
+// Sends all that this instance knows of one server, in parts, to whoever owns
+// it by now. The successor refuses as long as its view does not make it the
+// owner.
 bool
 Link::HandOver(const Given& aGiven)
 {
   std::vector<HandedFlow> flows;
+  InstanceId successor = kNoInstance;
   {
     absl::MutexLock lock(&aGiven.slot->mutex);
     flows = aGiven.slot->engine.Exceptions(aGiven.server);
+    successor = aGiven.slot->engine.OwnerOf(aGiven.server);
+  }
+  if (successor == this->node.Self()) {
+    return true; // the server came back
   }
   Stream stream(OpenStream());
-  if (!stream.Connect(aGiven.successor, InstanceAddress(this->node.Self()))) {
+  if (!stream.Connect(successor, InstanceAddress(this->node.Self()))) {
     return false;
   }
   size_t sent = 0;
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -194,7 +194,10 @@
     }
   }
   std::vector<InstanceId> owners = AssignOwners(this->candidates, all);
+  std::vector<InstanceId> others =
+    AssignOwnersWithout(this->self, this->candidates, all);
   std::span<const InstanceId> rest = owners;
+  std::span<const InstanceId> restOfOthers = others;
   for (const std::shared_ptr<ServiceSlot>& slot : slots) {
     absl::MutexLock lock(&slot->mutex);
     std::span<const ServerState> servers = slot->engine.Servers();
@@ -207,11 +210,12 @@
           { slot,
             slot->engine.Current().key,
             servers[i].row.address,
-            rest[i],
             slot->engine.KnowsAll(servers[i].row.address, aNow) });
       }
     }
-    slot->engine.SetOwners(rest.first(count), this->present, aNow);
+    slot->engine.SetOwners(
+      rest.first(count), restOfOthers.first(count), this->present, aNow);
+    restOfOthers = restOfOthers.subspan(count);
     rest = rest.subspan(count);
   }
 }
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -102,7 +102,6 @@
   std::shared_ptr<ServiceSlot> slot;
   ServiceKey service;
   Address server = 0;
-  InstanceId successor = kNoInstance;
   bool complete = false; // this instance knew all exceptions itself
 };
 
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -30,7 +30,7 @@
   void OwnAll(InstanceId aOwner)
   {
     std::vector<InstanceId> owners(this->engine.Servers().size(), aOwner);
-    this->engine.SetOwners(owners, {}, this->now);
+    this->engine.SetOwners(owners, owners, {}, this->now);
   }
 
   Outbox Send(FlowKey aFlow,
@@ -176,7 +176,7 @@
   Engine::Order order = test.engine.LookupOrder(7);
   std::vector<InstanceId> owners(test.engine.Servers().size(), kSelf);
   owners[order[0]] = kNoInstance;
-  test.engine.SetOwners(owners, {}, test.now);
+  test.engine.SetOwners(owners, owners, {}, test.now);
   Outbox out = test.Send(7, kTcpAck, 101, 1);
   REQUIRE(out.size() == 1);
   CHECK(out[0].reason == Reason::OwnerUnreachable);
@@ -194,7 +194,7 @@
   Engine::Order order = test.engine.LookupOrder(7);
   std::vector<InstanceId> owners(test.engine.Servers().size(), kPeer);
   owners[order[0]] = kSelf;
-  test.engine.SetOwners(owners, {}, test.now);
+  test.engine.SetOwners(owners, owners, {}, test.now);
   Outbox out = test.Send(7, kTcpSyn);
   REQUIRE(out[0].action == Action::Relay);
   CHECK(out[0].walk.step == 1);
@@ -206,7 +206,7 @@
   CHECK(out[0].action == Action::Forward); // the mark itself has expired
   EngineTest again(options);
   again.FillSlots();
-  again.engine.SetOwners(owners, {}, again.now);
+  again.engine.SetOwners(owners, owners, {}, again.now);
   again.Send(7, kTcpSyn);
   again.engine.OnNote(
     { NoteKind::Found, 7, again.engine.Servers()[order[2]].row.address, kPeer },
@@ -419,7 +419,7 @@
   for (FlowKey flow = 0; flow < 5000; ++flow) {
     std::fill(owners.begin(), owners.end(), kPeer);
     owners[test.engine.LookupOrder(flow)[0]] = kSelf;
-    test.engine.SetOwners(owners, {}, test.now);
+    test.engine.SetOwners(owners, owners, {}, test.now);
     relayed += test.Send(flow, kTcpAck, 1, 1)[0].action == Action::Relay;
   }
   CHECK(relayed <= 100);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -108,70 +108,72 @@
     }
   }
   std::vector<InstanceId> owners = AssignOwners(members, all);
+  std::vector<InstanceId> others = AssignOwnersWithout(aNode.id, members, all);
   std::span<const InstanceId> rest = owners;
+  std::span<const InstanceId> restOfOthers = others;
   for (auto& [address, engine] : aNode.engines) {
     size_t count = engine->Servers().size();
-    engine->SetOwners(rest.first(count), present, this->clock.Now());
+    for (size_t i = 0; i < count; ++i) {
+      const ServerState& server = engine->Servers()[i];
+      if (server.owner == aNode.id && rest[i] != aNode.id) {
+        this->HandOver(aNode,
+                       engine->Current().key,
+                       server.row.address,
+                       engine->KnowsAll(server.row.address, this->clock.Now()));
+      }
+    }
+    engine->SetOwners(
+      rest.first(count), restOfOthers.first(count), present, this->clock.Now());
     rest = rest.subspan(count);
+    restOfOthers = restOfOthers.subspan(count);
   }
 }
 
-// Gives the planned change of ownership its hand-over: what the old owner
-// knows reaches the new one before the view changes.
+// News of the members reaches each instance at another moment.
 void
 Fleet::Assign()
 {
-  std::map<Address, std::vector<InstanceId>> before;
   for (Node& node : this->nodes) {
-    for (auto& [address, engine] : node.engines) {
-      if (node.up && before[address].empty()) {
-        for (const ServerState& server : engine->Servers()) {
-          before[address].push_back(server.owner);
-        }
-      }
-    }
-  }
-  for (Node& node : this->nodes) {
-    if (node.up) {
-      this->AssignAt(node);
-    }
-  }
-  for (Node& node : this->nodes) {
-    for (auto& [address, engine] : node.engines) {
-      if (!node.up || before[address].empty()) {
-        continue;
-      }
-      std::vector<InstanceId> after;
-      for (const ServerState& server : engine->Servers()) {
-        after.push_back(server.owner);
+    Micros delay =
+      this->options.viewSkew == 0
+        ? 0
+        : static_cast<Micros>(this->random() % this->options.viewSkew);
+    this->clock.After(delay, [&node, this] {
+      if (node.up) {
+        this->AssignAt(node);
       }
-      this->HandOver(engine->Current().key, before[address], after);
-      before[address].clear();
-    }
+    });
   }
 }
 
+// Sends what aFrom knows of a server, until its successor takes it.
 void
-Fleet::HandOver(const ServiceKey& aService,
-                std::span<const InstanceId> aBefore,
-                std::span<const InstanceId> aAfter)
+Fleet::HandOver(Node& aFrom,
+                const ServiceKey& aService,
+                Address aServer,
+                bool aComplete)
 {
-  for (size_t i = 0; i < aBefore.size(); ++i) {
-    bool moved = aBefore[i] != aAfter[i] && aBefore[i] != kNoInstance &&
-                 aAfter[i] != kNoInstance;
-    if (!moved || !this->nodes[this->Find(aBefore[i])].up) {
-      continue;
+  constexpr Micros kRetry = 100 * kMillisecond;
+  this->clock.After(this->options.handOver, [=, &aFrom, this] {
+    if (!aFrom.up) {
+      return;
     }
-    Engine& from = this->At(this->Find(aBefore[i]), aService);
-    Address server = from.Servers()[i].row.address;
-    size_t to = this->Find(aAfter[i]);
-    std::vector<HandedFlow> flows = from.Exceptions(server);
-    this->clock.After(this->options.handOver, [=, this] {
-      if (this->nodes[to].up) {
-        this->At(to, aService).TakeOver(server, flows, true, this->clock.Now());
-      }
-    });
-  }
+    std::vector<HandedFlow> flows =
+      aFrom.engines.at(aService.address)->Exceptions(aServer);
+    InstanceId successor = aFrom.engines.at(aService.address)->OwnerOf(aServer);
+    if (successor == aFrom.id || successor == kNoInstance) {
+      return;
+    }
+    Node& to = this->nodes[this->Find(successor)];
+    bool taken =
+      to.up && this->At(this->Find(successor), aService)
+                 .TakeOver(aServer, flows, aComplete, this->clock.Now());
+    if (!taken) {
+      this->clock.After(kRetry, [=, &aFrom, this] {
+        this->HandOver(aFrom, aService, aServer, aComplete);
+      });
+    }
+  });
 }
 
 void
@@ -191,6 +193,7 @@
 {
   Node& node = this->nodes[aInstance];
   node.leaving = true;
+  this->AssignAt(node); // the leaving instance knows first
   this->Assign();
   constexpr Micros kRelayTime = 2 * kSecond;
   this->clock.After(kRelayTime, [=, this] {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -23,7 +23,8 @@
   double loss = 0;    // of callers' packets
   double copies = 0;  // of callers' packets
   Micros reorder = 0; // greatest extra delay of a caller's packet
-  Micros handOver = 50 * kMillisecond; // until a hand-over arrives
+  Micros handOver = 50 * kMillisecond;  // until a hand-over arrives
+  Micros viewSkew = 200 * kMillisecond; // until news of members has spread
   Micros tick = 2 * kMillisecond;
   uint64_t seed = 1;
 };
@@ -72,9 +73,10 @@
   void Tick(size_t aInstance);
   void Assign();
   void AssignAt(Node& aNode);
-  void HandOver(const ServiceKey& aService,
-                std::span<const InstanceId> aBefore,
-                std::span<const InstanceId> aAfter);
+  void HandOver(Node& aFrom,
+                const ServiceKey& aService,
+                Address aServer,
+                bool aComplete);
   void Deliver(size_t aInstance,
                const Segment& aSegment,
                bool aRelayed,
