--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -875,8 +875,7 @@
       bool passed = state == FlowState::Passed;
       // A flow at the server given away counts as being elsewhere from the
       // first packet after the change of owner.
-      bool here =
-        !passed && flow.server == server && !(isDefault && guessable);
+      bool here = !passed && flow.server == server && !(isDefault && guessable);
       // The successor of the default server has to know where else to send.
       bool mark = isDefault && flow.server != server;
       FlowState handed = state;
