--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -242,7 +242,7 @@
   void MarkStragglers(Micros aNow);
   void EraseFlow(FlowIndex aFlow);
 
-  // engine.cpp: the walk
+  // walk.cpp, handover.cpp
   void Step(Visit& aVisit);
   bool TakeKnown(Visit& aVisit, FlowIndex aFlow);
   bool TakeDirected(Visit& aVisit);
