--- a/benchmarks/slopes.cpp
+++ b/benchmarks/slopes.cpp
@@ -91,14 +91,17 @@
 MeasureOwners(size_t aMembers, size_t aServers)
 {
   std::vector<Member> members;
+  members.reserve(aMembers);
   for (size_t i = 0; i < aMembers; ++i) {
     members.push_back({ i + 1, "zone-" + std::to_string(i % 10) });
   }
   std::vector<std::string> zones;
+  zones.reserve(10);
   for (int i = 0; i < 10; ++i) {
     zones.push_back("zone-" + std::to_string(i));
   }
   std::vector<OwnedServer> servers;
+  servers.reserve(aServers);
   for (size_t i = 0; i < aServers; ++i) {
     servers.push_back({ static_cast<Address>(i + 1), zones[i % 10] });
   }
--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -23,11 +23,12 @@
   int fd = socket(AF_INET, aType, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   socklen_t bytes = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &bytes);
+  bool good =
+    bind(fd, reinterpret_cast<sockaddr*>(&address), bytes) == 0 &&
+    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &bytes) == 0;
   close(fd);
-  return ntohs(address.sin_port);
+  return good ? ntohs(address.sin_port) : 0;
 }
 
 }
