--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -230,7 +230,7 @@
   struct Visit; // one packet on its way through this instance
 
   bool IsMine(ServerIndex aServer) const;
-  bool MayHaveRefusable(const ServerState& aServer, Micros aNow) const;
+  bool MayHaveForwardedSyn(const ServerState& aServer, Micros aNow) const;
   bool MayKnowLess(const Visit& aVisit, ServerIndex aServer) const;
   bool IsPlacedHere(FlowIndex aFlow) const;
   bool IsFormerDefault(FlowKey aFlow, ServerIndex aServer) const;
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -8,7 +8,7 @@
 
 // A former owner may have forwarded a SYN that the caller still retransmits.
 bool
-Engine::MayHaveRefusable(const ServerState& aServer, Micros aNow) const
+Engine::MayHaveForwardedSyn(const ServerState& aServer, Micros aNow) const
 {
   return aServer.knowledge == Knowledge::None &&
          aNow - aServer.ownedSince < this->options.synLife;
--- a/src/core/table.cpp
+++ b/src/core/table.cpp
@@ -1,5 +1,7 @@
 #include "core/table.h"
 
+#include "core/text.h"
+
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/numbers.h"
@@ -19,13 +21,6 @@
   "weight",  "slots",   "connections", "wait_ms",  "state",
 };
 
-// The distribution's Abseil has a string view of its own.
-absl::string_view
-ToAbsl(std::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 constexpr uint32_t kMaxWeight = 1000;
 constexpr uint32_t kMaxSlots = 100'000;
 constexpr uint32_t kMaxConnections = 10'000'000;
--- a/src/core/walk.cpp
+++ b/src/core/walk.cpp
@@ -253,7 +253,7 @@
 {
   ServerState& server = this->servers[aServer];
   FlowIndex known = this->flows.Find(aVisit.Flow());
-  if (this->MayHaveRefusable(server, aVisit.Now())) {
+  if (this->MayHaveForwardedSyn(server, aVisit.Now())) {
     aVisit.walk.flags |= kWalkSawCold;
     if (aVisit.IsUdp()) {
       aVisit.opens = false;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,6 +1,7 @@
 #include "daemon/settings.h"
 
 #include "core/table.h"
+#include "core/text.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -18,12 +19,6 @@
 constexpr size_t kMinKeyCharacters = 16;
 constexpr size_t kMaxZoneCharacters = 63;
 
-absl::string_view
-ToAbsl(std::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 struct SettingsReader
 {
   std::string_view file;
--- a/src/platform/objects.cpp
+++ b/src/platform/objects.cpp
@@ -1,5 +1,7 @@
 #include "platform/objects.h"
 
+#include "core/text.h"
+
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
@@ -15,12 +17,6 @@
 // A watch may take this much longer than it asks the platform to wait.
 constexpr int64_t kWatchSlackMs = 2000;
 
-absl::string_view
-ToAbsl(std::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 size_t
 OnBody(char* aData, size_t aSize, size_t aCount, void* aBody)
 {
--- a/src/platform/store.cpp
+++ b/src/platform/store.cpp
@@ -1,5 +1,7 @@
 #include "platform/store.h"
 
+#include "core/text.h"
+
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_join.h"
 
@@ -14,12 +16,6 @@
 using apache::thrift::protocol::TJSONProtocol;
 using apache::thrift::transport::TMemoryBuffer;
 
-absl::string_view
-ToAbsl(std::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 // Objects are kept as JSON, so that an operator of the platform can read
 // them and a later version can add fields.
 template<typename T>
