--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -17,7 +17,7 @@
 
 // One instance tells another about one flow.
 struct FlowNote {
-  1: FlowNoteKind kind,
+  1: i32 kind,    // FlowNoteKind; a peer may send any number
   2: i32 address, // service
   3: i16 port,
   4: i16 protocol,
@@ -30,7 +30,7 @@
 struct MemberNews {
   1: i64 instance, // IPv4 address and peer port
   2: string zone,
-  3: MemberState state,
+  3: i32 state,    // MemberState; a peer may send any number
   4: i64 incarnation,
   5: i64 tableVersion,
 }
@@ -39,7 +39,7 @@
 
 // Membership probe; news of members rides on it.
 struct Probe {
-  1: ProbeKind kind,
+  1: i32 kind,     // ProbeKind; a peer may send any number
   2: i64 sequence,
   3: i64 target, // PING_REQUEST: whom to probe; ACK: on whose behalf
   4: list<MemberNews> news,
--- a/src/wire/gen/messages_types.cpp
+++ b/src/wire/gen/messages_types.cpp
@@ -202,7 +202,7 @@
 }
 
 
-void FlowNote::__set_kind(const FlowNoteKind::type val) {
+void FlowNote::__set_kind(const int32_t val) {
   this->kind = val;
 }
 
@@ -243,7 +243,16 @@
   swap(a.__isset, b.__isset);
 }
 
-FlowNote::FlowNote(const FlowNote& other3) noexcept {
+FlowNote::FlowNote(const FlowNote& other2) noexcept {
+  kind = other2.kind;
+  address = other2.address;
+  port = other2.port;
+  protocol = other2.protocol;
+  flow = other2.flow;
+  server = other2.server;
+  __isset = other2.__isset;
+}
+FlowNote& FlowNote::operator=(const FlowNote& other3) noexcept {
   kind = other3.kind;
   address = other3.address;
   port = other3.port;
@@ -251,15 +260,6 @@
   flow = other3.flow;
   server = other3.server;
   __isset = other3.__isset;
-}
-FlowNote& FlowNote::operator=(const FlowNote& other4) noexcept {
-  kind = other4.kind;
-  address = other4.address;
-  port = other4.port;
-  protocol = other4.protocol;
-  flow = other4.flow;
-  server = other4.server;
-  __isset = other4.__isset;
   return *this;
 }
 void FlowNote::printTo(std::ostream& out) const {
@@ -287,7 +287,7 @@
   this->zone = val;
 }
 
-void MemberNews::__set_state(const MemberState::type val) {
+void MemberNews::__set_state(const int32_t val) {
   this->state = val;
 }
 
@@ -315,21 +315,21 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberNews::MemberNews(const MemberNews& other6) {
-  instance = other6.instance;
-  zone = other6.zone;
-  state = other6.state;
-  incarnation = other6.incarnation;
-  tableVersion = other6.tableVersion;
-  __isset = other6.__isset;
-}
-MemberNews& MemberNews::operator=(const MemberNews& other7) {
-  instance = other7.instance;
-  zone = other7.zone;
-  state = other7.state;
-  incarnation = other7.incarnation;
-  tableVersion = other7.tableVersion;
-  __isset = other7.__isset;
+MemberNews::MemberNews(const MemberNews& other4) {
+  instance = other4.instance;
+  zone = other4.zone;
+  state = other4.state;
+  incarnation = other4.incarnation;
+  tableVersion = other4.tableVersion;
+  __isset = other4.__isset;
+}
+MemberNews& MemberNews::operator=(const MemberNews& other5) {
+  instance = other5.instance;
+  zone = other5.zone;
+  state = other5.state;
+  incarnation = other5.incarnation;
+  tableVersion = other5.tableVersion;
+  __isset = other5.__isset;
   return *this;
 }
 void MemberNews::printTo(std::ostream& out) const {
@@ -348,7 +348,7 @@
 }
 
 
-void Probe::__set_kind(const ProbeKind::type val) {
+void Probe::__set_kind(const int32_t val) {
   this->kind = val;
 }
 
@@ -379,19 +379,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Probe::Probe(const Probe& other15) {
-  kind = other15.kind;
-  sequence = other15.sequence;
-  target = other15.target;
-  news = other15.news;
-  __isset = other15.__isset;
+Probe::Probe(const Probe& other12) {
+  kind = other12.kind;
+  sequence = other12.sequence;
+  target = other12.target;
+  news = other12.news;
+  __isset = other12.__isset;
 }
-Probe& Probe::operator=(const Probe& other16) {
-  kind = other16.kind;
-  sequence = other16.sequence;
-  target = other16.target;
-  news = other16.news;
-  __isset = other16.__isset;
+Probe& Probe::operator=(const Probe& other13) {
+  kind = other13.kind;
+  sequence = other13.sequence;
+  target = other13.target;
+  news = other13.news;
+  __isset = other13.__isset;
   return *this;
 }
 void Probe::printTo(std::ostream& out) const {
@@ -450,23 +450,23 @@
   swap(a.__isset, b.__isset);
 }
 
-Row::Row(const Row& other17) {
-  server = other17.server;
-  zone = other17.zone;
-  weight = other17.weight;
-  slots = other17.slots;
-  connections = other17.connections;
-  draining = other17.draining;
-  __isset = other17.__isset;
-}
-Row& Row::operator=(const Row& other18) {
-  server = other18.server;
-  zone = other18.zone;
-  weight = other18.weight;
-  slots = other18.slots;
-  connections = other18.connections;
-  draining = other18.draining;
-  __isset = other18.__isset;
+Row::Row(const Row& other14) {
+  server = other14.server;
+  zone = other14.zone;
+  weight = other14.weight;
+  slots = other14.slots;
+  connections = other14.connections;
+  draining = other14.draining;
+  __isset = other14.__isset;
+}
+Row& Row::operator=(const Row& other15) {
+  server = other15.server;
+  zone = other15.zone;
+  weight = other15.weight;
+  slots = other15.slots;
+  connections = other15.connections;
+  draining = other15.draining;
+  __isset = other15.__isset;
   return *this;
 }
 void Row::printTo(std::ostream& out) const {
@@ -532,25 +532,25 @@
   swap(a.__isset, b.__isset);
 }
 
-TablePart::TablePart(const TablePart& other37) {
-  name = other37.name;
-  address = other37.address;
-  port = other37.port;
-  protocol = other37.protocol;
-  waitMs = other37.waitMs;
-  rows = other37.rows;
-  former = other37.former;
-  __isset = other37.__isset;
-}
-TablePart& TablePart::operator=(const TablePart& other38) {
-  name = other38.name;
-  address = other38.address;
-  port = other38.port;
-  protocol = other38.protocol;
-  waitMs = other38.waitMs;
-  rows = other38.rows;
-  former = other38.former;
-  __isset = other38.__isset;
+TablePart::TablePart(const TablePart& other34) {
+  name = other34.name;
+  address = other34.address;
+  port = other34.port;
+  protocol = other34.protocol;
+  waitMs = other34.waitMs;
+  rows = other34.rows;
+  former = other34.former;
+  __isset = other34.__isset;
+}
+TablePart& TablePart::operator=(const TablePart& other35) {
+  name = other35.name;
+  address = other35.address;
+  port = other35.port;
+  protocol = other35.protocol;
+  waitMs = other35.waitMs;
+  rows = other35.rows;
+  former = other35.former;
+  __isset = other35.__isset;
   return *this;
 }
 void TablePart::printTo(std::ostream& out) const {
@@ -592,15 +592,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PartName::PartName(const PartName& other39) {
-  name = other39.name;
-  digest = other39.digest;
-  __isset = other39.__isset;
+PartName::PartName(const PartName& other36) {
+  name = other36.name;
+  digest = other36.digest;
+  __isset = other36.__isset;
 }
-PartName& PartName::operator=(const PartName& other40) {
-  name = other40.name;
-  digest = other40.digest;
-  __isset = other40.__isset;
+PartName& PartName::operator=(const PartName& other37) {
+  name = other37.name;
+  digest = other37.digest;
+  __isset = other37.__isset;
   return *this;
 }
 void PartName::printTo(std::ostream& out) const {
@@ -662,25 +662,25 @@
   swap(a.__isset, b.__isset);
 }
 
-TableHead::TableHead(const TableHead& other47) {
-  format = other47.format;
-  version = other47.version;
-  changeId = other47.changeId;
-  author = other47.author;
-  unixSeconds = other47.unixSeconds;
-  summary = other47.summary;
-  parts = other47.parts;
-  __isset = other47.__isset;
-}
-TableHead& TableHead::operator=(const TableHead& other48) {
-  format = other48.format;
-  version = other48.version;
-  changeId = other48.changeId;
-  author = other48.author;
-  unixSeconds = other48.unixSeconds;
-  summary = other48.summary;
-  parts = other48.parts;
-  __isset = other48.__isset;
+TableHead::TableHead(const TableHead& other44) {
+  format = other44.format;
+  version = other44.version;
+  changeId = other44.changeId;
+  author = other44.author;
+  unixSeconds = other44.unixSeconds;
+  summary = other44.summary;
+  parts = other44.parts;
+  __isset = other44.__isset;
+}
+TableHead& TableHead::operator=(const TableHead& other45) {
+  format = other45.format;
+  version = other45.version;
+  changeId = other45.changeId;
+  author = other45.author;
+  unixSeconds = other45.unixSeconds;
+  summary = other45.summary;
+  parts = other45.parts;
+  __isset = other45.__isset;
   return *this;
 }
 void TableHead::printTo(std::ostream& out) const {
@@ -737,21 +737,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Sealed::Sealed(const Sealed& other49) {
-  keyId = other49.keyId;
-  sender = other49.sender;
-  sequence = other49.sequence;
-  body = other49.body;
-  mac = other49.mac;
-  __isset = other49.__isset;
-}
-Sealed& Sealed::operator=(const Sealed& other50) {
-  keyId = other50.keyId;
-  sender = other50.sender;
-  sequence = other50.sequence;
-  body = other50.body;
-  mac = other50.mac;
-  __isset = other50.__isset;
+Sealed::Sealed(const Sealed& other46) {
+  keyId = other46.keyId;
+  sender = other46.sender;
+  sequence = other46.sequence;
+  body = other46.body;
+  mac = other46.mac;
+  __isset = other46.__isset;
+}
+Sealed& Sealed::operator=(const Sealed& other47) {
+  keyId = other47.keyId;
+  sender = other47.sender;
+  sequence = other47.sequence;
+  body = other47.body;
+  mac = other47.mac;
+  __isset = other47.__isset;
   return *this;
 }
 void Sealed::printTo(std::ostream& out) const {
@@ -791,15 +791,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TablePull::TablePull(const TablePull& other57) {
-  haveVersion = other57.haveVersion;
-  haveDigests = other57.haveDigests;
-  __isset = other57.__isset;
+TablePull::TablePull(const TablePull& other54) {
+  haveVersion = other54.haveVersion;
+  haveDigests = other54.haveDigests;
+  __isset = other54.__isset;
 }
-TablePull& TablePull::operator=(const TablePull& other58) {
-  haveVersion = other58.haveVersion;
-  haveDigests = other58.haveDigests;
-  __isset = other58.__isset;
+TablePull& TablePull::operator=(const TablePull& other55) {
+  haveVersion = other55.haveVersion;
+  haveDigests = other55.haveDigests;
+  __isset = other55.__isset;
   return *this;
 }
 void TablePull::printTo(std::ostream& out) const {
@@ -836,15 +836,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TableAnswer::TableAnswer(const TableAnswer& other65) {
-  head = other65.head;
-  parts = other65.parts;
-  __isset = other65.__isset;
+TableAnswer::TableAnswer(const TableAnswer& other62) {
+  head = other62.head;
+  parts = other62.parts;
+  __isset = other62.__isset;
 }
-TableAnswer& TableAnswer::operator=(const TableAnswer& other66) {
-  head = other66.head;
-  parts = other66.parts;
-  __isset = other66.__isset;
+TableAnswer& TableAnswer::operator=(const TableAnswer& other63) {
+  head = other63.head;
+  parts = other63.parts;
+  __isset = other63.__isset;
   return *this;
 }
 void TableAnswer::printTo(std::ostream& out) const {
@@ -911,27 +911,27 @@
   swap(a.__isset, b.__isset);
 }
 
-HandedFlow::HandedFlow(const HandedFlow& other67) noexcept {
-  flow = other67.flow;
-  server = other67.server;
-  state = other67.state;
-  sentEnd = other67.sentEnd;
-  ackBase = other67.ackBase;
-  lastAck = other67.lastAck;
-  passedSteps = other67.passedSteps;
-  finSeen = other67.finSeen;
-  __isset = other67.__isset;
-}
-HandedFlow& HandedFlow::operator=(const HandedFlow& other68) noexcept {
-  flow = other68.flow;
-  server = other68.server;
-  state = other68.state;
-  sentEnd = other68.sentEnd;
-  ackBase = other68.ackBase;
-  lastAck = other68.lastAck;
-  passedSteps = other68.passedSteps;
-  finSeen = other68.finSeen;
-  __isset = other68.__isset;
+HandedFlow::HandedFlow(const HandedFlow& other64) noexcept {
+  flow = other64.flow;
+  server = other64.server;
+  state = other64.state;
+  sentEnd = other64.sentEnd;
+  ackBase = other64.ackBase;
+  lastAck = other64.lastAck;
+  passedSteps = other64.passedSteps;
+  finSeen = other64.finSeen;
+  __isset = other64.__isset;
+}
+HandedFlow& HandedFlow::operator=(const HandedFlow& other65) noexcept {
+  flow = other65.flow;
+  server = other65.server;
+  state = other65.state;
+  sentEnd = other65.sentEnd;
+  ackBase = other65.ackBase;
+  lastAck = other65.lastAck;
+  passedSteps = other65.passedSteps;
+  finSeen = other65.finSeen;
+  __isset = other65.__isset;
   return *this;
 }
 void HandedFlow::printTo(std::ostream& out) const {
@@ -994,23 +994,23 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other75) {
-  address = other75.address;
-  port = other75.port;
-  protocol = other75.protocol;
-  server = other75.server;
-  flows = other75.flows;
-  last = other75.last;
-  __isset = other75.__isset;
-}
-HandOver& HandOver::operator=(const HandOver& other76) {
-  address = other76.address;
-  port = other76.port;
-  protocol = other76.protocol;
-  server = other76.server;
-  flows = other76.flows;
-  last = other76.last;
-  __isset = other76.__isset;
+HandOver::HandOver(const HandOver& other72) {
+  address = other72.address;
+  port = other72.port;
+  protocol = other72.protocol;
+  server = other72.server;
+  flows = other72.flows;
+  last = other72.last;
+  __isset = other72.__isset;
+}
+HandOver& HandOver::operator=(const HandOver& other73) {
+  address = other73.address;
+  port = other73.port;
+  protocol = other73.protocol;
+  server = other73.server;
+  flows = other73.flows;
+  last = other73.last;
+  __isset = other73.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -1046,13 +1046,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Answer::Answer(const Answer& other77) noexcept {
-  accepted = other77.accepted;
-  __isset = other77.__isset;
+Answer::Answer(const Answer& other74) noexcept {
+  accepted = other74.accepted;
+  __isset = other74.__isset;
 }
-Answer& Answer::operator=(const Answer& other78) noexcept {
-  accepted = other78.accepted;
-  __isset = other78.__isset;
+Answer& Answer::operator=(const Answer& other75) noexcept {
+  accepted = other75.accepted;
+  __isset = other75.__isset;
   return *this;
 }
 void Answer::printTo(std::ostream& out) const {
@@ -1102,19 +1102,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Control::Control(const Control& other79) {
-  pull = other79.pull;
-  table = other79.table;
-  handOver = other79.handOver;
-  answer = other79.answer;
-  __isset = other79.__isset;
+Control::Control(const Control& other76) {
+  pull = other76.pull;
+  table = other76.table;
+  handOver = other76.handOver;
+  answer = other76.answer;
+  __isset = other76.__isset;
 }
-Control& Control::operator=(const Control& other80) {
-  pull = other80.pull;
-  table = other80.table;
-  handOver = other80.handOver;
-  answer = other80.answer;
-  __isset = other80.__isset;
+Control& Control::operator=(const Control& other77) {
+  pull = other77.pull;
+  table = other77.table;
+  handOver = other77.handOver;
+  answer = other77.answer;
+  __isset = other77.__isset;
   return *this;
 }
 void Control::printTo(std::ostream& out) const {
@@ -1173,23 +1173,23 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceStatus::InstanceStatus(const InstanceStatus& other81) {
-  instance = other81.instance;
-  zone = other81.zone;
-  state = other81.state;
-  tableVersion = other81.tableVersion;
-  flows = other81.flows;
-  problem = other81.problem;
-  __isset = other81.__isset;
-}
-InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other82) {
-  instance = other82.instance;
-  zone = other82.zone;
-  state = other82.state;
-  tableVersion = other82.tableVersion;
-  flows = other82.flows;
-  problem = other82.problem;
-  __isset = other82.__isset;
+InstanceStatus::InstanceStatus(const InstanceStatus& other78) {
+  instance = other78.instance;
+  zone = other78.zone;
+  state = other78.state;
+  tableVersion = other78.tableVersion;
+  flows = other78.flows;
+  problem = other78.problem;
+  __isset = other78.__isset;
+}
+InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other79) {
+  instance = other79.instance;
+  zone = other79.zone;
+  state = other79.state;
+  tableVersion = other79.tableVersion;
+  flows = other79.flows;
+  problem = other79.problem;
+  __isset = other79.__isset;
   return *this;
 }
 void InstanceStatus::printTo(std::ostream& out) const {
@@ -1240,19 +1240,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ZoneStatus::ZoneStatus(const ZoneStatus& other89) {
-  zone = other89.zone;
-  writer = other89.writer;
-  sequence = other89.sequence;
-  instances = other89.instances;
-  __isset = other89.__isset;
+ZoneStatus::ZoneStatus(const ZoneStatus& other86) {
+  zone = other86.zone;
+  writer = other86.writer;
+  sequence = other86.sequence;
+  instances = other86.instances;
+  __isset = other86.__isset;
 }
-ZoneStatus& ZoneStatus::operator=(const ZoneStatus& other90) {
-  zone = other90.zone;
-  writer = other90.writer;
-  sequence = other90.sequence;
-  instances = other90.instances;
-  __isset = other90.__isset;
+ZoneStatus& ZoneStatus::operator=(const ZoneStatus& other87) {
+  zone = other87.zone;
+  writer = other87.writer;
+  sequence = other87.sequence;
+  instances = other87.instances;
+  __isset = other87.__isset;
   return *this;
 }
 void ZoneStatus::printTo(std::ostream& out) const {
--- a/src/wire/gen/messages_types.h
+++ b/src/wire/gen/messages_types.h
@@ -203,7 +203,7 @@
   FlowNote(const FlowNote&) noexcept;
   FlowNote& operator=(const FlowNote&) noexcept;
   FlowNote() noexcept
-           : kind(static_cast<FlowNoteKind::type>(0)),
+           : kind(0),
              address(0),
              port(0),
              protocol(0),
@@ -212,11 +212,7 @@
   }
 
   virtual ~FlowNote() noexcept;
-  /**
-   * 
-   * @see FlowNoteKind
-   */
-  FlowNoteKind::type kind;
+  int32_t kind;
   int32_t address;
   int16_t port;
   int16_t protocol;
@@ -225,7 +221,7 @@
 
   _FlowNote__isset __isset;
 
-  void __set_kind(const FlowNoteKind::type val);
+  void __set_kind(const int32_t val);
 
   void __set_address(const int32_t val);
 
@@ -288,7 +284,7 @@
   MemberNews() noexcept
              : instance(0),
                zone(),
-               state(static_cast<MemberState::type>(0)),
+               state(0),
                incarnation(0),
                tableVersion(0) {
   }
@@ -296,11 +292,7 @@
   virtual ~MemberNews() noexcept;
   int64_t instance;
   std::string zone;
-  /**
-   * 
-   * @see MemberState
-   */
-  MemberState::type state;
+  int32_t state;
   int64_t incarnation;
   int64_t tableVersion;
 
@@ -310,7 +302,7 @@
 
   void __set_zone(const std::string& val);
 
-  void __set_state(const MemberState::type val);
+  void __set_state(const int32_t val);
 
   void __set_incarnation(const int64_t val);
 
@@ -362,24 +354,20 @@
   Probe(const Probe&);
   Probe& operator=(const Probe&);
   Probe() noexcept
-        : kind(static_cast<ProbeKind::type>(0)),
+        : kind(0),
           sequence(0),
           target(0) {
   }
 
   virtual ~Probe() noexcept;
-  /**
-   * 
-   * @see ProbeKind
-   */
-  ProbeKind::type kind;
+  int32_t kind;
   int64_t sequence;
   int64_t target;
   std::vector<MemberNews>  news;
 
   _Probe__isset __isset;
 
-  void __set_kind(const ProbeKind::type val);
+  void __set_kind(const int32_t val);
 
   void __set_sequence(const int64_t val);
 
--- a/src/wire/gen/messages_types.tcc
+++ b/src/wire/gen/messages_types.tcc
@@ -164,9 +164,7 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast2;
-          xfer += iprot->readI32(ecast2);
-          this->kind = static_cast<FlowNoteKind::type>(ecast2);
+          xfer += iprot->readI32(this->kind);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -231,7 +229,7 @@
   xfer += oprot->writeStructBegin("FlowNote");
 
   xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeI32(this->kind);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_I32, 2);
@@ -299,9 +297,7 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast5;
-          xfer += iprot->readI32(ecast5);
-          this->state = static_cast<MemberState::type>(ecast5);
+          xfer += iprot->readI32(this->state);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -350,7 +346,7 @@
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeI32(this->state);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 4);
@@ -390,9 +386,7 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast8;
-          xfer += iprot->readI32(ecast8);
-          this->kind = static_cast<ProbeKind::type>(ecast8);
+          xfer += iprot->readI32(this->kind);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -418,14 +412,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->news.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->news.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size6;
+            ::apache::thrift::protocol::TType _etype9;
+            xfer += iprot->readListBegin(_etype9, _size6);
+            this->news.resize(_size6);
+            uint32_t _i10;
+            for (_i10 = 0; _i10 < _size6; ++_i10)
             {
-              xfer += this->news[_i13].read(iprot);
+              xfer += this->news[_i10].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -453,7 +447,7 @@
   xfer += oprot->writeStructBegin("Probe");
 
   xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeI32(this->kind);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
@@ -467,10 +461,10 @@
   xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->news.size()));
-    std::vector<MemberNews> ::const_iterator _iter14;
-    for (_iter14 = this->news.begin(); _iter14 != this->news.end(); ++_iter14)
+    std::vector<MemberNews> ::const_iterator _iter11;
+    for (_iter11 = this->news.begin(); _iter11 != this->news.end(); ++_iter11)
     {
-      xfer += (*_iter14).write(oprot);
+      xfer += (*_iter11).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -664,14 +658,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->rows.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->rows.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->rows[_i23].read(iprot);
+              xfer += this->rows[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -684,23 +678,23 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->former.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->former.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->former.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
             {
               {
-                this->former[_i28].clear();
-                uint32_t _size29;
-                ::apache::thrift::protocol::TType _etype32;
-                xfer += iprot->readListBegin(_etype32, _size29);
-                this->former[_i28].resize(_size29);
-                uint32_t _i33;
-                for (_i33 = 0; _i33 < _size29; ++_i33)
+                this->former[_i25].clear();
+                uint32_t _size26;
+                ::apache::thrift::protocol::TType _etype29;
+                xfer += iprot->readListBegin(_etype29, _size26);
+                this->former[_i25].resize(_size26);
+                uint32_t _i30;
+                for (_i30 = 0; _i30 < _size26; ++_i30)
                 {
-                  xfer += this->former[_i28][_i33].read(iprot);
+                  xfer += this->former[_i25][_i30].read(iprot);
                 }
                 xfer += iprot->readListEnd();
               }
@@ -753,10 +747,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter34;
-    for (_iter34 = this->rows.begin(); _iter34 != this->rows.end(); ++_iter34)
+    std::vector<Row> ::const_iterator _iter31;
+    for (_iter31 = this->rows.begin(); _iter31 != this->rows.end(); ++_iter31)
     {
-      xfer += (*_iter34).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -765,15 +759,15 @@
   xfer += oprot->writeFieldBegin("former", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->former.size()));
-    std::vector<std::vector<Row> > ::const_iterator _iter35;
-    for (_iter35 = this->former.begin(); _iter35 != this->former.end(); ++_iter35)
+    std::vector<std::vector<Row> > ::const_iterator _iter32;
+    for (_iter32 = this->former.begin(); _iter32 != this->former.end(); ++_iter32)
     {
       {
-        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*_iter35).size()));
-        std::vector<Row> ::const_iterator _iter36;
-        for (_iter36 = (*_iter35).begin(); _iter36 != (*_iter35).end(); ++_iter36)
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*_iter32).size()));
+        std::vector<Row> ::const_iterator _iter33;
+        for (_iter33 = (*_iter32).begin(); _iter33 != (*_iter32).end(); ++_iter33)
         {
-          xfer += (*_iter36).write(oprot);
+          xfer += (*_iter33).write(oprot);
         }
         xfer += oprot->writeListEnd();
       }
@@ -930,14 +924,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->parts.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->parts.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->parts[_i45].read(iprot);
+              xfer += this->parts[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -991,10 +985,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<PartName> ::const_iterator _iter46;
-    for (_iter46 = this->parts.begin(); _iter46 != this->parts.end(); ++_iter46)
+    std::vector<PartName> ::const_iterator _iter43;
+    for (_iter43 = this->parts.begin(); _iter43 != this->parts.end(); ++_iter43)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1144,14 +1138,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->haveDigests.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->haveDigests.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->haveDigests.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += iprot->readString(this->haveDigests[_i55]);
+              xfer += iprot->readString(this->haveDigests[_i52]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1185,10 +1179,10 @@
   xfer += oprot->writeFieldBegin("haveDigests", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->haveDigests.size()));
-    std::vector<std::string> ::const_iterator _iter56;
-    for (_iter56 = this->haveDigests.begin(); _iter56 != this->haveDigests.end(); ++_iter56)
+    std::vector<std::string> ::const_iterator _iter53;
+    for (_iter53 = this->haveDigests.begin(); _iter53 != this->haveDigests.end(); ++_iter53)
     {
-      xfer += oprot->writeString((*_iter56));
+      xfer += oprot->writeString((*_iter53));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1233,14 +1227,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->parts.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->parts.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += iprot->readBinary(this->parts[_i63]);
+              xfer += iprot->readBinary(this->parts[_i60]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1274,10 +1268,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parts.size()));
-    std::vector<std::string> ::const_iterator _iter64;
-    for (_iter64 = this->parts.begin(); _iter64 != this->parts.end(); ++_iter64)
+    std::vector<std::string> ::const_iterator _iter61;
+    for (_iter61 = this->parts.begin(); _iter61 != this->parts.end(); ++_iter61)
     {
-      xfer += oprot->writeBinary((*_iter64));
+      xfer += oprot->writeBinary((*_iter61));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1487,14 +1481,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->flows.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->flows.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->flows.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->flows[_i73].read(iprot);
+              xfer += this->flows[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1548,10 +1542,10 @@
   xfer += oprot->writeFieldBegin("flows", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->flows.size()));
-    std::vector<HandedFlow> ::const_iterator _iter74;
-    for (_iter74 = this->flows.begin(); _iter74 != this->flows.end(); ++_iter74)
+    std::vector<HandedFlow> ::const_iterator _iter71;
+    for (_iter71 = this->flows.begin(); _iter71 != this->flows.end(); ++_iter71)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1887,14 +1881,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->instances.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->instances.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->instances[_i87].read(iprot);
+              xfer += this->instances[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1936,10 +1930,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceStatus> ::const_iterator _iter88;
-    for (_iter88 = this->instances.begin(); _iter88 != this->instances.end(); ++_iter88)
+    std::vector<InstanceStatus> ::const_iterator _iter85;
+    for (_iter85 = this->instances.begin(); _iter85 != this->instances.end(); ++_iter85)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
