Make one piece of code of logic that stood twice

PutFlow replaces five copies of erase, insert and count; Count the counter lines; HasPassed a test that stood in two places; FindService, ToSocketAddress and the control codec serve both of their users. SetService was 65 lines and is three functions. A check for a case that cannot occur (no servers after a rank was found) is gone.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -37,45 +37,23 @@
     server.removed = true;
     server.gone = true;
   }
-  auto put = [&](const ServerRow& aRow, bool aCurrent) {
-    auto [place, isNew] = this->places.try_emplace(
-      aRow.address, static_cast<ServerIndex>(this->servers.size()));
-    if (isNew) {
-      this->servers.emplace_back();
-      this->servers.back().knowledge =
-        aFresh || !first ? Knowledge::All : Knowledge::None;
-      this->servers.back().row = aRow;
-      this->servers.back().removed = true;
-    }
-    ServerState& server = this->servers[place->second];
-    server.gone = false;
-    if (aCurrent) {
-      bool returns = server.removed || (server.row.draining && !aRow.draining);
-      if (returns && !first) {
-        server.rampFrom = aNow;
-      }
-      server.row = aRow;
-      server.removed = false;
-    }
-  };
-  auto rank = [&](const std::vector<ServerRow>& aRows) {
-    std::vector<RankedServer> ranked;
-    ranked.reserve(aRows.size());
-    for (const ServerRow& row : aRows) {
-      ranked.push_back(
-        { row.address, row.weight, this->places.at(row.address) });
-    }
-    return Ranking::Make(aService.key, ranked);
-  };
+  Knowledge knowledge = aFresh || !first ? Knowledge::All : Knowledge::None;
   for (const ServerRow& row : aService.rows) {
-    put(row, true);
+    this->PutRow(row, knowledge);
+    ServerState& server = this->servers[this->places.at(row.address)];
+    bool returns = server.removed || (server.row.draining && !row.draining);
+    if (returns && !first) {
+      server.rampFrom = aNow;
+    }
+    server.row = row;
+    server.removed = false;
   }
-  this->ranking = rank(aService.rows);
+  this->ranking = this->Rank(aService.rows);
   this->former.clear();
   const std::vector<ServerRow>* newer = &aService.rows;
   for (const std::vector<ServerRow>& rows : aService.former) {
     for (const ServerRow& row : rows) {
-      put(row, false);
+      this->PutRow(row, knowledge);
     }
     auto same = [](const ServerRow& aLeft, const ServerRow& aRight) {
       return aLeft.address == aRight.address && aLeft.weight == aRight.weight;
@@ -83,12 +61,38 @@
     // A change of limits or state alone leaves the ranking as it is.
     if (!std::equal(
           rows.begin(), rows.end(), newer->begin(), newer->end(), same)) {
-      this->former.push_back(rank(rows));
+      this->former.push_back(this->Rank(rows));
     }
     newer = &rows;
   }
 }
 
+// Makes sure that the server of aRow is known; a new one has aKnowledge.
+void
+Engine::PutRow(const ServerRow& aRow, Knowledge aKnowledge)
+{
+  auto [place, isNew] = this->places.try_emplace(
+    aRow.address, static_cast<ServerIndex>(this->servers.size()));
+  if (isNew) {
+    ServerState& server = this->servers.emplace_back();
+    server.knowledge = aKnowledge;
+    server.row = aRow;
+    server.removed = true;
+  }
+  this->servers[place->second].gone = false;
+}
+
+Ranking
+Engine::Rank(std::span<const ServerRow> aRows) const
+{
+  std::vector<RankedServer> ranked;
+  ranked.reserve(aRows.size());
+  for (const ServerRow& row : aRows) {
+    ranked.push_back({ row.address, row.weight, this->places.at(row.address) });
+  }
+  return Ranking::Make(this->service.key, ranked);
+}
+
 void
 Engine::SetOwners(std::span<const InstanceId> aOwners,
                   std::span<const InstanceId> aOthers,
@@ -196,6 +200,27 @@
   this->flows.Erase(aFlow);
 }
 
+FlowIndex
+Engine::PutFlow(FlowKey aFlow,
+                ServerIndex aServer,
+                FlowState aState,
+                Micros aNow)
+{
+  FlowIndex flow = this->flows.Find(aFlow);
+  if (flow != kNoFlow) {
+    this->EraseFlow(flow);
+  }
+  flow = this->flows.Insert(aFlow, aServer, aState, aNow);
+  this->CountIn(this->flows.At(flow), 1);
+  return flow;
+}
+
+void
+Engine::Count(Reason aReason)
+{
+  ++this->counts.reasons[static_cast<size_t>(aReason)];
+}
+
 void
 Engine::BoundHalfOpen()
 {
@@ -218,7 +243,7 @@
   if (oldest == kNoFlow) {
     oldest = this->flows.Oldest(FlowState::Connecting);
   }
-  ++this->counts.reasons[static_cast<size_t>(Reason::HalfOpenLimit)];
+  this->Count(Reason::HalfOpenLimit);
   this->EraseFlow(oldest);
 }
 
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -241,6 +241,15 @@
   void MarkStraggler(FlowIndex aFlow);
   void MarkStragglers(Micros aNow);
   void EraseFlow(FlowIndex aFlow);
+  // Puts the flow into the table, in place of what stood there.
+  FlowIndex PutFlow(FlowKey aFlow,
+                    ServerIndex aServer,
+                    FlowState aState,
+                    Micros aNow);
+  void Count(Reason aReason);
+  void PutRow(const ServerRow& aRow, Knowledge aKnowledge);
+  Ranking Rank(std::span<const ServerRow> aRows) const;
+  bool HasPassed(const Visit& aVisit) const;
 
   // walk.cpp, handover.cpp
   void Step(Visit& aVisit);
--- a/src/core/handover.cpp
+++ b/src/core/handover.cpp
@@ -23,10 +23,7 @@
   const ServerState& server = this->servers[aServer];
   bool settled = server.knowledge == Knowledge::All ||
                  aVisit.Now() - server.ownedSince >= this->options.idle;
-  FlowIndex known = this->flows.Find(aVisit.Flow());
-  bool passedOn = known != kNoFlow &&
-                  (this->flows.At(known).passedSteps >> aVisit.walk.step & 1U);
-  if (settled || passedOn) {
+  if (settled || this->HasPassed(aVisit)) {
     return false;
   }
   return server.knowledge == Knowledge::None || aVisit.order[0] == aServer ||
@@ -103,14 +100,9 @@
       { .action = Action::Forward, .server = server.row.address });
     return;
   }
-  FlowIndex flow = this->flows.Find(aVisit.Flow());
-  if (flow != kNoFlow) {
-    this->EraseFlow(flow);
-  }
-  flow =
-    this->flows.Insert(aVisit.Flow(), aServer, FlowState::Idle, aVisit.Now());
+  FlowIndex flow =
+    this->PutFlow(aVisit.Flow(), aServer, FlowState::Idle, aVisit.Now());
   this->flows.At(flow).adopted = true;
-  this->CountIn(this->flows.At(flow), 1);
   ++this->counts.adopted;
   this->Forward(aVisit, flow);
 }
@@ -199,10 +191,7 @@
     if (at == kNoServer || !better) {
       continue;
     }
-    if (known != kNoFlow) {
-      this->EraseFlow(known);
-    }
-    FlowIndex place = this->flows.Insert(flow.key, at, flow.state, aNow);
+    FlowIndex place = this->PutFlow(flow.key, at, flow.state, aNow);
     Flow& copy = this->flows.At(place);
     copy.requestAt = aNow;
     copy.sentEnd = flow.sentEnd;
@@ -210,7 +199,6 @@
     copy.lastAck = flow.lastAck;
     copy.passedSteps = flow.passedSteps;
     copy.finSeen = flow.finSeen;
-    this->CountIn(copy, 1);
   }
   if (aLast && this->servers[server].knowledge == Knowledge::None) {
     this->servers[server].knowledge = Knowledge::Exceptions;
--- a/src/core/hold.cpp
+++ b/src/core/hold.cpp
@@ -147,14 +147,9 @@
   if (here || server == kNoServer) {
     return;
   }
-  uint16_t passedSteps = 0;
-  if (flow != kNoFlow) {
-    passedSteps = this->flows.At(flow).passedSteps;
-    this->EraseFlow(flow);
-  }
-  flow = this->flows.Insert(aNote.flow, server, FlowState::Elsewhere, aNow);
+  uint16_t passedSteps = flow == kNoFlow ? 0 : this->flows.At(flow).passedSteps;
+  flow = this->PutFlow(aNote.flow, server, FlowState::Elsewhere, aNow);
   this->flows.At(flow).passedSteps = passedSteps;
-  this->CountIn(this->flows.At(flow), 1);
 }
 
 void
@@ -291,12 +286,7 @@
   if (aClaimant == this->self) {
     this->ForwardNew(visit, aServer);
   } else {
-    FlowIndex flow = this->flows.Find(aFlow);
-    if (flow != kNoFlow) {
-      this->EraseFlow(flow);
-    }
-    flow = this->flows.Insert(aFlow, aServer, FlowState::Elsewhere, aNow);
-    this->CountIn(this->flows.At(flow), 1);
+    this->PutFlow(aFlow, aServer, FlowState::Elsewhere, aNow);
     this->RelayTo(visit, aClaimant);
   }
   for (Decision& decision : out) {
@@ -327,7 +317,7 @@
     }
     bool cold = syn.walk.Has(kWalkSawCold);
     Reason reason = cold ? Reason::ColdOwner : Reason::Overloaded;
-    ++this->counts.reasons[static_cast<size_t>(reason)];
+    this->Count(reason);
     aOut.push_back({ .action = cold ? Action::Drop : Action::Refuse,
                      .reason = reason,
                      .packet = std::move(syn.packet) });
--- a/src/core/table.cpp
+++ b/src/core/table.cpp
@@ -274,6 +274,8 @@
   }
 }
 
+}
+
 const Service*
 FindService(const Table& aTable, const std::string& aName)
 {
@@ -285,8 +287,6 @@
   return nullptr;
 }
 
-}
-
 TableCheck
 ParseTable(std::string_view aCsv)
 {
--- a/src/core/table.h
+++ b/src/core/table.h
@@ -44,6 +44,10 @@
   std::vector<Service> services;
 };
 
+// Null where aTable has no such service.
+const Service*
+FindService(const Table& aTable, const std::string& aName);
+
 // One reason to refuse a table; row counts from 1, the header line being 1.
 // Row 0 means the table as a whole.
 struct TableFault
--- a/src/core/walk.cpp
+++ b/src/core/walk.cpp
@@ -86,7 +86,7 @@
     this->EraseFlow(aFlow);
     aVisit.out.push_back(
       { .action = Action::Reset, .reason = Reason::ServerGone });
-    ++this->counts.reasons[static_cast<size_t>(Reason::ServerGone)];
+    this->Count(Reason::ServerGone);
     return true;
   }
   bool syn = aVisit.Packet().Opens();
@@ -190,7 +190,7 @@
     if (state.owner == kNoInstance) {
       walk.flags |= kWalkSawCold;
       walk.adopt = walk.adopt == 0 ? state.row.address : walk.adopt;
-      ++this->counts.reasons[static_cast<size_t>(Reason::SkippedUnreachable)];
+      this->Count(Reason::SkippedUnreachable);
       continue;
     }
     if (state.owner != this->self) {
@@ -252,7 +252,6 @@
 Engine::AskToAdmit(Visit& aVisit, ServerIndex aServer)
 {
   ServerState& server = this->servers[aServer];
-  FlowIndex known = this->flows.Find(aVisit.Flow());
   if (this->MayHaveForwardedSyn(server, aVisit.Now())) {
     aVisit.walk.flags |= kWalkSawCold;
     if (aVisit.IsUdp()) {
@@ -262,10 +261,7 @@
       return false;
     }
   }
-  bool passedBefore =
-    known != kNoFlow &&
-    (this->flows.At(known).passedSteps >> aVisit.walk.step & 1U) != 0;
-  if (passedBefore) {
+  if (this->HasPassed(aVisit)) {
     // The first copy of this SYN may have been admitted further on.
     aVisit.walk.flags |= kWalkSawBusy;
     this->PassOn(aVisit, Reason::PassedOnAgain);
@@ -287,20 +283,25 @@
   return true;
 }
 
+// Did this instance pass a copy of this packet on at this step?
+bool
+Engine::HasPassed(const Visit& aVisit) const
+{
+  FlowIndex known = this->flows.Find(aVisit.Flow());
+  return known != kNoFlow &&
+         (this->flows.At(known).passedSteps >> aVisit.walk.step & 1U) != 0;
+}
+
 void
 Engine::PassOn(Visit& aVisit, Reason aReason)
 {
-  ++this->counts.reasons[static_cast<size_t>(aReason)];
+  this->Count(aReason);
   FlowIndex flow = this->flows.Find(aVisit.Flow());
   if (flow == kNoFlow) {
-    if (this->servers.empty()) {
-      return;
-    }
-    flow = this->flows.Insert(aVisit.Flow(),
-                              aVisit.order[aVisit.walk.step],
-                              FlowState::Passed,
-                              aVisit.Now());
-    this->CountIn(this->flows.At(flow), 1);
+    flow = this->PutFlow(aVisit.Flow(),
+                         aVisit.order[aVisit.walk.step],
+                         FlowState::Passed,
+                         aVisit.Now());
   }
   this->flows.At(flow).passedSteps |=
     static_cast<uint16_t>(1U << std::min<uint8_t>(aVisit.walk.step, 15));
@@ -420,15 +421,14 @@
 void
 Engine::ForwardNew(Visit& aVisit, ServerIndex aServer)
 {
-  FlowIndex flow = this->flows.Find(aVisit.Flow());
-  if (flow != kNoFlow) {
-    this->EraseFlow(flow);
+  FlowIndex known = this->flows.Find(aVisit.Flow());
+  if (known != kNoFlow) {
+    this->EraseFlow(known); // before room is made, it may be the oldest
   }
   this->BoundHalfOpen();
   FlowState state = aVisit.IsUdp() ? FlowState::Fresh : FlowState::Connecting;
-  flow = this->flows.Insert(aVisit.Flow(), aServer, state, aVisit.Now());
+  FlowIndex flow = this->PutFlow(aVisit.Flow(), aServer, state, aVisit.Now());
   this->flows.At(flow).sentEnd = aVisit.Packet().sequence + 1;
-  this->CountIn(this->flows.At(flow), 1);
   ServerState& server = this->servers[aServer];
   server.lastTrial = aVisit.Now();
   ++this->counts.admitted;
@@ -480,14 +480,14 @@
 void
 Engine::Drop(Visit& aVisit, Reason aReason)
 {
-  ++this->counts.reasons[static_cast<size_t>(aReason)];
+  this->Count(aReason);
   aVisit.out.push_back({ .action = Action::Drop, .reason = aReason });
 }
 
 void
 Engine::Refuse(Visit& aVisit, Reason aReason)
 {
-  ++this->counts.reasons[static_cast<size_t>(aReason)];
+  this->Count(aReason);
   FlowIndex flow = this->flows.Find(aVisit.Flow());
   if (flow != kNoFlow) {
     this->EraseFlow(flow);
--- a/src/daemon/link.cpp
+++ b/src/daemon/link.cpp
@@ -7,20 +7,14 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <cstring>
 #include <poll.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <unistd.h>
 
 namespace gentianspindle {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
-
 constexpr size_t kMaxFrameBytes = 8 << 20;
 constexpr timeval kTimeout{ 2, 0 };
 constexpr int kAcceptMs = 100;
@@ -35,34 +29,6 @@
 constexpr Micros kPullGrace = 300 * kMillisecond;
 constexpr size_t kShortDigest = 16;
 
-template<typename T>
-std::string
-Pack(const T& aMessage)
-{
-  auto buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocol protocol(buffer);
-  aMessage.write(&protocol);
-  return buffer->getBufferAsString();
-}
-
-absl::StatusOr<msg::Control>
-Unpack(const std::string& aBytes)
-{
-  auto buffer = std::make_shared<TMemoryBuffer>();
-  buffer->resetBuffer(
-    reinterpret_cast<uint8_t*>(const_cast<char*>(aBytes.data())),
-    static_cast<uint32_t>(aBytes.size()),
-    TMemoryBuffer::OBSERVE);
-  TCompactProtocol protocol(buffer);
-  msg::Control message;
-  try {
-    message.read(&protocol);
-  } catch (const std::exception& error) {
-    return absl::InvalidArgumentError(error.what());
-  }
-  return message;
-}
-
 // A connected socket that closes itself.
 class Stream
 {
@@ -79,12 +45,8 @@
 
   bool Connect(InstanceId aPeer, Address aSource) const
   {
-    sockaddr_in source{};
-    source.sin_family = AF_INET;
-    source.sin_addr.s_addr = htonl(aSource);
-    sockaddr_in target = source;
-    target.sin_addr.s_addr = htonl(InstanceAddress(aPeer));
-    target.sin_port = htons(InstancePort(aPeer));
+    sockaddr_in source = ToSocketAddress(MakeInstanceId(aSource, 0));
+    sockaddr_in target = ToSocketAddress(aPeer);
     return bind(this->socket,
                 reinterpret_cast<sockaddr*>(&source),
                 sizeof(source)) == 0 &&
@@ -98,7 +60,7 @@
     std::string sealed;
     {
       absl::MutexLock lock(&aNode.control);
-      sealed = aNode.linkSealer.Seal(Pack(aMessage));
+      sealed = aNode.linkSealer.Seal(EncodeControl(aMessage));
     }
     uint32_t bytes = htonl(static_cast<uint32_t>(sealed.size()));
     std::string frame(reinterpret_cast<const char*>(&bytes), sizeof(bytes));
@@ -127,7 +89,7 @@
     }
     absl::MutexLock lock(&aNode.control);
     absl::StatusOr<Sealer::Opened> opened = aNode.linkSealer.Open(sealed);
-    return opened.ok() ? Unpack(opened->body)
+    return opened.ok() ? DecodeControl(opened->body)
                        : absl::StatusOr<msg::Control>(opened.status());
   }
 
@@ -273,10 +235,7 @@
   int listener = OpenStream();
   int on = 1;
   setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(InstanceAddress(aNode.Self()));
-  address.sin_port = htons(InstancePort(aNode.Self()));
+  sockaddr_in address = ToSocketAddress(aNode.Self());
   bool good =
     bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
       0 &&
--- a/src/daemon/sender.cpp
+++ b/src/daemon/sender.cpp
@@ -9,13 +9,8 @@
 
 namespace gentianspindle {
 
-namespace {
-
-constexpr int kSocketBufferBytes = 4 << 20;
-constexpr timeval kReceiveTimeout{ 0, 50'000 };
-
 sockaddr_in
-MakeTarget(InstanceId aEndpoint)
+ToSocketAddress(InstanceId aEndpoint)
 {
   sockaddr_in target{};
   target.sin_family = AF_INET;
@@ -24,12 +19,17 @@
   return target;
 }
 
+namespace {
+
+constexpr int kSocketBufferBytes = 4 << 20;
+constexpr timeval kReceiveTimeout{ 0, 50'000 };
+
 absl::StatusOr<int>
 OpenUdp(InstanceId aEndpoint)
 {
   int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
   int on = 1;
-  sockaddr_in address = MakeTarget(aEndpoint);
+  sockaddr_in address = ToSocketAddress(aEndpoint);
   bool good =
     fd >= 0 && setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) == 0 &&
     bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
@@ -205,7 +205,7 @@
   std::copy(aHeader.begin(), aHeader.end(), aQueue.headers[i].begin());
   aQueue.parts[i][0] = { aQueue.headers[i].data(), aHeader.size() };
   aQueue.parts[i][1] = { const_cast<uint8_t*>(aBody.data()), aBody.size() };
-  aQueue.targets[i] = MakeTarget(aTarget);
+  aQueue.targets[i] = ToSocketAddress(aTarget);
   msghdr& header = aQueue.messages[i].msg_hdr;
   header = {};
   header.msg_name = &aQueue.targets[i];
--- a/src/daemon/sender.h
+++ b/src/daemon/sender.h
@@ -12,6 +12,9 @@
 
 namespace gentianspindle {
 
+sockaddr_in
+ToSocketAddress(InstanceId aEndpoint);
+
 // UDP sockets of one thread.
 struct Sockets
 {
--- a/src/platform/store.cpp
+++ b/src/platform/store.cpp
@@ -92,17 +92,6 @@
   return true;
 }
 
-const Service*
-FindByName(const Table& aTable, const std::string& aName)
-{
-  for (const Service& service : aTable.services) {
-    if (service.name == aName) {
-      return &service;
-    }
-  }
-  return nullptr;
-}
-
 }
 
 std::string
@@ -228,7 +217,7 @@
 {
   std::vector<std::string> changes;
   for (const Service& service : aNext.services) {
-    const Service* now = FindByName(aNow, service.name);
+    const Service* now = FindService(aNow, service.name);
     if (now == nullptr) {
       changes.push_back(absl::StrCat("+", service.name));
     } else if (!(now->rows == service.rows) || now->waitMs != service.waitMs) {
@@ -236,7 +225,7 @@
     }
   }
   for (const Service& service : aNow.services) {
-    if (FindByName(aNext, service.name) == nullptr) {
+    if (FindService(aNext, service.name) == nullptr) {
       changes.push_back(absl::StrCat("-", service.name));
     }
   }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,7 +1,5 @@
 #include "wire/codec.h"
 
-#include "messages_types.h"
-
 #include <memory>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
@@ -223,6 +221,22 @@
   return probe;
 }
 
+std::string
+EncodeControl(const msg::Control& aMessage)
+{
+  return EncodeBody(aMessage);
+}
+
+absl::StatusOr<msg::Control>
+DecodeControl(std::string_view aBytes)
+{
+  msg::Control message;
+  if (Decode(AsBytes(aBytes), message) == 0) {
+    return absl::InvalidArgumentError("decode control: not a message");
+  }
+  return message;
+}
+
 Sealer::Sealer(std::span<const SealKey> aKeys,
                InstanceId aSelf,
                int64_t aFirstSequence)
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -4,6 +4,7 @@
 
 #include "core/engine.h"
 #include "core/membership.h"
+#include "messages_types.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/statusor.h"
@@ -49,6 +50,12 @@
 absl::StatusOr<Probe>
 DecodeProbe(std::string_view aBytes);
 
+// Messages over TCP.
+std::string
+EncodeControl(const msg::Control& aMessage);
+absl::StatusOr<msg::Control>
+DecodeControl(std::string_view aBytes);
+
 struct SealKey
 {
   int16_t id = 0;
