--- /dev/null
+++ b/src/base/settings_reader.cpp
@@ -0,0 +1,238 @@
+#include "base/settings_reader.h"
+
+#include "base/address.h"
+#include "base/text.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#define TOML_EXCEPTIONS 0
+#include <toml++/toml.h>
+
+namespace gentianspindle {
+
+namespace {
+
+struct FaultList
+{
+  std::string_view file;
+  std::vector<std::string> faults;
+
+  void Fault(const toml::node* aNode,
+             std::string_view aName,
+             std::string_view aReason)
+  {
+    uint32_t line = aNode == nullptr ? 0 : aNode->source().begin.line;
+    this->faults.push_back(absl::StrCat(ToAbsl(this->file),
+                                        ":",
+                                        line,
+                                        ": ",
+                                        ToAbsl(aName),
+                                        ": ",
+                                        ToAbsl(aReason)));
+  }
+};
+
+std::string
+FullName(const SettingKey& aKey)
+{
+  return absl::StrCat(ToAbsl(aKey.section), ".", ToAbsl(aKey.key));
+}
+
+bool
+IsGoodText(const SettingKey& aKey, const std::string& aText)
+{
+  Address address = 0;
+  Endpoint endpoint;
+  switch (aKey.type) {
+    case SettingType::Address:
+    case SettingType::Addresses:
+      return ParseAddress(aText, address) && address != 0;
+    case SettingType::Endpoint:
+    case SettingType::Endpoints:
+      return ParseEndpoint(aText, endpoint);
+    default:
+      return true;
+  }
+}
+
+void
+ReadText(FaultList& aReader,
+         const SettingKey& aKey,
+         const toml::node& aNode,
+         std::string& aTarget)
+{
+  std::optional<std::string> text = aNode.value_exact<std::string>();
+  if (!text) {
+    aReader.Fault(&aNode, FullName(aKey), "must be a string");
+  } else if (!IsGoodText(aKey, *text)) {
+    aReader.Fault(&aNode,
+                  FullName(aKey),
+                  absl::StrCat("'",
+                               *text,
+                               "' is not of the form ",
+                               aKey.type == SettingType::Address ||
+                                   aKey.type == SettingType::Addresses
+                                 ? "a.b.c.d"
+                                 : "a.b.c.d:port"));
+  } else {
+    aTarget = *text;
+  }
+}
+
+void
+ReadNode(FaultList& aReader,
+         const SettingKey& aKey,
+         const toml::node& aNode,
+         const SettingSlot& aSlot)
+{
+  if (int64_t* const* number = std::get_if<int64_t*>(&aSlot)) {
+    std::optional<int64_t> value = aNode.value_exact<int64_t>();
+    if (!value) {
+      aReader.Fault(&aNode, FullName(aKey), "must be a whole number");
+    } else if (*value < aKey.min || *value > aKey.max) {
+      aReader.Fault(&aNode,
+                    FullName(aKey),
+                    absl::StrCat(*value,
+                                 " is not from ",
+                                 aKey.min,
+                                 " to ",
+                                 aKey.max,
+                                 " ",
+                                 ToAbsl(aKey.unit)));
+    } else {
+      **number = *value;
+    }
+    return;
+  }
+  if (std::string* const* text = std::get_if<std::string*>(&aSlot)) {
+    ReadText(aReader, aKey, aNode, **text);
+    return;
+  }
+  std::vector<std::string>& list = *std::get<std::vector<std::string>*>(aSlot);
+  const toml::array* array = aNode.as_array();
+  if (array == nullptr || array->empty()) {
+    aReader.Fault(&aNode, FullName(aKey), "must be a list with entries");
+    return;
+  }
+  for (const toml::node& entry : *array) {
+    ReadText(aReader, aKey, entry, list.emplace_back());
+  }
+}
+
+void
+SetDefault(const SettingKey& aKey, const SettingSlot& aSlot)
+{
+  if (int64_t* const* number = std::get_if<int64_t*>(&aSlot)) {
+    **number = aKey.defaultNumber;
+  } else if (std::string* const* text = std::get_if<std::string*>(&aSlot)) {
+    **text = std::string(aKey.defaultText);
+  }
+}
+
+void
+FindUnknown(FaultList& aReader,
+            const toml::table& aRoot,
+            std::span<const SettingTarget> aTargets)
+{
+  auto isKnown = [aTargets](std::string_view aSection, std::string_view aName) {
+    return std::any_of(
+      aTargets.begin(), aTargets.end(), [&](const SettingTarget& aTarget) {
+        return aTarget.key->section == aSection &&
+               (aName.empty() || aTarget.key->key == aName);
+      });
+  };
+  for (const auto& entry : aRoot) {
+    const toml::key& section = entry.first;
+    const toml::node& node = entry.second;
+    const toml::table* keys = node.as_table();
+    if (!isKnown(section.str(), "") || keys == nullptr) {
+      aReader.Fault(&node, section.str(), "section is not known");
+      continue;
+    }
+    for (const auto& [key, value] : *keys) {
+      if (!isKnown(section.str(), key.str())) {
+        aReader.Fault(
+          &value,
+          absl::StrCat(ToAbsl(section.str()), ".", ToAbsl(key.str())),
+          "key is not known");
+      }
+    }
+  }
+}
+
+}
+
+struct SettingsFile::Document
+{
+  std::string file;
+  toml::table root;
+};
+
+absl::StatusOr<SettingsFile>
+SettingsFile::Parse(std::string_view aText, std::string_view aFile)
+{
+  toml::parse_result parsed = toml::parse(aText, aFile);
+  if (!parsed) {
+    return absl::InvalidArgumentError(
+      absl::StrCat(ToAbsl(aFile),
+                   ":",
+                   parsed.error().source().begin.line,
+                   ": ",
+                   ToAbsl(parsed.error().description())));
+  }
+  SettingsFile file;
+  file.document = std::make_shared<const Document>(
+    Document{ std::string(aFile), std::move(parsed).table() });
+  return file;
+}
+
+absl::Status
+SettingsFile::Fill(std::span<const SettingTarget> aTargets) const
+{
+  const toml::table& root = this->document->root;
+  FaultList reader{ this->document->file, {} };
+  FindUnknown(reader, root, aTargets);
+  for (const SettingTarget& target : aTargets) {
+    const SettingKey& key = *target.key;
+    SetDefault(key, target.slot);
+    const toml::node* node = root[key.section][key.key].node();
+    if (node != nullptr) {
+      ReadNode(reader, key, *node, target.slot);
+    } else if (key.required) {
+      reader.Fault(nullptr, FullName(key), "is missing");
+    }
+  }
+  if (!reader.faults.empty()) {
+    return absl::InvalidArgumentError(absl::StrJoin(reader.faults, "\n"));
+  }
+  return absl::OkStatus();
+}
+
+std::string
+SettingsFile::Describe(const SettingFault& aFault) const
+{
+  FaultList reader{ this->document->file, {} };
+  reader.Fault(this->document->root[aFault.section][aFault.key].node(),
+               absl::StrCat(ToAbsl(aFault.section), ".", ToAbsl(aFault.key)),
+               aFault.reason);
+  return reader.faults.front();
+}
+
+absl::StatusOr<std::string>
+ReadWholeFile(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    return absl::NotFoundError(
+      absl::StrCat("read settings: cannot open ", aPath));
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}
--- a/src/core/table.cpp
+++ b/src/core/table.cpp
@@ -1,6 +1,6 @@
 #include "core/table.h"
 
-#include "core/text.h"
+#include "base/text.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
@@ -437,60 +437,4 @@
   return csv;
 }
 
-bool
-ParseAddress(std::string_view aText, Address& aAddress)
-{
-  std::vector<absl::string_view> parts = absl::StrSplit(ToAbsl(aText), '.');
-  if (parts.size() != 4) {
-    return false;
-  }
-  Address address = 0;
-  for (absl::string_view part : parts) {
-    uint32_t octet = 0;
-    bool digits = !part.empty() && part.size() <= 3 &&
-                  std::all_of(part.begin(), part.end(), absl::ascii_isdigit);
-    if (!digits || !absl::SimpleAtoi(part, &octet) || octet > 255) {
-      return false;
-    }
-    address = (address << 8) | octet;
-  }
-  aAddress = address;
-  return true;
-}
-
-std::string
-FormatAddress(Address aAddress)
-{
-  return absl::StrCat(aAddress >> 24,
-                      ".",
-                      (aAddress >> 16) & 0xFF,
-                      ".",
-                      (aAddress >> 8) & 0xFF,
-                      ".",
-                      aAddress & 0xFF);
-}
-
-std::string
-FormatInstance(InstanceId aInstance)
-{
-  return absl::StrCat(
-    FormatAddress(InstanceAddress(aInstance)), ":", InstancePort(aInstance));
-}
-
-bool
-ParseInstance(std::string_view aText, InstanceId& aInstance)
-{
-  size_t colon = aText.rfind(':');
-  Address address = 0;
-  uint32_t port = 0;
-  if (colon == std::string_view::npos ||
-      !ParseAddress(aText.substr(0, colon), address) ||
-      !absl::SimpleAtoi(ToAbsl(aText.substr(colon + 1)), &port) || port == 0 ||
-      port > 65535) {
-    return false;
-  }
-  aInstance = MakeInstanceId(address, static_cast<uint16_t>(port));
-  return true;
-}
-
 }
--- a/src/core/table.h
+++ b/src/core/table.h
@@ -2,6 +2,7 @@
 // next.
 #pragma once
 
+#include "base/address.h"
 #include "core/types.h"
 
 #include <span>
@@ -82,16 +83,4 @@
 std::string
 FormatTable(const Table& aTable);
 
-// IPv4 address in dotted form; false where aText is none.
-bool
-ParseAddress(std::string_view aText, Address& aAddress);
-std::string
-FormatAddress(Address aAddress);
-
-// "address:port" of an instance.
-std::string
-FormatInstance(InstanceId aInstance);
-bool
-ParseInstance(std::string_view aText, InstanceId& aInstance);
-
 }
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -1,43 +1,15 @@
 // Words shared by all decisions: time, instances, callers, reasons.
 #pragma once
 
+#include "base/address.h"
+#include "base/time.h"
+
 #include <array>
 #include <cstdint>
 #include <string_view>
 
 namespace gentianspindle {
 
-// Microseconds of a monotonic clock of one instance.
-using Micros = int64_t;
-constexpr Micros kMillisecond = 1000;
-constexpr Micros kSecond = 1000 * kMillisecond;
-
-// IPv4 address in host byte order.
-using Address = uint32_t;
-
-// Peer endpoint of an instance: address in the upper bits, port in the lower
-// 16.
-using InstanceId = uint64_t;
-constexpr InstanceId kNoInstance = 0;
-
-constexpr InstanceId
-MakeInstanceId(Address aAddress, uint16_t aPort)
-{
-  return (uint64_t{ aAddress } << 16) | aPort;
-}
-
-constexpr Address
-InstanceAddress(InstanceId aInstance)
-{
-  return static_cast<Address>(aInstance >> 16);
-}
-
-constexpr uint16_t
-InstancePort(InstanceId aInstance)
-{
-  return static_cast<uint16_t>(aInstance);
-}
-
 // A caller's end of a flow: address and port, 48 bits.
 using FlowKey = uint64_t;
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,6 +1,6 @@
 // gentianctl: reads and changes the shared table, and explains the fleet from
 // the platform's status objects.
-#include "platform/store.h"
+#include "store/store.h"
 
 #include "absl/strings/str_join.h"
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -1,6 +1,6 @@
 #include "daemon/node.h"
 
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <chrono>
 #include <xxhash.h>
--- a/src/daemon/watcher.cpp
+++ b/src/daemon/watcher.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon/control.h"
 #include "daemon/log.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include "absl/strings/str_cat.h"
 
--- a/src/daemon/watcher.h
+++ b/src/daemon/watcher.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "daemon/sender.h"
-#include "platform/objects.h"
+#include "store/objects.h"
 
 #include <atomic>
 #include <thread>
--- /dev/null
+++ b/src/steer/evidence.h
@@ -0,0 +1,66 @@
+// What the callers' packets tell about one backend server: whether it answers
+// and how long its requests take.
+#pragma once
+
+#include "steer/types.h"
+
+namespace gentianspindle::steer {
+
+// A handshake takes a round trip; one without answer for this time speaks
+// against the server. Callers repeat their opening packet after 200 ms only.
+constexpr Micros kAnswerTime = 60 * kMillisecond;
+// After an unanswered opening packet a server gets no new flow for this time,
+// doubled with each further one up to the longest.
+constexpr Micros kFirstAvoidTime = 300 * kMillisecond;
+constexpr Micros kLongestAvoidTime = 5 * kSecond;
+// Weight of the newest response time in the average: about the last ten.
+constexpr double kResponseWeight = 0.1;
+
+struct Evidence
+{
+  uint32_t open = 0;       // flows placed there by this instance, not ended
+  uint32_t opening = 0;    // of these, without answer yet
+  uint32_t unanswered = 0; // opening packets in vain since the last progress
+  Micros lastProgress = 0;
+  Micros avoidUntil = 0;
+  double responseMicros = 0; // average; 0: not known
+
+  // The callers' packets show that the server answers.
+  void OnProgress(Micros aNow)
+  {
+    this->lastProgress = aNow;
+    this->unanswered = 0;
+    this->avoidUntil = 0;
+  }
+
+  void OnUnanswered(Micros aNow)
+  {
+    uint32_t doublings = this->unanswered < 5 ? this->unanswered : 5;
+    Micros avoid = kFirstAvoidTime << doublings;
+    ++this->unanswered;
+    this->avoidUntil =
+      aNow + (avoid < kLongestAvoidTime ? avoid : kLongestAvoidTime);
+  }
+
+  void OnResponse(Micros aTook)
+  {
+    auto took = static_cast<double>(aTook);
+    this->responseMicros =
+      this->responseMicros == 0
+        ? took
+        : this->responseMicros +
+            kResponseWeight * (took - this->responseMicros);
+  }
+
+  // Speaks anything against a new flow at aNow? A server that did not answer
+  // gets one trial at a time.
+  bool Suspect(Micros aNow) const
+  {
+    if (this->unanswered == 0) {
+      return false;
+    }
+    return aNow < this->avoidUntil || this->opening > 0;
+  }
+};
+
+}
--- /dev/null
+++ b/src/steer/placer.h
@@ -0,0 +1,55 @@
+// Chooses the backend server of a new flow.
+#pragma once
+
+#include "steer/evidence.h"
+#include "steer/view.h"
+
+#include <random>
+
+namespace gentianspindle::steer {
+
+struct PlacerOptions
+{
+  std::string zone; // of this instance
+  // What another availability zone adds to the score, in requests per slot.
+  double remotePenalty = 0.4;
+  // Work takes this much longer at a server that has just started.
+  double coldFactor = 1.6;
+};
+
+// Why a server was chosen, for the log.
+struct Choice
+{
+  ServerIndex server = kNoServer;
+  double score = 0;
+  double nextScore = 0; // of the best other candidate
+  uint32_t candidates = 0;
+  uint32_t suspects = 0;
+};
+
+class Placer
+{
+public:
+  explicit Placer(const PlacerOptions& aOptions)
+    : options(aOptions)
+  {
+  }
+
+  // aEvidence: by place in aView. aExcept was tried in vain.
+  Choice Choose(const View& aView,
+                std::span<const Evidence> aEvidence,
+                std::string_view aService,
+                ServerIndex aExcept,
+                Micros aNow);
+
+private:
+  double Score(const Server& aServer,
+               const Evidence& aEvidence,
+               double aMeanResponse,
+               Micros aNow) const;
+
+  PlacerOptions options;
+  std::minstd_rand random{ 1 };
+};
+
+}
--- /dev/null
+++ b/src/steer/steer.cpp
@@ -0,0 +1,348 @@
+#include "steer/steer.h"
+
+#include "absl/hash/hash.h"
+
+namespace gentianspindle::steer {
+
+namespace {
+
+// A flow without packets for this time no longer counts as open at its
+// server. Its packets still find the server by their tag.
+constexpr Micros kQuietTime = 5 * kSecond;
+
+}
+
+const FlowRecord*
+Steer::Find(const FlowId& aFlow) const
+{
+  auto record = this->flows.find(aFlow);
+  return record == this->flows.end() ? nullptr : &record->second;
+}
+
+Decision
+Steer::Count(Decision aDecision)
+{
+  ++this->counts.reasons[static_cast<size_t>(aDecision.reason)];
+  return aDecision;
+}
+
+// A server process that is new at its place starts without evidence.
+void
+Steer::FollowView()
+{
+  if (this->processes == this->view.Processes()) {
+    return;
+  }
+  this->processes = this->view.Processes();
+  this->evidence.resize(this->view.Size());
+  this->epochs.resize(this->view.Size());
+  for (size_t i = 0; i < this->evidence.size(); ++i) {
+    uint32_t epoch = this->view.At(static_cast<ServerIndex>(i)).epoch;
+    if (this->epochs[i] != epoch) {
+      this->epochs[i] = epoch;
+      this->evidence[i] = {};
+    }
+  }
+}
+
+bool
+Steer::SameProcess(const FlowRecord& aRecord) const
+{
+  return this->view.At(aRecord.server).epoch == aRecord.epoch;
+}
+
+Decision
+Steer::OnPacket(const Packet& aPacket, bool aFresh, Micros aNow)
+{
+  this->sample = {};
+  this->FollowView();
+  if (!this->view.Ready()) {
+    return this->Count({ .reason = Reason::NoView });
+  }
+  const Route* route = this->view.FindRoute(aPacket.flow.target);
+  if (aPacket.syn) {
+    return this->Count(this->OnOpening(aPacket, route, aFresh, aNow));
+  }
+  return this->Count(this->OnFlow(aPacket, route, aNow));
+}
+
+std::string_view
+Steer::PickService(const Route& aRoute, const FlowId& aFlow)
+{
+  const std::vector<WeightedService>& services = aRoute.entry.services;
+  uint64_t sum = 0;
+  for (const WeightedService& one : services) {
+    sum += one.weight;
+  }
+  if (sum == 0) {
+    return {};
+  }
+  uint64_t place = absl::HashOf(aFlow) % sum;
+  for (const WeightedService& one : services) {
+    if (place < one.weight) {
+      return one.service;
+    }
+    place -= one.weight;
+  }
+  return {};
+}
+
+Decision
+Steer::OnOpening(const Packet& aPacket,
+                 const Route* aRoute,
+                 bool aFresh,
+                 Micros aNow)
+{
+  if (aRoute == nullptr) {
+    bool removed = this->view.WasRoute(aPacket.flow.target);
+    // A route may have been added since the view was last confirmed; then
+    // silence is safe, as the caller repeats its packet.
+    Action action = removed || aFresh ? Action::Reset : Action::Drop;
+    return { .action = action,
+             .reason = removed ? Reason::RouteRemoved : Reason::UnknownRoute };
+  }
+  auto known = this->flows.find(aPacket.flow);
+  if (known != this->flows.end()) {
+    bool copy = known->second.openingSeq == aPacket.seq &&
+                known->second.placedHere && this->SameProcess(known->second);
+    if (copy) {
+      return this->OnCopy(aPacket, known->second, *aRoute, aNow);
+    }
+    this->Erase(aPacket.flow, Outcome::Expired);
+  }
+  std::string_view service = PickService(*aRoute, aPacket.flow);
+  return this->Place(aPacket, service, kNoServer, aNow);
+}
+
+// The caller heard no answer for 200 ms or more. A server that answered
+// others since then is alive: the packet or its answer was lost, and a second
+// server would make a second answer. One that answered nobody is left.
+Decision
+Steer::OnCopy(const Packet& aPacket,
+              FlowRecord& aRecord,
+              const Route& aRoute,
+              Micros aNow)
+{
+  const Server& server = this->view.At(aRecord.server);
+  const Evidence& evidence = this->evidence[aRecord.server];
+  bool alive = !aRecord.opening || evidence.lastProgress > aRecord.placedAt;
+  if (alive && (server.TakesNew() || !aRecord.opening)) {
+    return { .action = Action::Forward,
+             .reason = Reason::Repeated,
+             .server = aRecord.server,
+             .tag = server.tag };
+  }
+  this->Doubt(aRecord, aNow);
+  ServerIndex except = aRecord.server;
+  this->Erase(aPacket.flow, Outcome::Unanswered);
+  std::string_view service = PickService(aRoute, aPacket.flow);
+  Decision decision = this->Place(aPacket, service, except, aNow);
+  if (decision.action == Action::Forward) {
+    decision.reason = Reason::PlacedAgain;
+  }
+  return decision;
+}
+
+Decision
+Steer::Place(const Packet& aPacket,
+             std::string_view aService,
+             ServerIndex aExcept,
+             Micros aNow)
+{
+  Choice choice =
+    this->placer.Choose(this->view, this->evidence, aService, aExcept, aNow);
+  if (choice.server == kNoServer) {
+    return { .action = Action::Reset,
+             .reason = Reason::NoServer,
+             .choice = choice };
+  }
+  const Server& server = this->view.At(choice.server);
+  Evidence& evidence = this->evidence[choice.server];
+  ++evidence.open;
+  ++evidence.opening;
+  this->flows[aPacket.flow] = { .server = choice.server,
+                                .epoch = server.epoch,
+                                .openingSeq = aPacket.seq,
+                                .placedAt = aNow,
+                                .lastAt = aNow,
+                                .placedHere = true };
+  this->openings.push_back({ aPacket.flow, aNow });
+  this->idles.push_back({ aPacket.flow, aNow + kQuietTime });
+  return { .action = Action::Forward,
+           .reason = Reason::Placed,
+           .server = choice.server,
+           .tag = server.tag,
+           .choice = choice };
+}
+
+Decision
+Steer::OnFlow(const Packet& aPacket, const Route* aRoute, Micros aNow)
+{
+  if (aRoute == nullptr) {
+    bool removed = this->view.WasRoute(aPacket.flow.target);
+    return { .action = removed && !aPacket.rst ? Action::Reset : Action::Drop,
+             .reason = removed ? Reason::RouteRemoved : Reason::UnknownRoute };
+  }
+  ServerIndex place = this->view.FindTag(aPacket.tag);
+  if (aPacket.tag == kNoTag) {
+    const FlowRecord* record = this->Find(aPacket.flow);
+    if (record == nullptr) {
+      return { .reason = Reason::NoTag };
+    }
+    place = record->server;
+  }
+  if (place == kNoServer) {
+    return { .reason = Reason::UnknownTag };
+  }
+  const Server& server = this->view.At(place);
+  if (!aRoute->EverLedTo(server.entry.service)) {
+    return { .reason = Reason::TagNotAllowed };
+  }
+  if (server.presence == Presence::Gone) {
+    this->Erase(aPacket.flow, Outcome::Reset);
+    return { .action = aPacket.rst ? Action::Drop : Action::Reset,
+             .reason = Reason::ServerGone };
+  }
+  Decision decision{ .action = Action::Forward,
+                     .reason = Reason::Known,
+                     .server = place,
+                     .tag = server.tag };
+  this->Learn(aPacket, place, decision, aNow);
+  return decision;
+}
+
+// Reads off the caller's numbers how far the flow got.
+void
+Steer::Learn(const Packet& aPacket,
+             ServerIndex aServer,
+             Decision& aDecision,
+             Micros aNow)
+{
+  auto known = this->flows.find(aPacket.flow);
+  if (known == this->flows.end()) {
+    bool carriesRequest = aPacket.dataBytes > 0 && !aPacket.fin;
+    if (!carriesRequest || aPacket.rst) {
+      return;
+    }
+    // The flow came over from another instance.
+    FlowRecord fresh{ .server = aServer,
+                      .epoch = this->view.At(aServer).epoch,
+                      .ackBase = aPacket.ack,
+                      .placedAt = aNow,
+                      .opening = false };
+    known = this->flows.emplace(aPacket.flow, fresh).first;
+    ++this->evidence[aServer].open;
+    this->idles.push_back({ aPacket.flow, aNow + kQuietTime });
+  }
+  FlowRecord& record = known->second;
+  record.lastAt = aNow;
+  Evidence& evidence = this->evidence[record.server];
+  bool mine = record.server == aServer && this->SameProcess(record);
+  if (record.opening && mine && !aPacket.rst) {
+    record.opening = false;
+    record.ackBase = aPacket.ack;
+    --evidence.opening;
+    evidence.OnProgress(aNow);
+    this->sample = { .handshake = true, .took = aNow - record.placedAt };
+  }
+  if (aPacket.dataBytes > 0 && record.requestAt == 0) {
+    record.requestAt = aNow;
+    aDecision.firstRequest = true;
+  }
+  bool acked = aPacket.ack != record.ackBase;
+  if (acked && !record.answered && record.requestAt != 0 && mine) {
+    record.answered = true;
+    evidence.OnProgress(aNow);
+    evidence.OnResponse(aNow - record.requestAt);
+    this->sample = { .response = true, .took = aNow - record.requestAt };
+  }
+  if (aPacket.fin || aPacket.rst) {
+    this->Erase(aPacket.flow, aPacket.rst ? Outcome::Reset : Outcome::Closed);
+  }
+}
+
+void
+Steer::Doubt(FlowRecord& aRecord, Micros aNow)
+{
+  if (aRecord.doubted || !this->SameProcess(aRecord)) {
+    return;
+  }
+  aRecord.doubted = true;
+  Evidence& evidence = this->evidence[aRecord.server];
+  if (evidence.lastProgress <= aRecord.placedAt) {
+    evidence.OnUnanswered(aNow);
+    ++this->counts.doubted;
+  }
+}
+
+void
+Steer::Erase(const FlowId& aFlow, Outcome aOutcome)
+{
+  auto known = this->flows.find(aFlow);
+  if (known == this->flows.end()) {
+    return;
+  }
+  const FlowRecord& record = known->second;
+  if (this->SameProcess(record)) {
+    Evidence& evidence = this->evidence[record.server];
+    --evidence.open;
+    evidence.opening -= record.opening ? 1 : 0;
+  }
+  ++this->counts.outcomes[static_cast<size_t>(aOutcome)];
+  this->flows.erase(known);
+}
+
+void
+Steer::Tick(Micros aNow)
+{
+  this->view.Tick(aNow);
+  this->FollowView();
+  while (!this->openings.empty() &&
+         aNow - this->openings.front().at >= kAnswerTime) {
+    Due due = this->openings.front();
+    this->openings.pop_front();
+    auto known = this->flows.find(due.flow);
+    bool open = known != this->flows.end() && known->second.opening &&
+                known->second.placedAt == due.at;
+    if (open) {
+      this->Doubt(known->second, aNow);
+    }
+  }
+  this->ExpireFlows(aNow);
+}
+
+void
+Steer::ExpireFlows(Micros aNow)
+{
+  while (!this->idles.empty() && this->idles.front().at <= aNow) {
+    Due due = this->idles.front();
+    this->idles.pop_front();
+    auto known = this->flows.find(due.flow);
+    if (known == this->flows.end()) {
+      continue;
+    }
+    Micros quietAt = known->second.lastAt + kQuietTime;
+    if (quietAt <= aNow) {
+      this->Erase(due.flow, Outcome::Expired);
+    } else {
+      this->idles.push_back({ due.flow, quietAt });
+    }
+  }
+}
+
+void
+Steer::OnPause(Micros aNow)
+{
+  for (Due& due : this->openings) {
+    auto known = this->flows.find(due.flow);
+    if (known != this->flows.end()) {
+      known->second.doubted = true;
+    }
+  }
+  this->openings.clear();
+  for (Evidence& evidence : this->evidence) {
+    evidence.avoidUntil = std::min(evidence.avoidUntil, aNow);
+  }
+}
+
+}
--- /dev/null
+++ b/src/steer/steer.h
@@ -0,0 +1,179 @@
+// The decisions of the tagged transport: what becomes of each packet. No input
+// or output, clock or thread; the driver brings packets and ticks.
+#pragma once
+
+#include "steer/placer.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <array>
+#include <deque>
+
+namespace gentianspindle::steer {
+
+enum class Action : uint8_t
+{
+  Forward,
+  Reset, // to the caller
+  Drop,
+};
+
+// Why, for counters and logs.
+enum class Reason : uint8_t
+{
+  Placed,      // new flow
+  PlacedAgain, // the first server did not answer
+  Repeated,    // copy of an opening packet, same server
+  Known,       // by its tag
+  NoView,      // nothing is known yet
+  UnknownRoute,
+  RouteRemoved,
+  NoServer, // the service has no server to go to
+  UnknownTag,
+  TagNotAllowed, // the route never led to the tag's server
+  ServerGone,
+  NoTag, // neither tag nor record
+  Count,
+};
+
+constexpr std::array<std::string_view, static_cast<size_t>(Reason::Count)>
+  kReasonNames{
+    "placed",      "placed_again",    "repeated",      "known",
+    "no_view",     "unknown_route",   "route_removed", "no_server",
+    "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
+  };
+
+constexpr std::string_view
+ReasonName(Reason aReason)
+{
+  return kReasonNames[static_cast<size_t>(aReason)];
+}
+
+struct Decision
+{
+  Action action = Action::Drop;
+  Reason reason = Reason::NoView;
+  ServerIndex server = kNoServer;
+  Tag tag = kNoTag;          // to be written into the packet
+  bool firstRequest = false; // the packet has the flow's first data
+  Choice choice;
+};
+
+// How a flow that ended looked to this instance.
+enum class Outcome : uint8_t
+{
+  Closed,
+  Reset,
+  Unanswered, // the opening packet was in vain
+  Expired,
+  Count,
+};
+
+constexpr std::array<std::string_view, static_cast<size_t>(Outcome::Count)>
+  kOutcomeNames{ "closed", "reset", "unanswered", "expired" };
+
+struct FlowRecord
+{
+  ServerIndex server = kNoServer;
+  uint32_t epoch = 0; // of the server
+  uint32_t openingSeq = 0;
+  uint32_t ackBase = 0; // the caller's first acknowledgement
+  Micros placedAt = 0;
+  Micros requestAt = 0; // first data seen
+  Micros lastAt = 0;
+  bool opening = true;  // no answer seen yet
+  bool doubted = false; // counted against the server
+  bool answered = false;
+  bool placedHere = false;
+};
+
+// Times that callers saw, for the driver's histograms.
+struct Sample
+{
+  bool handshake = false;
+  bool response = false;
+  Micros took = 0;
+};
+
+struct SteerCounts
+{
+  std::array<uint64_t, static_cast<size_t>(Reason::Count)> reasons{};
+  std::array<uint64_t, static_cast<size_t>(Outcome::Count)> outcomes{};
+  uint64_t doubted = 0;
+};
+
+class Steer
+{
+public:
+  explicit Steer(const PlacerOptions& aOptions)
+    : placer(aOptions)
+  {
+  }
+
+  View& Views() { return this->view; }
+  const View& Views() const { return this->view; }
+
+  // aFresh: the view is known to be up to date, so that an unknown route
+  // truly does not exist.
+  Decision OnPacket(const Packet& aPacket, bool aFresh, Micros aNow);
+  // Calls often, at least every 50 ms.
+  void Tick(Micros aNow);
+  // This instance stood still: what was open then says nothing about the
+  // servers.
+  void OnPause(Micros aNow);
+
+  const SteerCounts& Counts() const { return this->counts; }
+  size_t Flows() const { return this->flows.size(); }
+  const Evidence& EvidenceOf(ServerIndex aServer) const
+  {
+    return this->evidence[aServer];
+  }
+  const FlowRecord* Find(const FlowId& aFlow) const;
+  // Handshake or response time that the last packet showed.
+  const Sample& LastSample() const { return this->sample; }
+
+private:
+  Decision Count(Decision aDecision);
+  Decision OnOpening(const Packet& aPacket,
+                     const Route* aRoute,
+                     bool aFresh,
+                     Micros aNow);
+  Decision OnCopy(const Packet& aPacket,
+                  FlowRecord& aRecord,
+                  const Route& aRoute,
+                  Micros aNow);
+  Decision Place(const Packet& aPacket,
+                 std::string_view aService,
+                 ServerIndex aExcept,
+                 Micros aNow);
+  Decision OnFlow(const Packet& aPacket, const Route* aRoute, Micros aNow);
+  void Learn(const Packet& aPacket,
+             ServerIndex aServer,
+             Decision& aDecision,
+             Micros aNow);
+  void Doubt(FlowRecord& aRecord, Micros aNow);
+  void Erase(const FlowId& aFlow, Outcome aOutcome);
+  void FollowView();
+  bool SameProcess(const FlowRecord& aRecord) const;
+  void ExpireFlows(Micros aNow);
+  static std::string_view PickService(const Route& aRoute, const FlowId& aFlow);
+
+  struct Due
+  {
+    FlowId flow;
+    Micros at = 0;
+  };
+
+  View view;
+  Placer placer;
+  std::vector<Evidence> evidence; // by place in the view
+  std::vector<uint32_t> epochs;   // of the evidence
+  uint64_t processes = 0;         // of the view, when last followed
+  absl::flat_hash_map<FlowId, FlowRecord> flows;
+  std::deque<Due> openings; // by time of placing
+  std::deque<Due> idles;    // by time of the next look
+  SteerCounts counts;
+  Sample sample;
+};
+
+}
--- a/src/platform/objects.cpp
+++ b/src/store/objects.cpp
@@ -1,6 +1,6 @@
-#include "platform/objects.h"
+#include "store/objects.h"
 
-#include "core/text.h"
+#include "base/text.h"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
--- a/src/platform/store.cpp
+++ b/src/store/store.cpp
@@ -1,6 +1,6 @@
-#include "platform/store.h"
+#include "store/store.h"
 
-#include "core/text.h"
+#include "base/text.h"
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_join.h"
--- a/src/platform/store.h
+++ b/src/store/store.h
@@ -4,7 +4,7 @@
 
 #include "core/table.h"
 #include "messages_types.h"
-#include "platform/objects.h"
+#include "store/objects.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
--- /dev/null
+++ b/src/tagged/follower.h
@@ -0,0 +1,235 @@
+// Follows one kind of object at the store: a list, then watches from there.
+// Goes on for ever; what was read stays valid while the store is away.
+#pragma once
+
+#include "tagged/http_client.h"
+#include "tagged/transport.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <random>
+
+namespace gentianspindle::tagged {
+
+// A list is an ordinary call; this is far above a slow store's answer.
+constexpr Micros kListTimeout = 1500 * kMillisecond;
+// A watch may take this much longer than it asks the store to wait.
+constexpr Micros kWatchSlack = 700 * kMillisecond;
+constexpr Micros kFirstRetry = 150 * kMillisecond;
+constexpr Micros kLongestRetry = 1 * kSecond;
+constexpr double kRetryGrowth = 1.7;
+
+// Why a call to the store is made again.
+enum class StoreRetry : uint8_t
+{
+  NoAnswer,    // time-out
+  Broken,      // no connection, or it was reset
+  Busy,        // 429
+  Away,        // 503 and other errors of the server
+  HistoryGone, // 410; a new list
+  Unreadable,  // the body is not what it should be
+  Count,
+};
+
+constexpr std::array<std::string_view, static_cast<size_t>(StoreRetry::Count)>
+  kStoreRetryNames{ "no_answer", "broken",       "busy",
+                    "away",      "history_gone", "unreadable" };
+
+struct FollowerCounts
+{
+  uint64_t lists = 0;
+  uint64_t watches = 0;
+  std::array<uint64_t, static_cast<size_t>(StoreRetry::Count)> retries{};
+};
+
+// Paths and bodies of one kind.
+template<typename C>
+struct KindFormat
+{
+  std::string_view name; // for logs
+  std::string (*listPath)(std::string_view aAfter);
+  std::string (*watchPath)(uint64_t aRevision, int64_t aWaitMs);
+  absl::StatusOr<Page<C>> (*parseList)(std::string_view aBody);
+  absl::StatusOr<Page<C>> (*parseWatch)(std::string_view aBody);
+};
+
+template<typename C>
+struct FollowerEvents
+{
+  std::function<void(std::span<const C>)> onList;
+  std::function<void(std::span<const C>)> onChanges;
+  std::function<void(const std::string&)> onLost; // with the error
+  std::function<void(Micros)> onBack;             // after this time
+};
+
+struct FollowerOptions
+{
+  Micros wait = 2500 * kMillisecond;
+  // Time between an answer with changes and the next watch, so that changes
+  // that come in a row cost one call.
+  Micros pace = 0;
+};
+
+template<typename C>
+class Follower
+{
+public:
+  Follower(event_base* aBase,
+           Endpoint aStore,
+           const KindFormat<C>& aFormat,
+           const FollowerOptions& aOptions,
+           FollowerEvents<C> aEvents,
+           uint32_t aSeed)
+    : client(aBase, aStore)
+    , format(aFormat)
+    , options(aOptions)
+    , events(std::move(aEvents))
+    , next(aBase, [this] { this->Call(); })
+    , random(aSeed)
+  {
+  }
+
+  void Start() { this->Call(); }
+
+  // What is known may be old: asks anew on a new connection.
+  void Restart() { this->client.Disconnect(); }
+
+  Micros ConfirmedAt() const { return this->confirmedAt; }
+  bool Lost() const { return this->lostAt != 0; }
+  const FollowerCounts& Counts() const { return this->counts; }
+
+private:
+  void Call()
+  {
+    bool list = !this->listed;
+    std::string path =
+      list ? this->format.listPath(this->after)
+           : this->format.watchPath(this->revision,
+                                    this->options.wait / kMillisecond);
+    ++(list ? this->counts.lists : this->counts.watches);
+    Micros timeout = list ? kListTimeout : this->options.wait + kWatchSlack;
+    this->client.Get(
+      path, timeout, [this, list](absl::StatusOr<HttpAnswer> aAnswer) {
+        this->OnAnswer(list, std::move(aAnswer));
+      });
+  }
+
+  void OnAnswer(bool aList, absl::StatusOr<HttpAnswer> aAnswer)
+  {
+    if (!aAnswer.ok()) {
+      bool late = absl::IsDeadlineExceeded(aAnswer.status());
+      this->Retry(late ? StoreRetry::NoAnswer : StoreRetry::Broken,
+                  aAnswer.status().ToString());
+      return;
+    }
+    if (aAnswer->status == 410) {
+      this->StartOver();
+      this->Retry(StoreRetry::HistoryGone, "");
+      return;
+    }
+    if (aAnswer->status != 200) {
+      bool busy = aAnswer->status == 429;
+      this->Retry(busy ? StoreRetry::Busy : StoreRetry::Away,
+                  absl::StrCat("HTTP ", aAnswer->status));
+      return;
+    }
+    absl::StatusOr<Page<C>> page = aList
+                                     ? this->format.parseList(aAnswer->body)
+                                     : this->format.parseWatch(aAnswer->body);
+    if (!page.ok()) {
+      this->StartOver();
+      this->Retry(StoreRetry::Unreadable, page.status().ToString());
+      return;
+    }
+    this->NoteAnswer();
+    if (aList) {
+      this->OnListPage(*std::move(page));
+    } else {
+      this->OnWatchPage(*page);
+    }
+  }
+
+  void OnListPage(Page<C> aPage)
+  {
+    if (this->after.empty()) {
+      // Changes during the later pages come again with the watch.
+      this->revision = aPage.revision;
+    }
+    for (C& change : aPage.changes) {
+      this->after = change.name;
+      this->collected.push_back(std::move(change));
+    }
+    if (aPage.more && !aPage.changes.empty()) {
+      this->Call();
+      return;
+    }
+    this->listed = true;
+    this->events.onList(this->collected);
+    this->collected.clear();
+    this->after.clear();
+    this->next.Start(this->options.pace);
+  }
+
+  void OnWatchPage(const Page<C>& aPage)
+  {
+    this->revision = std::max(this->revision, aPage.revision);
+    if (aPage.changes.empty()) {
+      this->Call();
+      return;
+    }
+    this->events.onChanges(aPage.changes);
+    this->next.Start(this->options.pace);
+  }
+
+  void StartOver()
+  {
+    this->listed = false;
+    this->after.clear();
+    this->collected.clear();
+  }
+
+  void NoteAnswer()
+  {
+    Micros now = SteadyNow();
+    this->confirmedAt = now;
+    this->retryAfter = kFirstRetry;
+    if (this->lostAt != 0) {
+      Micros away = now - this->lostAt;
+      this->lostAt = 0;
+      this->events.onBack(away);
+    }
+  }
+
+  // aProblem is empty where the store works as it should.
+  void Retry(StoreRetry aWhy, const std::string& aProblem)
+  {
+    ++this->counts.retries[static_cast<size_t>(aWhy)];
+    if (!aProblem.empty() && this->lostAt == 0) {
+      this->lostAt = SteadyNow();
+      this->events.onLost(aProblem);
+    }
+    std::uniform_real_distribution<double> jitter(0.5, 1.0);
+    auto base = static_cast<double>(this->retryAfter);
+    this->next.Start(static_cast<Micros>(base * jitter(this->random)));
+    this->retryAfter =
+      std::min(static_cast<Micros>(base * kRetryGrowth), kLongestRetry);
+  }
+
+  HttpClient client;
+  KindFormat<C> format;
+  FollowerOptions options;
+  FollowerEvents<C> events;
+  Timer next;
+  std::minstd_rand random;
+  bool listed = false;
+  std::string after;
+  std::vector<C> collected;
+  uint64_t revision = 0;
+  Micros confirmedAt = 0;
+  Micros lostAt = 0;
+  Micros retryAfter = kFirstRetry;
+  FollowerCounts counts;
+};
+
+}
--- /dev/null
+++ b/src/tagged/http_client.cpp
@@ -0,0 +1,140 @@
+#include "tagged/http_client.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace gentianspindle::tagged {
+
+namespace {
+
+// A connection whose other end is silent, cut off or without power ends after
+// this time; nothing else would show it while a watch waits.
+constexpr int kUserTimeoutMs = 2500;
+constexpr int kProbeAfterS = 1;
+constexpr int kProbeEveryS = 1;
+constexpr int kProbes = 2;
+
+}
+
+HttpClient::HttpClient(event_base* aBase, Endpoint aServer)
+  : base(aBase)
+  , host(FormatAddress(aServer.address))
+  , server(aServer)
+  , timeout(aBase, [this] {
+    this->broken = true;
+    this->Finish(absl::DeadlineExceededError(
+      absl::StrCat("call ", FormatEndpoint(this->server), ": no answer")));
+  })
+{
+}
+
+bool
+HttpClient::Connect()
+{
+  if (this->broken) {
+    this->connection.reset();
+    this->broken = false;
+  }
+  if (!this->connection) {
+    this->connection.reset(evhttp_connection_base_new(
+      this->base, nullptr, this->host.c_str(), this->server.port));
+  }
+  return this->connection != nullptr;
+}
+
+void
+HttpClient::SetSocketOptions()
+{
+  bufferevent* stream =
+    evhttp_connection_get_bufferevent(this->connection.get());
+  evutil_socket_t socket = bufferevent_getfd(stream);
+  if (socket < 0) {
+    return;
+  }
+  int on = 1;
+  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(
+    socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterS, sizeof kProbeAfterS);
+  setsockopt(
+    socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeEveryS, sizeof kProbeEveryS);
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof kProbes);
+  setsockopt(socket,
+             IPPROTO_TCP,
+             TCP_USER_TIMEOUT,
+             &kUserTimeoutMs,
+             sizeof kUserTimeoutMs);
+}
+
+void
+HttpClient::Get(const std::string& aPath, Micros aTimeout, OnAnswer aOnAnswer)
+{
+  this->broken = this->broken || this->busy;
+  this->busy = true;
+  this->onAnswer = std::move(aOnAnswer);
+  this->timeout.Start(aTimeout);
+  if (!this->Connect()) {
+    return; // the time-out tells
+  }
+  evhttp_request* request = evhttp_request_new(
+    [](evhttp_request* aRequest, void* aSelf) {
+      static_cast<HttpClient*>(aSelf)->OnRequest(aRequest);
+    },
+    this);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", FormatEndpoint(this->server).c_str());
+  int made = evhttp_make_request(
+    this->connection.get(), request, EVHTTP_REQ_GET, aPath.c_str());
+  if (made == 0) {
+    this->SetSocketOptions();
+  } else {
+    this->broken = true;
+  }
+}
+
+void
+HttpClient::Disconnect()
+{
+  this->broken = true;
+  if (this->busy) {
+    this->Finish(absl::UnavailableError(
+      absl::StrCat("call ", FormatEndpoint(this->server), ": disconnected")));
+  }
+}
+
+void
+HttpClient::OnRequest(evhttp_request* aRequest)
+{
+  if (!this->busy) {
+    return;
+  }
+  int status =
+    aRequest == nullptr ? 0 : evhttp_request_get_response_code(aRequest);
+  if (status == 0) {
+    this->broken = true;
+    this->Finish(absl::UnavailableError(absl::StrCat(
+      "call ", FormatEndpoint(this->server), ": connection broke")));
+    return;
+  }
+  HttpAnswer answer{ status, {} };
+  evbuffer* body = evhttp_request_get_input_buffer(aRequest);
+  answer.body.resize(evbuffer_get_length(body));
+  evbuffer_remove(body, answer.body.data(), answer.body.size());
+  this->Finish(std::move(answer));
+}
+
+void
+HttpClient::Finish(absl::StatusOr<HttpAnswer> aAnswer)
+{
+  this->timeout.Stop();
+  this->busy = false;
+  OnAnswer call = std::move(this->onAnswer);
+  this->onAnswer = nullptr;
+  call(std::move(aAnswer));
+}
+
+}
--- /dev/null
+++ b/src/tagged/log.cpp
@@ -0,0 +1,207 @@
+#include "tagged/log.h"
+
+#include "base/text.h"
+
+#include <cerrno>
+#include <ctime>
+#include <deque>
+#include <fcntl.h>
+#include <log4cplus/appender.h>
+#include <log4cplus/configurator.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
+
+namespace gentianspindle::tagged {
+
+namespace {
+
+// Lines that wait for the reader take at most this much memory.
+constexpr size_t kMaxWaiting = 512 * 1024; // bytes
+// Lines are written together after this time, to save system calls.
+constexpr Micros kFlushAfter = 200 * kMillisecond;
+constexpr uint32_t kMaxSampleShift = 20;
+constexpr char kLoggerName[] = "gentianspindle";
+
+void
+AppendQuoted(std::string& aOut, std::string_view aText)
+{
+  static constexpr char kHex[] = "0123456789abcdef";
+  aOut.push_back('"');
+  for (char c : aText) {
+    auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      aOut.push_back('\\');
+      aOut.push_back(c);
+    } else if (byte < 0x20 || byte >= 0x7F) {
+      absl::StrAppend(&aOut, "\\u00");
+      aOut.push_back(kHex[byte >> 4]);
+      aOut.push_back(kHex[byte & 0xF]);
+    } else {
+      aOut.push_back(c);
+    }
+  }
+  aOut.push_back('"');
+}
+
+}
+
+LogLine::LogLine(std::string_view aEvent)
+{
+  this->text.reserve(384);
+  this->Text("event", aEvent);
+}
+
+LogLine&
+LogLine::Text(std::string_view aKey, std::string_view aValue)
+{
+  absl::StrAppend(&this->text, ",\"", ToAbsl(aKey), "\":");
+  AppendQuoted(this->text, aValue);
+  return *this;
+}
+
+LogLine&
+LogLine::Number(std::string_view aKey, int64_t aValue)
+{
+  absl::StrAppend(&this->text, ",\"", ToAbsl(aKey), "\":", aValue);
+  return *this;
+}
+
+LogLine&
+LogLine::Real(std::string_view aKey, double aValue)
+{
+  absl::StrAppend(&this->text, ",\"", ToAbsl(aKey), "\":", aValue);
+  return *this;
+}
+
+// Lines between the logging library and standard output. A line that does not
+// fit is dropped and counted.
+struct Log::Ring : public log4cplus::Appender
+{
+  std::string waiting;
+  uint64_t lines = 0;
+  uint64_t dropped = 0;
+
+  Ring() = default;
+  Ring(const Ring&) = delete;
+  Ring& operator=(const Ring&) = delete;
+  ~Ring() override { this->destructorImpl(); }
+
+  void close() override { this->closed = true; }
+
+  void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  {
+    const std::string& line = aEvent.getMessage();
+    if (this->waiting.size() + line.size() + 1 > kMaxWaiting) {
+      ++this->dropped;
+      return;
+    }
+    this->waiting += line;
+    this->waiting.push_back('\n');
+    ++this->lines;
+  }
+
+  void Drain()
+  {
+    while (!this->waiting.empty()) {
+      ssize_t wrote =
+        write(STDOUT_FILENO, this->waiting.data(), this->waiting.size());
+      if (wrote <= 0) {
+        // The reader is slow (tried again later) or gone (nobody to tell).
+        return;
+      }
+      this->waiting.erase(0, static_cast<size_t>(wrote));
+    }
+  }
+};
+
+std::unique_ptr<Log>
+Log::Make(event_base* aBase,
+          std::string_view aInstance,
+          int64_t aLinesPerSecond)
+{
+  std::unique_ptr<Log> log(new Log);
+  log->instance = aInstance;
+  log->linesPerSecond = aLinesPerSecond;
+  int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  log4cplus::initialize();
+  log->ring = std::make_shared<Ring>();
+  log4cplus::Logger logger = log4cplus::Logger::getInstance(kLoggerName);
+  logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+  logger.setAdditivity(false);
+  // The library's pointer counts its own references; ours keeps the object.
+  log->ring->addReference();
+  logger.addAppender(log4cplus::SharedAppenderPtr(log->ring.get()));
+  Log* self = log.get();
+  log->flush = std::make_unique<Timer>(aBase, [self] { self->Flush(); });
+  return log;
+}
+
+Log::~Log()
+{
+  this->Flush();
+  log4cplus::Logger::getInstance(kLoggerName).removeAllAppenders();
+}
+
+void
+Log::Write(const LogLine& aLine)
+{
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  std::string line = absl::StrCat("{\"unix_ms\":",
+                                  now.tv_sec * 1000 + now.tv_nsec / 1'000'000,
+                                  ",\"at_us\":",
+                                  SteadyNow(),
+                                  ",\"instance\":");
+  AppendQuoted(line, this->instance);
+  absl::StrAppend(&line, aLine.Open(), "}");
+  bool idle = this->ring->waiting.empty();
+  log4cplus::Logger::getInstance(kLoggerName)
+    .forcedLog(log4cplus::INFO_LOG_LEVEL, line, nullptr, -1);
+  if (idle) {
+    this->flush->Start(kFlushAfter);
+  }
+}
+
+// The share of flows that is logged halves when a second had too many lines,
+// and doubles when it had few.
+bool
+Log::TakesFlow(uint64_t aHash, Micros aNow)
+{
+  if (aNow - this->secondFrom >= kSecond) {
+    if (this->linesThisSecond > this->linesPerSecond) {
+      this->sampleShift = std::min(this->sampleShift + 1, kMaxSampleShift);
+    } else if (this->linesThisSecond < this->linesPerSecond / 3 &&
+               this->sampleShift > 0) {
+      --this->sampleShift;
+    }
+    this->secondFrom = aNow;
+    this->linesThisSecond = 0;
+  }
+  uint64_t mask = (uint64_t{ 1 } << this->sampleShift) - 1;
+  bool over = this->linesThisSecond >= 2 * this->linesPerSecond;
+  if ((aHash & mask) != 0 || over) {
+    ++this->sampledOut;
+    return false;
+  }
+  ++this->linesThisSecond;
+  return true;
+}
+
+LogCounts
+Log::Counts() const
+{
+  return { this->ring->lines, this->ring->dropped, this->sampledOut };
+}
+
+void
+Log::Flush()
+{
+  this->ring->Drain();
+  if (!this->ring->waiting.empty()) {
+    this->flush->Start(kFlushAfter);
+  }
+}
+
+}
--- /dev/null
+++ b/src/tagged/log.h
@@ -0,0 +1,73 @@
+// Structured log on standard output: one JSON object a line, through the
+// logging library, bounded in memory, never waiting for the reader.
+#pragma once
+
+#include "tagged/loop.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace gentianspindle::tagged {
+
+// One line under construction.
+class LogLine
+{
+public:
+  explicit LogLine(std::string_view aEvent);
+
+  LogLine& Text(std::string_view aKey, std::string_view aValue);
+  LogLine& Number(std::string_view aKey, int64_t aValue);
+  LogLine& Real(std::string_view aKey, double aValue);
+
+  const std::string& Open() const { return this->text; }
+
+private:
+  std::string text;
+};
+
+struct LogCounts
+{
+  uint64_t lines = 0;
+  uint64_t dropped = 0; // the reader was too slow
+  uint64_t sampledOut = 0;
+};
+
+class Log
+{
+public:
+  // aLinesPerSecond: decisions on flows above this rate are sampled by flow.
+  static std::unique_ptr<Log> Make(event_base* aBase,
+                                   std::string_view aInstance,
+                                   int64_t aLinesPerSecond);
+  ~Log();
+
+  void Write(const LogLine& aLine);
+  // May the flow with this hash be logged now? The answer is the same for all
+  // lines of a flow while the load is the same.
+  bool TakesFlow(uint64_t aHash, Micros aNow);
+  void SetRate(int64_t aLinesPerSecond)
+  {
+    this->linesPerSecond = aLinesPerSecond;
+  }
+  LogCounts Counts() const;
+  // Writes what the reader takes at once.
+  void Flush();
+
+private:
+  Log() = default;
+  struct Ring;
+
+  std::string instance;
+  int64_t linesPerSecond = 0;
+  Micros secondFrom = 0;
+  int64_t linesThisSecond = 0;
+  uint32_t sampleShift = 0; // one flow of 2^shift is logged
+  uint64_t sampledOut = 0;
+  std::shared_ptr<Ring> ring;
+  std::unique_ptr<Timer> flush;
+};
+
+}
--- /dev/null
+++ b/src/tagged/metrics.cpp
@@ -0,0 +1,189 @@
+#include "tagged/metrics.h"
+
+#include "base/text.h"
+
+#include <algorithm>
+#include <limits>
+#include <prometheus/metric_type.h>
+#include <prometheus/text_serializer.h>
+
+namespace gentianspindle::tagged {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+// Families under construction.
+struct Writer
+{
+  std::vector<MetricFamily> families;
+
+  MetricFamily& Family(std::string_view aName,
+                       std::string_view aHelp,
+                       MetricType aType)
+  {
+    MetricFamily& family = this->families.emplace_back();
+    family.name = absl::StrCat("gentianspindle_", ToAbsl(aName));
+    family.help = std::string(aHelp);
+    family.type = aType;
+    return family;
+  }
+
+  void Number(std::string_view aName,
+              std::string_view aHelp,
+              MetricType aType,
+              double aValue)
+  {
+    Put(this->Family(aName, aHelp, aType), {}, aValue);
+  }
+
+  template<size_t N>
+  void Table(std::string_view aName,
+             std::string_view aHelp,
+             std::string_view aLabel,
+             const std::array<std::string_view, N>& aNames,
+             const std::array<uint64_t, N>& aValues)
+  {
+    MetricFamily& family = this->Family(aName, aHelp, MetricType::Counter);
+    for (size_t i = 0; i < N; ++i) {
+      Put(family,
+          { { std::string(aLabel), std::string(aNames[i]) } },
+          static_cast<double>(aValues[i]));
+    }
+  }
+
+  void Latency(std::string_view aName,
+               std::string_view aHelp,
+               const Histogram& aHistogram)
+  {
+    ClientMetric metric;
+    uint64_t sum = 0;
+    for (size_t i = 0; i < aHistogram.counts.size(); ++i) {
+      sum += aHistogram.counts[i];
+      double bound = i < kBuckets.size()
+                       ? static_cast<double>(kBuckets[i]) / kSecond
+                       : std::numeric_limits<double>::infinity();
+      metric.histogram.bucket.push_back({ sum, bound });
+    }
+    metric.histogram.sample_count = sum;
+    metric.histogram.sample_sum = aHistogram.sumSeconds;
+    this->Family(aName, aHelp, MetricType::Histogram).metric.push_back(metric);
+  }
+
+  static void Put(MetricFamily& aFamily,
+                  std::vector<ClientMetric::Label> aLabels,
+                  double aValue)
+  {
+    ClientMetric metric;
+    metric.label = std::move(aLabels);
+    metric.counter.value = aValue;
+    metric.gauge.value = aValue;
+    aFamily.metric.push_back(std::move(metric));
+  }
+};
+
+std::array<uint64_t, kStoreRetryNames.size()>
+Sum(const FollowerCounts& aLeft, const FollowerCounts& aRight)
+{
+  std::array<uint64_t, kStoreRetryNames.size()> sum = aLeft.retries;
+  for (size_t i = 0; i < sum.size(); ++i) {
+    sum[i] += aRight.retries[i];
+  }
+  return sum;
+}
+
+void
+AddStore(Writer& aWriter, const MetricsSource& aSource)
+{
+  static constexpr std::array<std::string_view, 4> kCalls{
+    "list_servers", "watch_servers", "list_config", "watch_config"
+  };
+  std::array<uint64_t, 4> calls{ aSource.servers.lists,
+                                 aSource.servers.watches,
+                                 aSource.config.lists,
+                                 aSource.config.watches };
+  aWriter.Table(
+    "store_calls_total", "Calls to the store", "call", kCalls, calls);
+  aWriter.Table("store_retries_total",
+                "Calls to the store made again, by reason",
+                "reason",
+                kStoreRetryNames,
+                Sum(aSource.servers, aSource.config));
+}
+
+}
+
+void
+Histogram::Add(Micros aTook)
+{
+  size_t place = std::lower_bound(kBuckets.begin(), kBuckets.end(), aTook) -
+                 kBuckets.begin();
+  ++this->counts[place];
+  this->sumSeconds += static_cast<double>(aTook) / kSecond;
+}
+
+std::string
+FormatMetrics(const MetricsSource& aSource)
+{
+  Writer writer;
+  auto counter =
+    [&writer](std::string_view aName, std::string_view aHelp, uint64_t aValue) {
+      writer.Number(
+        aName, aHelp, MetricType::Counter, static_cast<double>(aValue));
+    };
+  auto gauge =
+    [&writer](std::string_view aName, std::string_view aHelp, double aValue) {
+      writer.Number(aName, aHelp, MetricType::Gauge, aValue);
+    };
+  counter("packets_in_total", "Packets received", aSource.port.packetsIn);
+  counter("packets_out_total", "Packets sent", aSource.port.packetsOut);
+  counter("bytes_in_total", "Bytes received", aSource.port.bytesIn);
+  counter("bad_packets_total",
+          "Datagrams dropped as no packets",
+          aSource.port.badPackets);
+  counter("send_failed_total",
+          "Packets that the socket did not take",
+          aSource.port.sendFailed);
+  writer.Table("decisions_total",
+               "Packets by decision",
+               "reason",
+               steer::kReasonNames,
+               aSource.steer.Counts().reasons);
+  writer.Table("flows_ended_total",
+               "Flows that ended, by how",
+               "outcome",
+               steer::kOutcomeNames,
+               aSource.steer.Counts().outcomes);
+  counter("servers_doubted_total",
+          "Opening packets that a server left unanswered",
+          aSource.steer.Counts().doubted);
+  gauge(
+    "flows", "Flows known here", static_cast<double>(aSource.steer.Flows()));
+  gauge("config_version",
+        "Configuration in force",
+        static_cast<double>(aSource.steer.Views().Version()));
+  gauge("view_age_seconds",
+        "Time since the store last answered",
+        static_cast<double>(aSource.viewAge) / kSecond);
+  gauge(
+    "ready", "1 where the readiness page answers 200", aSource.ready ? 1 : 0);
+  writer.Latency("handshake_seconds",
+                 "Opening packet to the caller's next packet",
+                 aSource.handshake);
+  writer.Latency("response_seconds",
+                 "First data to the first acknowledged answer",
+                 aSource.response);
+  AddStore(writer, aSource);
+  counter("log_lines_total", "Log lines taken", aSource.log.lines);
+  counter("log_dropped_total",
+          "Log lines dropped: the reader is slow",
+          aSource.log.dropped);
+  counter("log_sampled_total",
+          "Log lines left out by sampling",
+          aSource.log.sampledOut);
+  return prometheus::TextSerializer().Serialize(writer.families);
+}
+
+}
--- /dev/null
+++ b/src/tagged/node.h
@@ -0,0 +1,122 @@
+// One instance of the tagged transport: sockets, store, readiness, its life
+// from start to a planned stop. All on one thread.
+#pragma once
+
+#include "tagged/follower.h"
+#include "tagged/log.h"
+#include "tagged/metrics.h"
+#include "tagged/pages.h"
+#include "tagged/settings.h"
+#include "tagged/udp.h"
+
+#include "absl/hash/hash.h"
+
+#include <csignal>
+#include <sys/stat.h>
+
+namespace gentianspindle::tagged {
+
+constexpr Micros kTickTime = 50 * kMillisecond;
+// A tick that comes this much late means that the instance stood still.
+constexpr Micros kPauseTime = 800 * kMillisecond;
+// The settings file may change without a signal.
+constexpr Micros kSettingsCheckTime = 1 * kSecond;
+// A planned stop: the fabric needs two readiness checks, half a second apart,
+// to turn away.
+constexpr Micros kLeastStop = 1300 * kMillisecond;
+constexpr Micros kQuietStop = 400 * kMillisecond;
+constexpr Micros kStopMargin = 500 * kMillisecond;
+// Changes of servers come in groups; one call reads the group.
+constexpr Micros kServersPace = 100 * kMillisecond;
+
+template<Platform P>
+class Node
+{
+public:
+  static absl::StatusOr<std::unique_ptr<Node>> Make(
+    event_base* aBase,
+    const TaggedSettings& aSettings,
+    const std::string& aSettingsPath);
+
+  // Returns when the planned stop is done.
+  void Run();
+
+private:
+  Node(event_base* aBase,
+       const TaggedSettings& aSettings,
+       UdpSocket aSocket,
+       const std::string& aSettingsPath);
+
+  absl::Status StartPages();
+  void StartStore();
+  void StartLog();
+  void StartSignals();
+
+  void OnReadable();
+  void OnDatagram(std::span<uint8_t> aBytes);
+  void CarryOut(const steer::Decision& aDecision,
+                const steer::Packet& aPacket,
+                std::span<uint8_t> aBytes);
+  void Send(std::span<uint8_t> aBytes, Endpoint aTo);
+  void SendAll();
+  void LogDecision(const steer::Decision& aDecision,
+                   const steer::Packet& aPacket,
+                   std::span<const uint8_t> aBytes);
+
+  void OnServers(std::span<const steer::ServerChange> aChanges, bool aList);
+  void OnConfig(std::span<const steer::ConfigChange> aChanges);
+  void OnView();
+  void OnTick();
+  void OnPause(Micros aTook);
+  void OnStop();
+  void CheckStop();
+  void CheckSettings(bool aSignalled);
+
+  template<typename C>
+  FollowerEvents<C> EventsOf(std::string_view aKind,
+                             std::function<void(std::span<const C>)> aOnList,
+                             std::function<void(std::span<const C>)> aOnChange);
+
+  bool Ready() const { return this->steer.Views().Ready() && !this->stopping; }
+  bool Fresh() const;
+  std::string Metrics() const;
+  void Write(const LogLine& aLine)
+  {
+    if (this->log) {
+      this->log->Write(aLine);
+    }
+  }
+
+  event_base* base;
+  TaggedSettings settings;
+  std::string settingsPath;
+  struct stat settingsStat
+  {};
+  UdpSocket socket;
+  EventPtr readable;
+  ReceiveBatch received;
+  SendBatch sending;
+  steer::Steer steer;
+  std::unique_ptr<Follower<steer::ServerChange>> servers;
+  std::unique_ptr<Follower<steer::ConfigChange>> config;
+  std::unique_ptr<Pages> pages;
+  std::unique_ptr<Log> log;
+  std::vector<EventPtr> signals;
+  Timer tick;
+  Micros startedAt = SteadyNow();
+  Micros now = 0;
+  Micros lastTick = 0;
+  Micros lastBoot = 0;
+  Micros lastSettingsCheck = 0;
+  Micros lastPacket = 0;
+  Micros stopAt = 0;
+  bool stopping = false;
+  bool reading = false; // packets are read
+  PortCounts port;
+  Histogram handshake;
+  Histogram response;
+};
+
+}
+
+#include "tagged/node_impl.h"
--- /dev/null
+++ b/src/tagged/pages.h
@@ -0,0 +1,40 @@
+// HTTP pages of the daemon: readiness and metrics.
+#pragma once
+
+#include "base/address.h"
+#include "tagged/loop.h"
+
+#include "absl/status/statusor.h"
+
+#include <event2/http.h>
+#include <string>
+
+namespace gentianspindle::tagged {
+
+struct PageAnswer
+{
+  int status = 200;
+  std::string body;
+};
+
+class Pages
+{
+public:
+  static absl::StatusOr<std::unique_ptr<Pages>> Make(event_base* aBase);
+
+  // Serves the pages at aListen too.
+  absl::Status Listen(Endpoint aListen);
+  void Put(const std::string& aPath, std::function<PageAnswer()> aPage);
+
+private:
+  struct FreeServer
+  {
+    void operator()(evhttp* aServer) const { evhttp_free(aServer); }
+  };
+  Pages() = default;
+
+  std::unique_ptr<evhttp, FreeServer> server;
+  std::vector<std::unique_ptr<std::function<PageAnswer()>>> pages;
+};
+
+}
--- /dev/null
+++ b/src/tagged/udp.cpp
@@ -0,0 +1,132 @@
+#include "tagged/udp.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <cerrno>
+#include <cstring>
+#include <unistd.h>
+
+namespace gentianspindle::tagged {
+
+namespace {
+
+// A crest, or a moment without the processor, must not lose packets.
+constexpr int kReceiveBuffer = 1 << 20; // bytes
+
+}
+
+sockaddr_in
+ToSocketAddress(Endpoint aEndpoint)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aEndpoint.port);
+  address.sin_addr.s_addr = htonl(aEndpoint.address);
+  return address;
+}
+
+absl::StatusOr<UdpSocket>
+UdpSocket::Bind(Endpoint aListen)
+{
+  int descriptor =
+    socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return absl::UnavailableError(
+      absl::StrCat("open UDP socket: ", strerror(errno)));
+  }
+  UdpSocket made(descriptor);
+  setsockopt(
+    descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof kReceiveBuffer);
+  sockaddr_in address = ToSocketAddress(aListen);
+  if (bind(descriptor,
+           reinterpret_cast<const sockaddr*>(&address),
+           sizeof address) != 0) {
+    return absl::UnavailableError(absl::StrCat(
+      "bind UDP ", FormatEndpoint(aListen), ": ", strerror(errno)));
+  }
+  return made;
+}
+
+UdpSocket::UdpSocket(UdpSocket&& aOther) noexcept
+  : descriptor(aOther.descriptor)
+{
+  aOther.descriptor = -1;
+}
+
+UdpSocket::~UdpSocket()
+{
+  if (this->descriptor >= 0) {
+    close(this->descriptor);
+  }
+}
+
+ReceiveBatch::ReceiveBatch()
+  : bytes(kBatch * kStride)
+{
+  for (size_t i = 0; i < kBatch; ++i) {
+    this->parts[i] = { this->bytes.data() + i * kStride + kHeadroom,
+                       kDatagramBytes };
+    this->messages[i].msg_hdr.msg_iov = &this->parts[i];
+    this->messages[i].msg_hdr.msg_iovlen = 1;
+  }
+}
+
+size_t
+ReceiveBatch::Receive(int aSocket)
+{
+  int count =
+    recvmmsg(aSocket, this->messages.data(), kBatch, MSG_DONTWAIT, nullptr);
+  return count < 0 ? 0 : static_cast<size_t>(count);
+}
+
+std::span<uint8_t>
+ReceiveBatch::At(size_t aPlace)
+{
+  return { this->bytes.data() + aPlace * kStride,
+           kHeadroom + this->messages[aPlace].msg_len };
+}
+
+bool
+SendBatch::Add(std::span<uint8_t> aBytes, Endpoint aTo)
+{
+  if (this->size == kBatch) {
+    return false;
+  }
+  size_t i = this->size++;
+  this->addresses[i] = ToSocketAddress(aTo);
+  this->parts[i] = { aBytes.data(), aBytes.size() };
+  msghdr& header = this->messages[i].msg_hdr;
+  header = {};
+  header.msg_name = &this->addresses[i];
+  header.msg_namelen = sizeof this->addresses[i];
+  header.msg_iov = &this->parts[i];
+  header.msg_iovlen = 1;
+  return true;
+}
+
+std::span<uint8_t>
+SendBatch::Room()
+{
+  return this->made[this->rooms++ % kBatch];
+}
+
+size_t
+SendBatch::Send(int aSocket)
+{
+  size_t sent = 0;
+  while (sent < this->size) {
+    int count = sendmmsg(aSocket,
+                         this->messages.data() + sent,
+                         static_cast<unsigned>(this->size - sent),
+                         MSG_DONTWAIT);
+    if (count <= 0) {
+      break;
+    }
+    sent += static_cast<size_t>(count);
+  }
+  this->size = 0;
+  this->rooms = 0;
+  return sent;
+}
+
+}
--- a/tests/daemon/docs_test.cpp
+++ b/tests/daemon/docs_test.cpp
@@ -29,8 +29,8 @@
     INFO(aName);
     CHECK(page.find("`" + std::string(aName) + "`") != std::string::npos);
   };
-  for (const SettingField& field : kSettingFields) {
-    names(std::string(field.section) + "." + std::string(field.key));
+  for (const SettingField<Settings>& field : kSettingsFields) {
+    names(std::string(field.key.section) + "." + std::string(field.key.key));
   }
   for (size_t i = 1; i < kReasonNames.size(); ++i) {
     names(kReasonNames[i]);
--- a/tests/daemon/process_test.cpp
+++ b/tests/daemon/process_test.cpp
@@ -1,5 +1,5 @@
 // Real daemons on loopback: the whole path, planned stops, platform away.
-#include "platform/store.h"
+#include "store/store.h"
 #include "support/daemon_process.h"
 #include "support/examples.h"
 #include "support/platform_standin.h"
--- a/tests/platform/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/store.h"
+#include "store/store.h"
 #include "support/examples.h"
 #include "support/platform_standin.h"
 
