--- a/src/tagged/main.h
+++ b/src/tagged/main.h
@@ -19,35 +19,62 @@
   return aCode;
 }
 
-template<Platform P>
-int
-RunProgram(int aCount, char** aWords)
+struct Words
+{
+  std::string settings; // path
+  bool onlyCheck = false;
+  std::string print; // text to print in place of running
+};
+
+inline absl::StatusOr<Words>
+ParseWords(int aCount, char** aWords, const std::string& aDefaultSettings)
 {
+  // Without words the library is not asked: it compiles regular expressions,
+  // and the start of an instance on a small share of a processor is service.
+  if (aCount <= 1) {
+    return Words{ .settings = aDefaultSettings };
+  }
   cxxopts::Options options("gentianspindled-tagged",
                            "One instance of the load balancer.");
-  const char* variable = std::getenv(P::kSettingsVariable);
   options.add_options()(
     "settings",
     "settings file",
-    cxxopts::value<std::string>()->default_value(variable ? variable : ""))(
+    cxxopts::value<std::string>()->default_value(aDefaultSettings))(
     "check", "checks the settings and ends")("version", "")("help", "");
-  cxxopts::ParseResult words;
+  Words words;
   try {
-    words = options.parse(aCount, aWords);
+    cxxopts::ParseResult parsed = options.parse(aCount, aWords);
+    words.settings = parsed["settings"].as<std::string>();
+    words.onlyCheck = parsed.count("check") > 0;
+    words.print = parsed.count("help") > 0      ? options.help()
+                  : parsed.count("version") > 0 ? GENTIANSPINDLE_VERSION "\n"
+                                                : "";
   } catch (const std::exception& error) {
-    return Fail(absl::InvalidArgumentError(error.what()), kExitUsage);
+    return absl::InvalidArgumentError(error.what());
+  }
+  return words;
+}
+
+template<Platform P>
+int
+RunProgram(int aCount, char** aWords)
+{
+  const char* variable = std::getenv(P::kSettingsVariable);
+  absl::StatusOr<Words> words =
+    ParseWords(aCount, aWords, variable == nullptr ? "" : variable);
+  if (!words.ok()) {
+    return Fail(words.status(), kExitUsage);
   }
-  if (words.count("help") + words.count("version") > 0) {
-    std::cout << (words.count("help") > 0 ? options.help()
-                                          : GENTIANSPINDLE_VERSION "\n");
+  if (!words->print.empty()) {
+    std::cout << words->print;
     return 0;
   }
-  std::string path = words["settings"].as<std::string>();
-  absl::StatusOr<TaggedSettings> settings = LoadTaggedSettings(path);
+  absl::StatusOr<TaggedSettings> settings =
+    LoadTaggedSettings(words->settings);
   if (!settings.ok()) {
     return Fail(settings.status(), kExitUsage);
   }
-  if (words.count("check") > 0) {
+  if (words->onlyCheck) {
     return 0;
   }
   BasePtr base(event_base_new());
@@ -55,7 +82,7 @@
     return Fail(absl::InternalError("start event loop"), kExitFailed);
   }
   absl::StatusOr<std::unique_ptr<Node<P>>> node =
-    Node<P>::Make(base.get(), *settings, path);
+    Node<P>::Make(base.get(), *settings, words->settings);
   if (!node.ok()) {
     return Fail(node.status(), kExitFailed);
   }
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -104,6 +104,7 @@
   std::vector<EventPtr> signals;
   Timer tick;
   Micros startedAt = SteadyNow();
+  Micros viewAt = 0; // when the first view was complete
   Micros now = 0;
   Micros lastTick = 0;
   Micros lastBoot = 0;
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -165,7 +165,8 @@
   line.Text("zone", this->settings.instance.zone)
     .Text("packets", this->settings.fabric.packets)
     .Text("store", this->settings.store.address)
-    .Number("start_to_view_us", SteadyNow() - this->startedAt);
+    .Number("view_after_us",
+            this->viewAt == 0 ? -1 : this->viewAt - this->startedAt);
   this->Write(line);
   Endpoint listen = EndpointOf(this->settings.ready.listen);
   listen.port = static_cast<uint16_t>(this->settings.metrics.port);
@@ -382,6 +383,7 @@
     return;
   }
   this->reading = true;
+  this->viewAt = SteadyNow();
   event_add(this->readable.get(), nullptr);
 }
 
