Hold openings while a service's servers are busy, newest first

Ruled out: refusing at once (the callers return and add load). Change: each instance bounds its open flows by the response times that it sees; callers above the bound wait here, who can still be in time first.

--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -1,5 +1,7 @@
 #include "steer/steer.h"
 
+#include "base/text.h"
+
 #include "absl/hash/hash.h"
 
 namespace gentianspindle::steer {
@@ -111,7 +113,92 @@
     this->Erase(aPacket.flow, Outcome::Expired);
   }
   std::string_view service = PickService(*aRoute, aPacket.flow);
-  return this->Place(aPacket, service, kNoServer, aNow);
+  return this->Admit(aPacket, *aRoute, service, aNow);
+}
+
+Steer::Queue&
+Steer::QueueOf(std::string_view aService)
+{
+  return this->queues.try_emplace(ToAbsl(aService)).first->second;
+}
+
+Steer::Queue*
+Steer::QueueOf(ServerIndex aServer)
+{
+  auto queue = this->queues.find(this->view.At(aServer).entry.service);
+  return queue == this->queues.end() ? nullptr : &queue->second;
+}
+
+const Window*
+Steer::WindowOf(std::string_view aService) const
+{
+  auto queue = this->queues.find(ToAbsl(aService));
+  return queue == this->queues.end() ? nullptr : &queue->second.window;
+}
+
+Decision
+Steer::Admit(const Packet& aPacket,
+             const Route& aRoute,
+             std::string_view aService,
+             Micros aNow)
+{
+  Queue& queue = this->QueueOf(aService);
+  if (queue.holds.Size() > 0 && queue.holds.Holds(aPacket.flow)) {
+    return { .action = Action::Drop, .reason = Reason::HeldAgain };
+  }
+  if (queue.window.Admits()) {
+    return this->Place(aPacket, aRoute, aService, kNoServer, aNow);
+  }
+  bool fits = queue.holds.Put({ .packet = aPacket,
+                                .priority = aRoute.entry.priority,
+                                .aim = aRoute.entry.aim,
+                                .heldAt = aNow });
+  if (!fits) {
+    return { .action = Action::Reset, .reason = Reason::HoldFull };
+  }
+  ++this->heldCount;
+  return { .action = Action::Hold, .reason = Reason::Held };
+}
+
+std::optional<Released>
+Steer::Release(Micros aNow)
+{
+  if (this->heldCount == 0) {
+    return std::nullopt;
+  }
+  for (auto& [service, queue] : this->queues) {
+    std::optional<Released> released =
+      this->ReleaseFrom(service, queue, aNow);
+    if (released) {
+      --this->heldCount;
+      return released;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Released>
+Steer::ReleaseFrom(const std::string& aService, Queue& aQueue, Micros aNow)
+{
+  std::optional<HeldOpening> held = aQueue.holds.TakeExpired(aNow);
+  if (held) {
+    Decision decision = this->Count(
+      { .action = Action::Reset, .reason = Reason::HeldTooLong });
+    return Released{ held->packet, decision, aNow - held->heldAt };
+  }
+  if (!aQueue.window.Admits()) {
+    return std::nullopt;
+  }
+  held = aQueue.holds.Take(aNow);
+  if (!held) {
+    return std::nullopt;
+  }
+  const Route* route = this->view.FindRoute(held->packet.flow.target);
+  Decision decision{ .action = Action::Reset, .reason = Reason::RouteRemoved };
+  if (route != nullptr) {
+    decision = this->Place(held->packet, *route, aService, kNoServer, aNow);
+  }
+  return Released{ held->packet, this->Count(decision), aNow - held->heldAt };
 }
 
 // The caller heard no answer for 200 ms or more. A server that answered
@@ -136,7 +223,7 @@
   ServerIndex except = aRecord.server;
   this->Erase(aPacket.flow, Outcome::Unanswered);
   std::string_view service = PickService(aRoute, aPacket.flow);
-  Decision decision = this->Place(aPacket, service, except, aNow);
+  Decision decision = this->Place(aPacket, aRoute, service, except, aNow);
   if (decision.action == Action::Forward) {
     decision.reason = Reason::PlacedAgain;
   }
@@ -145,6 +232,7 @@
 
 Decision
 Steer::Place(const Packet& aPacket,
+             const Route& aRoute,
              std::string_view aService,
              ServerIndex aExcept,
              Micros aNow)
@@ -160,11 +248,13 @@
   Evidence& evidence = this->evidence[choice.server];
   ++evidence.open;
   ++evidence.opening;
+  this->QueueOf(aService).window.OnStart();
   this->flows[aPacket.flow] = { .server = choice.server,
                                 .epoch = server.epoch,
                                 .openingSeq = aPacket.seq,
                                 .placedAt = aNow,
                                 .lastAt = aNow,
+                                .aim = aRoute.entry.aim,
                                 .placedHere = true };
   this->openings.push_back({ aPacket.flow, aNow });
   this->idles.push_back({ aPacket.flow, aNow + kQuietTime });
@@ -254,6 +344,9 @@
     record.answered = true;
     evidence.OnProgress(aNow);
     evidence.OnResponse(aNow - record.requestAt);
+    if (Queue* queue = this->QueueOf(aServer)) {
+      queue->window.OnResponse(aNow - record.requestAt, record.aim, aNow);
+    }
     this->sample = { .response = true, .took = aNow - record.requestAt };
   }
   if (aPacket.fin || aPacket.rst) {
@@ -288,6 +381,10 @@
     --evidence.open;
     evidence.opening -= record.opening ? 1 : 0;
   }
+  Queue* queue = this->QueueOf(record.server);
+  if (queue != nullptr && record.placedHere) {
+    queue->window.OnEnd();
+  }
   ++this->counts.outcomes[static_cast<size_t>(aOutcome)];
   this->flows.erase(known);
 }
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -2,6 +2,7 @@
 // or output, clock or thread; the driver brings packets and ticks.
 #pragma once
 
+#include "steer/admission.h"
 #include "steer/placer.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -16,6 +17,7 @@
   Forward,
   Reset, // to the caller
   Drop,
+  Hold, // the driver keeps the packet until Release or the end of the hold
 };
 
 // Why, for counters and logs.
@@ -32,7 +34,11 @@
   UnknownTag,
   TagNotAllowed, // the route never led to the tag's server
   ServerGone,
-  NoTag, // neither tag nor record
+  NoTag,          // neither tag nor record
+  Held,           // the service's servers are busy
+  HeldAgain,      // copy of a held packet
+  HoldFull,
+  HeldTooLong,
   Count,
 };
 
@@ -41,6 +47,7 @@
     "placed",      "placed_again",    "repeated",      "known",
     "no_view",     "unknown_route",   "route_removed", "no_server",
     "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
+    "held", "held_again", "hold_full", "held_too_long",
   };
 
 constexpr std::string_view
@@ -84,9 +91,18 @@
   bool opening = true;  // no answer seen yet
   bool doubted = false; // counted against the server
   bool answered = false;
+  Micros aim = 0; // of the route
   bool placedHere = false;
 };
 
+// A held packet whose time has come.
+struct Released
+{
+  Packet packet;
+  Decision decision;
+  Micros waited = 0;
+};
+
 // Times that callers saw, for the driver's histograms.
 struct Sample
 {
@@ -116,7 +132,10 @@
   // aFresh: the view is known to be up to date, so that an unknown route
   // truly does not exist.
   Decision OnPacket(const Packet& aPacket, bool aFresh, Micros aNow);
-  // Calls often, at least every 50 ms.
+  // The next held packet to send on or to refuse; call until there is none,
+  // after packets and ticks.
+  std::optional<Released> Release(Micros aNow);
+  // Call often, at least every 50 ms.
   void Tick(Micros aNow);
   // This instance stood still: what was open then says nothing about the
   // servers.
@@ -124,6 +143,8 @@
 
   const SteerCounts& Counts() const { return this->counts; }
   size_t Flows() const { return this->flows.size(); }
+  size_t Held() const { return this->heldCount; }
+  const Window* WindowOf(std::string_view aService) const;
   const Evidence& EvidenceOf(ServerIndex aServer) const
   {
     return this->evidence[aServer];
@@ -142,7 +163,13 @@
                   FlowRecord& aRecord,
                   const Route& aRoute,
                   Micros aNow);
+  // Places the flow, or holds it where the service is busy.
+  Decision Admit(const Packet& aPacket,
+                 const Route& aRoute,
+                 std::string_view aService,
+                 Micros aNow);
   Decision Place(const Packet& aPacket,
+                 const Route& aRoute,
                  std::string_view aService,
                  ServerIndex aExcept,
                  Micros aNow);
@@ -158,6 +185,17 @@
   void ExpireFlows(Micros aNow);
   static std::string_view PickService(const Route& aRoute, const FlowId& aFlow);
 
+  struct Queue
+  {
+    Window window;
+    HoldQueue holds;
+  };
+  Queue& QueueOf(std::string_view aService);
+  Queue* QueueOf(ServerIndex aServer);
+  std::optional<Released> ReleaseFrom(const std::string& aService,
+                                      Queue& aQueue,
+                                      Micros aNow);
+
   struct Due
   {
     FlowId flow;
@@ -170,6 +208,8 @@
   std::vector<uint32_t> epochs;   // of the evidence
   uint64_t processes = 0;         // of the view, when last followed
   absl::flat_hash_map<FlowId, FlowRecord> flows;
+  absl::flat_hash_map<std::string, Queue> queues; // by service
+  size_t heldCount = 0;
   std::deque<Due> openings; // by time of placing
   std::deque<Due> idles;    // by time of the next look
   SteerCounts counts;
--- a/src/steer/types.h
+++ b/src/steer/types.h
@@ -59,6 +59,7 @@
   std::vector<WeightedService> services;
   Micros timeout = 0; // of one request
   Micros aim = 0;     // callers want their answer within this time
+  uint32_t priority = 0; // 0 is the most urgent
 };
 
 struct Config
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -9,6 +9,7 @@
 #include "tagged/settings.h"
 #include "tagged/udp.h"
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/hash/hash.h"
 
 #include <csignal>
@@ -57,6 +58,7 @@
   void CarryOut(const steer::Decision& aDecision,
                 const steer::Packet& aPacket,
                 std::span<uint8_t> aBytes);
+  void ReleaseHeld();
   void Send(std::span<uint8_t> aBytes, Endpoint aTo);
   void SendAll();
   void LogDecision(const steer::Decision& aDecision,
@@ -96,6 +98,8 @@
   EventPtr readable;
   ReceiveBatch received;
   SendBatch sending;
+  // Held packets, each behind its headroom.
+  absl::flat_hash_map<steer::FlowId, std::vector<uint8_t>> held;
   steer::Steer steer;
   std::unique_ptr<Follower<steer::ServerChange>> servers;
   std::unique_ptr<Follower<steer::ConfigChange>> config;
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -208,6 +208,7 @@
     this->OnDatagram(this->received.At(i));
   }
   this->SendAll();
+  this->ReleaseHeld();
 }
 
 template<Platform P>
@@ -247,6 +248,29 @@
     Endpoint caller = aPacket.flow.caller;
     caller.port = EndpointOf(this->settings.fabric.packets).port;
     this->Send(P::MakeReset(aPacket, this->sending.Room()), caller);
+  } else if (aDecision.action == steer::Action::Hold) {
+    this->held[aPacket.flow].assign(aBytes.begin(), aBytes.end());
+  }
+}
+
+template<Platform P>
+void
+Node<P>::ReleaseHeld()
+{
+  while (std::optional<steer::Released> released =
+           this->steer.Release(this->now)) {
+    auto bytes = this->held.find(released->packet.flow);
+    if (bytes == this->held.end()) {
+      continue;
+    }
+    this->LogDecision(
+      released->decision,
+      released->packet,
+      std::span(bytes->second).subspan(kHeadroom));
+    this->CarryOut(released->decision, released->packet, bytes->second);
+    // The batch points at the bytes.
+    this->SendAll();
+    this->held.erase(bytes);
   }
 }
 
@@ -285,9 +309,10 @@
       !this->log->TakesFlow(absl::HashOf(aPacket.flow), this->now)) {
     return;
   }
-  static constexpr std::array<std::string_view, 3> kActions{ "forward",
+  static constexpr std::array<std::string_view, 4> kActions{ "forward",
                                                              "reset",
-                                                             "drop" };
+                                                             "drop",
+                                                             "hold" };
   LogLine line("packet");
   line.Text("outcome", kActions[static_cast<size_t>(aDecision.action)])
     .Text("reason", steer::ReasonName(aDecision.reason))
@@ -410,7 +435,9 @@
   if (took > kTickTime + kPauseTime) {
     this->OnPause(took);
   }
+  this->now = at;
   this->steer.Tick(at);
+  this->ReleaseHeld();
   if (!this->log) {
     this->StartLog();
   }
