--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -13,7 +13,7 @@
 
 // Response time, as a part of the time that callers want, above which the
 // servers' queues are too long.
-constexpr double kTargetResponse = 0.55;
+constexpr double kTargetResponse = 0.7;
 // A caller gives an opening up after 1.4 s; this leaves time for the answer.
 constexpr Micros kLongestHold = 1300 * kMillisecond;
 constexpr size_t kMostHeld = 4096;
