Tell peers which versions are known, and take views from them

Cause: an instance that starts while the store is away had no view, and only a short watch shows that the store turned this instance away or went silent. Watches wait 10 s (2.5 s before), changes of servers are read 500 ms apart (100 ms before).

--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -47,6 +47,32 @@
   return true;
 }
 
+Config
+View::CopyConfig() const
+{
+  Config copy = this->config;
+  for (const auto& [endpoint, route] : this->routes) {
+    copy.routes.push_back(route.entry);
+  }
+  return copy;
+}
+
+std::vector<ServerChange>
+View::CopyServers(Micros aNow) const
+{
+  std::vector<ServerChange> copy;
+  for (const auto& [name, place] : this->byName) {
+    const Server& server = this->servers[place];
+    if (server.presence != Presence::Listed) {
+      continue;
+    }
+    ServerEntry entry = server.entry;
+    entry.coldFor = std::max<Micros>(0, server.coldUntil - aNow);
+    copy.push_back({ name, server.revision, false, std::move(entry) });
+  }
+  return copy;
+}
+
 const Route*
 View::FindRoute(Endpoint aTarget) const
 {
@@ -90,6 +116,7 @@
 bool
 View::PutServer(const ServerChange& aChange, Micros aNow)
 {
+  this->serversRevision = std::max(this->serversRevision, aChange.revision);
   auto known = this->byName.find(aChange.name);
   if (known != this->byName.end() &&
       this->servers[known->second].revision > aChange.revision) {
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -99,6 +99,12 @@
   int64_t Version() const { return this->config.version; }
   Micros Idle() const { return this->config.idle; }
 
+  // For other instances: the configuration in force, the readable servers,
+  // and the revision of the newest change of a server known here.
+  Config CopyConfig() const;
+  std::vector<ServerChange> CopyServers(Micros aNow) const;
+  uint64_t ServersRevision() const { return this->serversRevision; }
+
   const Route* FindRoute(Endpoint aTarget) const;
   // Did a configuration before the one in force have the route?
   bool WasRoute(Endpoint aTarget) const
@@ -132,6 +138,7 @@
   absl::flat_hash_map<Tag, ServerIndex> byTag;
   absl::flat_hash_map<std::string, std::vector<ServerIndex>> byService;
   uint64_t processes = 0;
+  uint64_t serversRevision = 0;
   bool hasServers = false;
   Micros storeBackAt = -kForgetTime;
 };
--- a/src/tagged/follower.h
+++ b/src/tagged/follower.h
@@ -95,6 +95,7 @@
   // What is known may be old: asks anew on a new connection.
   void Restart() { this->client.Disconnect(); }
 
+  uint64_t Revision() const { return this->revision; }
   Micros ConfirmedAt() const { return this->confirmedAt; }
   bool Lost() const { return this->lostAt != 0; }
   const FollowerCounts& Counts() const { return this->counts; }
--- a/src/tagged/main.h
+++ b/src/tagged/main.h
@@ -86,7 +86,10 @@
     return Fail(node.status(), kExitFailed);
   }
   (*node)->Run();
-  return 0;
+  node->reset();
+  // Ending the log library's static objects may outlast the grace time on a
+  // small share of a processor. Nothing is left to do.
+  std::quick_exit(0);
 }
 
 }
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -176,6 +176,14 @@
                  "First data to the first acknowledged answer",
                  aSource.response);
   AddStore(writer, aSource);
+  counter("peers_asked_total", "Questions to peers", aSource.peers.asked);
+  counter(
+    "peer_views_total", "Views taken over from peers", aSource.peers.views);
+  writer.Table("peer_retries_total",
+               "Questions to peers in vain, by reason",
+               "reason",
+               kPeerRetryNames,
+               aSource.peers.retries);
   counter("log_lines_total", "Log lines taken", aSource.log.lines);
   counter("log_dropped_total",
           "Log lines dropped: the reader is slow",
--- a/src/tagged/metrics.h
+++ b/src/tagged/metrics.h
@@ -4,6 +4,7 @@
 #include "steer/steer.h"
 #include "tagged/follower.h"
 #include "tagged/log.h"
+#include "tagged/peers.h"
 
 #include <array>
 #include <prometheus/client_metric.h>
@@ -45,6 +46,7 @@
   const Histogram& response;
   const FollowerCounts& servers;
   const FollowerCounts& config;
+  PeerCounts peers;
   LogCounts log;
   Micros viewAge = 0;
   bool ready = false;
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -6,6 +6,7 @@
 #include "tagged/log.h"
 #include "tagged/metrics.h"
 #include "tagged/pages.h"
+#include "tagged/peers.h"
 #include "tagged/settings.h"
 #include "tagged/udp.h"
 
@@ -27,8 +28,10 @@
 constexpr Micros kLeastStop = 1300 * kMillisecond;
 constexpr Micros kQuietStop = 400 * kMillisecond;
 constexpr Micros kStopMargin = 500 * kMillisecond;
-// Changes of servers come in groups; one call reads the group.
-constexpr Micros kServersPace = 100 * kMillisecond;
+
+// A peer may hear of a change a little earlier; after this time this
+// instance's own watch is to blame.
+constexpr Micros kBehindTime = 700 * kMillisecond;
 
 template<Platform P>
 class Node
@@ -51,6 +54,9 @@
   absl::Status StartPages();
   void StartStore();
   void StartLog();
+  void StartPeers();
+  bool WantsView(const PeerDigest& aDigest);
+  void OnPeerView(const PeerView& aView, const std::string& aPeer);
   void StartSignals();
 
   void OnReadable();
@@ -104,6 +110,9 @@
   std::unique_ptr<Follower<steer::ServerChange>> servers;
   std::unique_ptr<Follower<steer::ConfigChange>> config;
   std::unique_ptr<Pages> pages;
+  std::unique_ptr<Peers> peers;
+  uint64_t peerRevision = 0; // of servers, taken over from a peer
+  Micros behindSince = 0;    // a peer knows more; 0: none does
   std::unique_ptr<Log> log;
   std::vector<EventPtr> signals;
   Timer tick;
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -4,6 +4,7 @@
 #include "tagged/node.h"
 
 #include <cstring>
+#include <iostream>
 
 namespace gentianspindle::tagged {
 
@@ -50,6 +51,7 @@
     return status;
   }
   node->StartSignals();
+  node->StartPeers();
   return node;
 }
 
@@ -77,10 +79,10 @@
     return made.status();
   }
   this->pages = *std::move(made);
-  this->pages->Put(P::kReadyPath, [this] {
+  this->pages->Put(P::kReadyPath, [this](Address /*aCaller*/) {
     return PageAnswer{ this->Ready() ? 200 : 503, "{}" };
   });
-  this->pages->Put("/metrics", [this] {
+  this->pages->Put("/metrics", [this](Address /*aCaller*/) {
     return PageAnswer{ 200, this->Metrics() };
   });
   return this->pages->Listen(EndpointOf(this->settings.ready.listen));
@@ -145,7 +147,8 @@
                                      P::ServersWatchPath,
                                      P::ParseServersList,
                                      P::ParseServersWatch },
-    FollowerOptions{ .wait = wait, .pace = kServersPace },
+    FollowerOptions{ .wait = wait,
+                     .pace = this->settings.store.paceMs * kMillisecond },
     this->EventsOf<steer::ServerChange>(
       "servers",
       [this](Servers aList) { this->OnServers(aList, true); },
@@ -178,6 +181,101 @@
   }
 }
 
+template<Platform P>
+void
+Node<P>::StartPeers()
+{
+  if (this->settings.peers.port == 0) {
+    return;
+  }
+  PeerOptions options;
+  ParseAddress(this->settings.instance.address, options.self.address);
+  options.self.port = static_cast<uint16_t>(this->settings.peers.port);
+  for (const std::string& seed : this->settings.peers.seeds) {
+    options.seeds.push_back(EndpointOf(seed).address);
+  }
+  options.randomSeed =
+    static_cast<uint32_t>(absl::HashOf(options.self.address, SteadyNow()));
+  PeerEvents events;
+  events.digest = [this] {
+    return PeerDigest{ this->steer.Views().Version(),
+                       this->steer.Views().ServersRevision(),
+                       {} };
+  };
+  events.view = [this] {
+    const steer::View& view = this->steer.Views();
+    return PeerView{ view.CopyConfig(),
+                     view.ServersRevision(),
+                     view.CopyServers(SteadyNow()) };
+  };
+  events.hasView = [this] { return this->steer.Views().Ready(); };
+  events.wants = [this](const PeerDigest& aDigest) {
+    return this->WantsView(aDigest);
+  };
+  events.onView = [this](const PeerView& aView, const std::string& aPeer) {
+    this->OnPeerView(aView, aPeer);
+  };
+  absl::StatusOr<std::unique_ptr<Peers>> made =
+    Peers::Make(this->base, options, std::move(events));
+  if (!made.ok()) {
+    // Callers are served without peers.
+    std::cerr << "gentianspindled: " << made.status().message() << std::endl;
+    return;
+  }
+  this->peers = *std::move(made);
+}
+
+// Our own watches normally tell first. Where a peer stays ahead they are
+// silent, or the store turns this instance away.
+template<Platform P>
+bool
+Node<P>::WantsView(const PeerDigest& aDigest)
+{
+  uint64_t known = std::max(this->servers->Revision(), this->peerRevision);
+  bool oldConfig = aDigest.configVersion > this->steer.Views().Version();
+  bool oldServers = aDigest.serversRevision > known;
+  if (!oldConfig && !oldServers) {
+    this->behindSince = 0;
+    return false;
+  }
+  Micros at = SteadyNow();
+  if (this->behindSince == 0) {
+    this->behindSince = at;
+  }
+  bool lost = this->config->Lost() || this->servers->Lost();
+  return lost || at - this->behindSince >= kBehindTime;
+}
+
+template<Platform P>
+void
+Node<P>::OnPeerView(const PeerView& aView, const std::string& aPeer)
+{
+  Micros at = SteadyNow();
+  steer::View& view = this->steer.Views();
+  uint64_t known = std::max(this->servers->Revision(), this->peerRevision);
+  bool newConfig = view.PutConfig(aView.config);
+  bool newServers = aView.serversRevision > known || !view.HasServers();
+  if (newServers) {
+    view.PutServers(aView.servers, at);
+    this->peerRevision = aView.serversRevision;
+  }
+  this->OnView();
+  if (newConfig && !this->config->Lost()) {
+    this->config->Restart();
+  }
+  if (newServers && !this->servers->Lost()) {
+    this->servers->Restart();
+  }
+  this->behindSince = 0;
+  LogLine line("view_from_peer");
+  line.Text("peer", aPeer)
+    .Number("config_version", view.Version())
+    .Text("config", newConfig ? "newer" : "known")
+    .Number("servers_revision", static_cast<int64_t>(aView.serversRevision))
+    .Text("servers", newServers ? "newer" : "known");
+  this->Write(line);
+}
+
 template<Platform P>
 void
 Node<P>::StartSignals()
@@ -532,6 +630,8 @@
                         .response = this->response,
                         .servers = this->servers->Counts(),
                         .config = this->config->Counts(),
+                        .peers =
+                          this->peers ? this->peers->Counts() : PeerCounts{},
                         .log = this->log ? this->log->Counts() : LogCounts{},
                         .viewAge = SteadyNow() - this->servers->ConfirmedAt(),
                         .ready = this->Ready() };
--- a/src/tagged/pages.cpp
+++ b/src/tagged/pages.cpp
@@ -43,15 +43,22 @@
 }
 
 void
-Pages::Put(const std::string& aPath, std::function<PageAnswer()> aPage)
+Pages::Put(const std::string& aPath, Answer aPage)
 {
-  this->pages.push_back(
-    std::make_unique<std::function<PageAnswer()>>(std::move(aPage)));
+  this->pages.push_back(std::make_unique<Answer>(std::move(aPage)));
   evhttp_set_cb(
     this->server.get(),
     aPath.c_str(),
     [](evhttp_request* aRequest, void* aCall) {
-      PageAnswer answer = (*static_cast<std::function<PageAnswer()>*>(aCall))();
+      char* host = nullptr;
+      ev_uint16_t port = 0;
+      evhttp_connection_get_peer(
+        evhttp_request_get_connection(aRequest), &host, &port);
+      Address caller = 0;
+      if (host != nullptr) {
+        ParseAddress(host, caller);
+      }
+      PageAnswer answer = (*static_cast<Answer*>(aCall))(caller);
       evbuffer* body = evbuffer_new();
       evbuffer_add(body, answer.body.data(), answer.body.size());
       evhttp_send_reply(aRequest,
--- a/src/tagged/pages.h
+++ b/src/tagged/pages.h
@@ -20,11 +20,14 @@
 class Pages
 {
 public:
+  // Gets the caller's address.
+  using Answer = std::function<PageAnswer(Address)>;
+
   static absl::StatusOr<std::unique_ptr<Pages>> Make(event_base* aBase);
 
   // Serves the pages at aListen too.
   absl::Status Listen(Endpoint aListen);
-  void Put(const std::string& aPath, std::function<PageAnswer()> aPage);
+  void Put(const std::string& aPath, Answer aPage);
 
 private:
   struct FreeServer
@@ -34,7 +37,7 @@
   Pages() = default;
 
   std::unique_ptr<evhttp, FreeServer> server;
-  std::vector<std::unique_ptr<std::function<PageAnswer()>>> pages;
+  std::vector<std::unique_ptr<Answer>> pages;
 };
 
 }
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -31,6 +31,7 @@
 {
   std::string address;
   int64_t watchMs = 0;
+  int64_t paceMs = 0;
 };
 
 struct TaggedPeersSettings
@@ -66,7 +67,7 @@
   TaggedLogSettings log;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 12>
+inline constexpr std::array<SettingField<TaggedSettings>, 13>
   kTaggedSettingsFields{ {
     {
       { "instance",
@@ -164,7 +165,7 @@
         SettingType::Integer,
         false,
         "",
-        2500,
+        10000,
         100,
         30000,
         "milliseconds",
@@ -173,6 +174,21 @@
         return &aSettings.store.watchMs;
       },
     },
+    {
+      { "store",
+        "pace_ms",
+        SettingType::Integer,
+        false,
+        "",
+        500,
+        0,
+        5000,
+        "milliseconds",
+        "time between an answer with changes of servers and the next watch" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.store.paceMs;
+      },
+    },
     {
       { "peers",
         "port",
--- a/tests/fuzz/translation_fuzz.cpp
+++ b/tests/fuzz/translation_fuzz.cpp
@@ -18,20 +18,21 @@
                         rest.size());
   switch (aData[0] % 4) {
     case 0: {
-      std::optional<steer::Packet> packet = platform::DecodePacket(rest);
+      std::optional<steer::Packet> packet =
+        platform::PacketFormat::Decode(rest);
       if (packet && packet->dataBytes >= rest.size()) {
         std::abort();
       }
-      (void)platform::RequestId(rest);
+      (void)platform::PacketFormat::RequestId(rest);
       break;
     }
     case 1:
-      (void)platform::ParseServersList(text);
-      (void)platform::ParseServersWatch(text);
+      (void)platform::ObjectFormat::ParseServersList(text);
+      (void)platform::ObjectFormat::ParseServersWatch(text);
       break;
     case 2:
-      (void)platform::ParseConfigList(text);
-      (void)platform::ParseConfigWatch(text);
+      (void)platform::ObjectFormat::ParseConfigList(text);
+      (void)platform::ObjectFormat::ParseConfigWatch(text);
       break;
     default:
       (void)ParseTaggedSettings(text, "fuzz");
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -105,22 +105,38 @@
            { "limits", { { "idle_timeout_ms", 15000 } } } };
 }
 
+struct Place
+{
+  int storePort = 0;
+  Address address = kLoopback;
+  uint16_t peersPort = 0;
+  std::vector<Address> seeds;
+};
+
 // One daemon with its settings file; its standard output is a pipe.
 struct Daemon
 {
+  Place place;
   pid_t pid = -1;
   int output = -1;
-  Endpoint packets{ kLoopback, FreePort() };
+  Endpoint packets{ 0, FreePort() };
   uint16_t readyPort = FreePort();
   uint16_t metricsPort = FreePort();
   std::filesystem::path folder;
 
   explicit Daemon(int aStorePort)
+    : Daemon(Place{ .storePort = aStorePort })
+  {
+  }
+
+  explicit Daemon(const Place& aPlace)
+    : place(aPlace)
   {
+    this->packets.address = aPlace.address;
     std::string name = std::filesystem::temp_directory_path() / "tagXXXXXX";
     REQUIRE(mkdtemp(name.data()) != nullptr);
     this->folder = name;
-    this->WriteSettings(aStorePort, 200);
+    this->WriteSettings(200);
     int ends[2];
     REQUIRE(pipe2(ends, O_CLOEXEC) == 0);
     this->output = ends[0];
@@ -149,31 +165,45 @@
 
   std::string SettingsPath() const { return this->folder / "settings.toml"; }
 
-  void WriteSettings(int aStorePort, int aLines, const char* aMore = "") const
+  std::string Host() const { return FormatAddress(this->place.address); }
+
+  void WriteSettings(int aLines, const char* aMore = "") const
   {
+    std::string seeds;
+    for (Address seed : this->place.seeds) {
+      seeds += (seeds.empty() ? "\"" : ", \"") + FormatAddress(seed) + ":1\"";
+    }
+    if (!seeds.empty()) {
+      seeds = "seeds = [" + seeds + "]\n";
+    }
     std::string next = this->folder / "next.toml";
-    std::ofstream(next)
-      << "[instance]\nname = \"one\"\naddress = \"127.0.0.1\"\nzone = \"a\"\n"
-      << "[fabric]\npackets = \"" << FormatEndpoint(this->packets) << "\"\n"
-      << "[ready]\nlisten = \"127.0.0.1:" << this->readyPort << "\"\n"
-      << "[store]\naddress = \"127.0.0.1:" << aStorePort
-      << "\"\nwatch_ms = 300\n"
-      << "[metrics]\nport = " << this->metricsPort << "\n"
-      << "[log]\nlines_per_s = " << aLines << "\n"
-      << aMore;
+    std::ofstream(next) << "[instance]\nname = \"one\"\naddress = \""
+                        << this->Host() << "\"\nzone = \"a\"\n"
+                        << "[fabric]\npackets = \""
+                        << FormatEndpoint(this->packets) << "\"\n"
+                        << "[ready]\nlisten = \"" << this->Host() << ":"
+                        << this->readyPort << "\"\n"
+                        << "[store]\naddress = \"127.0.0.1:"
+                        << this->place.storePort
+                        << "\"\nwatch_ms = 300\npace_ms = 20\n"
+                        << "[peers]\nport = " << this->place.peersPort << "\n"
+                        << seeds << "[metrics]\nport = " << this->metricsPort
+                        << "\n"
+                        << "[log]\nlines_per_s = " << aLines << "\n"
+                        << aMore;
     std::filesystem::rename(next, this->SettingsPath());
   }
 
   int Ready() const
   {
-    httplib::Client client("127.0.0.1", this->readyPort);
+    httplib::Client client(this->Host(), this->readyPort);
     auto answer = client.Get("/-/readiness");
     return answer ? answer->status : 0;
   }
 
   std::string Metrics() const
   {
-    httplib::Client client("127.0.0.1", this->metricsPort);
+    httplib::Client client(this->Host(), this->metricsPort);
     auto answer = client.Get("/metrics");
     return answer ? answer->body : "";
   }
@@ -255,7 +285,8 @@
   CHECK(opened[3] == 0x75);
   CHECK(opened[7] == 0xcd);
   steer::Tag tag = steer::TagOf(0x75bc4be3cdULL);
-  CHECK(platform::DecodePacket(std::span(opened).subspan(8))->tag == tag);
+  CHECK(platform::PacketFormat::Decode(std::span(opened).subspan(8))->tag ==
+        tag);
 
   site.store.status = 503;
   REQUIRE(Eventually([&] {
@@ -332,9 +363,9 @@
     return seen.find(aText) != std::string::npos;
   };
   fcntl(daemon.output, F_SETFL, O_NONBLOCK);
-  daemon.WriteSettings(site.port, 100);
+  daemon.WriteSettings(100);
   CHECK(Eventually([&] { return says("\"outcome\":\"in_force\""); }));
-  daemon.WriteSettings(site.port, 100, "[nonsense]\nkey = 1\n");
+  daemon.WriteSettings(100, "[nonsense]\nkey = 1\n");
   kill(daemon.pid, SIGHUP);
   CHECK(Eventually([&] { return says("\"outcome\":\"refused\""); }));
   CHECK(daemon.Ready() == 200);
@@ -345,7 +376,7 @@
   Site site;
   Daemon daemon(site.port);
   REQUIRE(Eventually([&] { return daemon.Ready() == 200; }));
-  daemon.WriteSettings(site.port, 100'000);
+  daemon.WriteSettings(100'000);
   kill(daemon.pid, SIGHUP);
   // Nobody reads the pipe. Lines of about 400 bytes fill it and the buffer.
   size_t forwarded = 0;
@@ -358,4 +389,41 @@
   CHECK(daemon.Metric("gentianspindle_log_dropped_total") > 0);
 }
 
+TEST_CASE("An instance that starts while the store is away asks its peers")
+{
+  Site site;
+  uint16_t port = FreePort();
+  constexpr Address kFirst = kLoopback + 1;
+  constexpr Address kSecond = kLoopback + 2;
+  Daemon first({ site.port, kFirst, port, { kFirst, kSecond } });
+  REQUIRE(Eventually([&] { return first.Ready() == 200; }));
+  site.store.status = 503;
+  Daemon second({ site.port, kSecond, port, { kFirst, kSecond } });
+  CHECK(Eventually([&] { return second.Ready() == 200; }));
+  CHECK(second.Metric("gentianspindle_peer_views_total") == 1);
+  second.Send(MakePacket(7000, true), site.fabric);
+  CHECK(site.host.Receive().size() == 40);
+}
+
+TEST_CASE("An instance that the store turns away hears changes from peers")
+{
+  Site site;
+  ObjectStore other; // stands for the store as the second instance sees it
+  int otherPort = other.Start();
+  other.Put("config", "main", ConfigSpec(3));
+  other.Put("servers", "i-75bc4be3cd", ServerSpec(site.host.at));
+  uint16_t port = FreePort();
+  constexpr Address kFirst = kLoopback + 1;
+  constexpr Address kSecond = kLoopback + 2;
+  Daemon first({ site.port, kFirst, port, { kFirst, kSecond } });
+  Daemon second({ otherPort, kSecond, port, { kFirst, kSecond } });
+  REQUIRE(
+    Eventually([&] { return first.Ready() == 200 && second.Ready() == 200; }));
+  other.status = 503;
+  site.store.Put("config", "main", ConfigSpec(8));
+  site.store.Put("servers", "i-1", ServerSpec(Peer::Make().at));
+  CHECK(Eventually(
+    [&] { return second.Metric("gentianspindle_config_version") == 8; }));
+}
+
 }
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -17,7 +17,7 @@
 {
   auto settings = ParseTaggedSettings(kGood, "file");
   REQUIRE(settings.ok());
-  CHECK(settings->store.watchMs == 2500);
+  CHECK(settings->store.watchMs == 10000);
   CHECK(settings->stop.graceMs == 6000);
   CHECK(settings->peers.seeds.empty());
 }
--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -1,14 +1,14 @@
 #include "platform/objects.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <catch2/catch.hpp>
 
 namespace gentianspindle {
 
 namespace {
 
-using platform::ParseConfigList;
-using platform::ParseServersList;
-using platform::ParseServersWatch;
+using platform::ObjectFormat;
 
 std::string
 ServerSpec(const std::string& aState)
@@ -21,8 +21,11 @@
 std::string
 Object(const std::string& aName, const std::string& aSpec)
 {
-  return R"({"meta":{"name":")" + aName + R"(","revision":412},"spec":)" +
-         aSpec + R"(,"status":null})";
+  return absl::StrCat(R"({"meta":{"name":")",
+                      aName,
+                      R"(","revision":412},"spec":)",
+                      aSpec,
+                      R"(,"status":null})");
 }
 
 std::string
@@ -35,8 +38,8 @@
 
 TEST_CASE("A server's entry is read")
 {
-  auto page =
-    ParseServersList(List(Object("i-75bc4be3cd", ServerSpec("ready"))));
+  auto page = ObjectFormat::ParseServersList(
+    List(Object("i-75bc4be3cd", ServerSpec("ready"))));
   REQUIRE(page.ok());
   CHECK(page->revision == 530);
   REQUIRE(page->changes.size() == 1);
@@ -63,7 +66,7 @@
          std::string(R"({"meta":5})"),
          std::string("17"),
        }) {
-    auto page = ParseServersList(List(good + "," + bad));
+    auto page = ObjectFormat::ParseServersList(List(good + "," + bad));
     REQUIRE(page.ok());
     size_t readable = 0;
     for (const steer::ServerChange& change : page->changes) {
@@ -77,16 +80,16 @@
 TEST_CASE("A body that is no list is an error, not an empty list")
 {
   for (const char* body : { "", "{", "[]", R"({"items":[]})", "null" }) {
-    CHECK_FALSE(ParseServersList(body).ok());
-    CHECK_FALSE(ParseServersWatch(body).ok());
+    CHECK_FALSE(ObjectFormat::ParseServersList(body).ok());
+    CHECK_FALSE(ObjectFormat::ParseServersWatch(body).ok());
   }
 }
 
 TEST_CASE("Watches tell changes and removals")
 {
-  auto page = ParseServersWatch(R"({"events":[{"tombstone":true,"object":)" +
-                                Object("i-7", ServerSpec("ready")) +
-                                R"(}],"as_of":533})");
+  auto page = ObjectFormat::ParseServersWatch(
+    R"({"events":[{"tombstone":true,"object":)" +
+    Object("i-7", ServerSpec("ready")) + R"(}],"as_of":533})");
   REQUIRE(page.ok());
   CHECK(page->revision == 533);
   CHECK(page->changes[0].removed);
@@ -102,7 +105,7 @@
     R"([{"service":"s","weight":90},{"service":"t","weight":10}]},)"
     R"({"name":"c","host":"nowhere","path_prefix":"/1/","service":"s"}],)"
     R"("limits":{"idle_timeout_ms":15000}})";
-  auto page = ParseConfigList(List(Object("main", spec)));
+  auto page = ObjectFormat::ParseConfigList(List(Object("main", spec)));
   REQUIRE(page.ok());
   REQUIRE(page->changes[0].config);
   const steer::Config& config = *page->changes[0].config;
@@ -117,8 +120,8 @@
 
 TEST_CASE("Another object of the configuration's kind is no configuration")
 {
-  auto page =
-    ParseConfigList(List(Object("other", R"({"version":9,"routes":[]})")));
+  auto page = ObjectFormat::ParseConfigList(
+    List(Object("other", R"({"version":9,"routes":[]})")));
   REQUIRE(page.ok());
   CHECK_FALSE(page->changes[0].config);
 }
--- a/tests/translation/wire_test.cpp
+++ b/tests/translation/wire_test.cpp
@@ -34,7 +34,8 @@
 
 TEST_CASE("The published opening packet is read")
 {
-  std::optional<steer::Packet> packet = platform::DecodePacket(Opening());
+  std::optional<steer::Packet> packet =
+    platform::PacketFormat::Decode(Opening());
   REQUIRE(packet);
   CHECK(FormatEndpoint(packet->flow.caller) == "100.64.0.7:40001");
   CHECK(FormatEndpoint(packet->flow.target) == "198.18.0.1:443");
@@ -48,13 +49,13 @@
 TEST_CASE("Datagrams that are no whole packet are told apart")
 {
   std::vector<uint8_t> bytes = WithData("abc");
-  CHECK(platform::DecodePacket(bytes));
+  CHECK(platform::PacketFormat::Decode(bytes));
   bytes.pop_back();
-  CHECK_FALSE(platform::DecodePacket(bytes));
+  CHECK_FALSE(platform::PacketFormat::Decode(bytes));
   bytes.resize(31);
-  CHECK_FALSE(platform::DecodePacket(bytes));
-  CHECK_FALSE(platform::DecodePacket({}));
-  CHECK_FALSE(platform::DecodePacket(WithData(std::string(1201, 'x'))));
+  CHECK_FALSE(platform::PacketFormat::Decode(bytes));
+  CHECK_FALSE(platform::PacketFormat::Decode({}));
+  CHECK_FALSE(platform::PacketFormat::Decode(WithData(std::string(1201, 'x'))));
 }
 
 TEST_CASE("A packet to a host has its id before it and the tag in it")
@@ -63,7 +64,7 @@
   std::vector<uint8_t> packet = WithData("abc");
   bytes.insert(bytes.end(), packet.begin(), packet.end());
   std::span<uint8_t> datagram =
-    platform::WrapForHost(bytes, 0xAABBCCDD, 0x75bc4be3cdULL);
+    platform::PacketFormat::Wrap(bytes, 0xAABBCCDD, 0x75bc4be3cdULL);
   REQUIRE(datagram.size() == 8 + packet.size());
   std::vector<uint8_t> id(datagram.begin(), datagram.begin() + 8);
   CHECK(id == std::vector<uint8_t>{ 0, 0, 0, 0x75, 0xbc, 0x4b, 0xe3, 0xcd });
@@ -76,10 +77,11 @@
 
 TEST_CASE("A reset is the published one")
 {
-  std::optional<steer::Packet> packet = platform::DecodePacket(Opening());
+  std::optional<steer::Packet> packet =
+    platform::PacketFormat::Decode(Opening());
   std::array<uint8_t, tagged::kResetRoom> room{};
   room.fill(0xFF);
-  std::span<uint8_t> reset = platform::MakeReset(*packet, room);
+  std::span<uint8_t> reset = platform::PacketFormat::MakeReset(*packet, room);
   std::vector<uint8_t> expected{ 0,    0,    0,    0,    0, 0, 0,    0,
                                  0x80, 0,    0,    0,    0, 0, 0,    0,
                                  1,    0xbb, 0xc6, 0x12, 0, 1, 0x9c, 0x41,
@@ -90,7 +92,7 @@
 TEST_CASE("The request's id is read where the packet holds it whole")
 {
   auto id = [](const std::string& aData) {
-    return std::string(platform::RequestId(WithData(aData)));
+    return std::string(platform::PacketFormat::RequestId(WithData(aData)));
   };
   CHECK(id("GET / HTTP/1.1\r\nAttempt-Id: a69c\r\n\r\n") == "a69c");
   CHECK(id("GET / HTTP/1.1\r\nAttempt-Id: a69").empty());
