--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -157,7 +157,10 @@
     return { .action = Action::Reset, .reason = Reason::HoldFull };
   }
   ++this->heldCount;
-  return { .action = Action::Hold, .reason = Reason::Held };
+  return { .action = Action::Hold,
+           .reason = Reason::Held,
+           .windowOpen = queue.window.Open(),
+           .windowLimit = queue.window.Limit() };
 }
 
 std::optional<Released>
@@ -179,25 +182,26 @@
 std::optional<Released>
 Steer::ReleaseFrom(const std::string& aService, Queue& aQueue, Micros aNow)
 {
+  Decision decision{ .action = Action::Reset, .reason = Reason::HeldTooLong };
   std::optional<HeldOpening> held = aQueue.holds.TakeExpired(aNow);
-  if (held) {
-    Decision decision =
-      this->Count({ .action = Action::Reset, .reason = Reason::HeldTooLong });
-    return Released{ held->packet, decision, aNow - held->heldAt };
-  }
-  if (!aQueue.window.Admits()) {
-    return std::nullopt;
-  }
-  held = aQueue.holds.Take(aNow);
   if (!held) {
-    return std::nullopt;
-  }
-  const Route* route = this->view.FindRoute(held->packet.flow.target);
-  Decision decision{ .action = Action::Reset, .reason = Reason::RouteRemoved };
-  if (route != nullptr) {
-    decision = this->Place(held->packet, *route, aService, kNoServer, aNow);
+    if (!aQueue.window.Admits()) {
+      return std::nullopt;
+    }
+    held = aQueue.holds.Take(aNow);
+    if (!held) {
+      return std::nullopt;
+    }
+    const Route* route = this->view.FindRoute(held->packet.flow.target);
+    decision.reason = Reason::RouteRemoved;
+    if (route != nullptr) {
+      decision = this->Place(held->packet, *route, aService, kNoServer, aNow);
+    }
   }
-  return Released{ held->packet, this->Count(decision), aNow - held->heldAt };
+  decision.waited = aNow - held->heldAt;
+  decision.windowOpen = aQueue.window.Open();
+  decision.windowLimit = aQueue.window.Limit();
+  return Released{ held->packet, this->Count(decision) };
 }
 
 // The caller heard no answer for 200 ms or more. A server that answered
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -63,6 +63,10 @@
   ServerIndex server = kNoServer;
   Tag tag = kNoTag;          // to be written into the packet
   bool firstRequest = false; // the packet has the flow's first data
+  // Of a flow that is or was held: the bound that held it.
+  Micros waited = 0;
+  uint32_t windowOpen = 0;
+  double windowLimit = 0;
   Choice choice;
 };
 
@@ -100,7 +104,6 @@
 {
   Packet packet;
   Decision decision;
-  Micros waited = 0;
 };
 
 // Times that callers saw, for the driver's histograms.
--- a/src/tagged/log.cpp
+++ b/src/tagged/log.cpp
@@ -18,6 +18,9 @@
 
 // Lines that wait for the reader take at most this much memory.
 constexpr size_t kMaxWaiting = 512 * 1024; // bytes
+// A pipe takes this much as a whole, so that lines of processes that share
+// it do not mix.
+constexpr size_t kWriteBytes = 4096;
 // Lines are written together after this time, to save system calls.
 constexpr Micros kFlushAfter = 200 * kMillisecond;
 constexpr uint32_t kMaxSampleShift = 20;
@@ -101,11 +104,21 @@
     ++this->lines;
   }
 
+  // Bytes of whole lines that one write takes; at least one line.
+  size_t WholeLines() const
+  {
+    size_t end = this->waiting.rfind('\n', kWriteBytes - 1);
+    if (end == std::string::npos) {
+      end = this->waiting.find('\n');
+    }
+    return end + 1;
+  }
+
   void Drain()
   {
     while (!this->waiting.empty()) {
       ssize_t wrote =
-        write(STDOUT_FILENO, this->waiting.data(), this->waiting.size());
+        write(STDOUT_FILENO, this->waiting.data(), this->WholeLines());
       if (wrote <= 0) {
         // The reader is slow (tried again later) or gone (nobody to tell).
         return;
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -440,6 +440,11 @@
       .Number("candidates", aDecision.choice.candidates)
       .Number("suspects", aDecision.choice.suspects);
   }
+  if (aDecision.windowLimit > 0) {
+    line.Number("waited_ms", aDecision.waited / kMillisecond)
+      .Number("window_open", aDecision.windowOpen)
+      .Real("window_limit", aDecision.windowLimit);
+  }
   this->Write(line);
 }
 
