Keep callers that went away from closing a service, and probe a lost store

And a watch that was sent into a silent store hung for 10.7 s. Ruled out: lapsed servers, missing views (the log shows both well). Change: a flow counts for two aims, the bound never falls below three quarters of the instance's share of the slots, a watch after a failure waits 0.4 s.

--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -14,7 +14,6 @@
 constexpr Micros kSettleTime = 200 * kMillisecond;
 constexpr double kLeastShrink = 0.9;
 constexpr double kGrowth = 1.04;
-constexpr double kLeastLimit = 1;
 // A limit that did not bind for this time is taken away.
 constexpr Micros kFreeTime = 1500 * kMillisecond;
 // Of the time that callers want, the part that one request needs at a server
@@ -55,7 +54,7 @@
   double factor = std::max(kLeastShrink, kTargetResponse / this->response);
   double base =
     this->bounded ? std::min<double>(this->limit, this->open) : this->open;
-  this->limit = std::max(kLeastLimit, base * factor);
+  this->limit = std::max(this->floor, base * factor);
   this->bounded = true;
 }
 
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -17,6 +17,10 @@
 // A caller gives an opening up after 1.4 s; this leaves time for the answer.
 constexpr Micros kLongestHold = 1300 * kMillisecond;
 constexpr size_t kMostHeld = 4096;
+// A flow counts against the bound for this many times the time that callers
+// want. Later its caller has given up, or it is a straggler; neither says that
+// the queues are long, and callers that went away must not keep others out.
+constexpr Micros kCountedAims = 2;
 
 // Bound on open flows from the response times seen here. Each instance finds
 // its share by itself: all see the same queues.
@@ -25,6 +29,8 @@
 public:
   // A response took aTook; callers want it within aAim.
   void OnResponse(Micros aTook, Micros aAim, Micros aNow);
+  // The limit never falls below aFloor, this instance's share of the slots.
+  void SetFloor(double aFloor) { this->floor = aFloor; }
   void OnStart() { ++this->open; }
   void OnEnd() { this->open -= this->open > 0 ? 1 : 0; }
 
@@ -41,6 +47,7 @@
   uint32_t open = 0;
   bool bounded = false;
   double limit = 0;
+  double floor = 1;
   double response = 0; // average, as a part of what callers want
   Micros changedAt = 0;
   Micros boundAt = 0; // when the limit last bound
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -4,6 +4,8 @@
 
 #include "absl/hash/hash.h"
 
+#include <algorithm>
+
 namespace gentianspindle::steer {
 
 namespace {
@@ -251,14 +253,18 @@
   Evidence& evidence = this->evidence[choice.server];
   ++evidence.open;
   ++evidence.opening;
-  this->QueueOf(aService).window.OnStart();
+  Queue& queue = this->QueueOf(aService);
+  queue.window.OnStart();
+  queue.counted.push_back(
+    { aPacket.flow, aNow + kCountedAims * aRoute.entry.aim });
   this->flows[aPacket.flow] = { .server = choice.server,
                                 .epoch = server.epoch,
                                 .openingSeq = aPacket.seq,
                                 .placedAt = aNow,
                                 .lastAt = aNow,
                                 .aim = aRoute.entry.aim,
-                                .placedHere = true };
+                                .placedHere = true,
+                                .counted = true };
   this->openings.push_back({ aPacket.flow, aNow });
   this->idles.push_back({ aPacket.flow, aNow + kQuietTime });
   return { .action = Action::Forward,
@@ -378,20 +384,61 @@
   if (known == this->flows.end()) {
     return;
   }
-  const FlowRecord& record = known->second;
+  FlowRecord& record = known->second;
+  this->Uncount(record);
   if (this->SameProcess(record)) {
     Evidence& evidence = this->evidence[record.server];
     --evidence.open;
     evidence.opening -= record.opening ? 1 : 0;
   }
-  Queue* queue = this->QueueOf(record.server);
-  if (queue != nullptr && record.placedHere) {
-    queue->window.OnEnd();
-  }
   ++this->counts.outcomes[static_cast<size_t>(aOutcome)];
   this->flows.erase(known);
 }
 
+void
+Steer::Uncount(FlowRecord& aRecord)
+{
+  Queue* queue = this->QueueOf(aRecord.server);
+  if (aRecord.counted && queue != nullptr) {
+    queue->window.OnEnd();
+  }
+  aRecord.counted = false;
+}
+
+// Part of the bound that this instance may always use, so that a wrong
+// picture of the queues cannot close a service.
+double
+Steer::ShareOfSlots(std::string_view aService) const
+{
+  constexpr double kPart = 0.75;
+  uint32_t slots = 0;
+  for (ServerIndex place : this->view.Of(aService)) {
+    const Server& server = this->view.At(place);
+    slots += server.TakesNew() ? server.entry.slots : 0;
+  }
+  auto instances = static_cast<double>(std::max<size_t>(1, this->instances));
+  return std::max(1.0, kPart * slots / instances);
+}
+
+void
+Steer::FollowQueues(Micros aNow)
+{
+  for (auto& [service, queue] : this->queues) {
+    queue.window.SetFloor(this->ShareOfSlots(service));
+    while (!queue.counted.empty() && queue.counted.front().at <= aNow) {
+      auto known = this->flows.find(queue.counted.front().flow);
+      // The same end may have opened a later flow.
+      bool over =
+        known != this->flows.end() &&
+        known->second.placedAt + kCountedAims * known->second.aim <= aNow;
+      if (over) {
+        this->Uncount(known->second);
+      }
+      queue.counted.pop_front();
+    }
+  }
+}
+
 void
 Steer::Tick(Micros aNow)
 {
@@ -409,6 +456,7 @@
     }
   }
   this->ExpireFlows(aNow);
+  this->FollowQueues(aNow);
 }
 
 void
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -97,6 +97,7 @@
   bool answered = false;
   Micros aim = 0; // of the route
   bool placedHere = false;
+  bool counted = false; // against the service's bound
 };
 
 // A held packet whose time has come.
@@ -136,6 +137,9 @@
   {
   }
 
+  // How many instances share the servers, this one included.
+  void SetInstances(size_t aInstances) { this->instances = aInstances; }
+
   View& Views() { return this->view; }
   const View& Views() const { return this->view; }
 
@@ -193,12 +197,21 @@
   void FollowView();
   bool SameProcess(const FlowRecord& aRecord) const;
   void ExpireFlows(Micros aNow);
+  void Uncount(FlowRecord& aRecord);
+  void FollowQueues(Micros aNow);
+  double ShareOfSlots(std::string_view aService) const;
   static std::string_view PickService(const Route& aRoute, const FlowId& aFlow);
 
+  struct Due
+  {
+    FlowId flow;
+    Micros at = 0;
+  };
   struct Queue
   {
     Window window;
     HoldQueue holds;
+    std::deque<Due> counted; // when flows count no more
   };
   Queue& QueueOf(std::string_view aService);
   Queue* QueueOf(ServerIndex aServer);
@@ -206,12 +219,6 @@
                                       Queue& aQueue,
                                       Micros aNow);
 
-  struct Due
-  {
-    FlowId flow;
-    Micros at = 0;
-  };
-
   SteerOptions options;
   View view;
   Placer placer;
@@ -221,6 +228,7 @@
   absl::flat_hash_map<FlowId, FlowRecord> flows;
   absl::flat_hash_map<std::string, Queue> queues; // by service
   size_t heldCount = 0;
+  size_t instances = 1;
   std::deque<Due> openings; // by time of placing
   std::deque<Due> idles;    // by time of the next look
   SteerCounts counts;
--- a/src/tagged/follower.h
+++ b/src/tagged/follower.h
@@ -16,6 +16,9 @@
 constexpr Micros kListTimeout = 1500 * kMillisecond;
 // A watch may take this much longer than it asks the store to wait.
 constexpr Micros kWatchSlack = 700 * kMillisecond;
+// After a failure a watch waits only this long: its answer tells that the
+// store is back, and one that the store never answers is soon given up.
+constexpr Micros kProbeWait = 400 * kMillisecond;
 constexpr Micros kFirstRetry = 150 * kMillisecond;
 constexpr Micros kLongestRetry = 1 * kSecond;
 constexpr double kRetryGrowth = 1.7;
@@ -104,12 +107,13 @@
   void Call()
   {
     bool list = !this->listed;
+    Micros wait = this->Lost() ? std::min(kProbeWait, this->options.wait)
+                               : this->options.wait;
     std::string path =
       list ? this->format.listPath(this->after)
-           : this->format.watchPath(this->revision,
-                                    this->options.wait / kMillisecond);
+           : this->format.watchPath(this->revision, wait / kMillisecond);
     ++(list ? this->counts.lists : this->counts.watches);
-    Micros timeout = list ? kListTimeout : this->options.wait + kWatchSlack;
+    Micros timeout = list ? kListTimeout : wait + kWatchSlack;
     this->client.Get(
       path, timeout, [this, list](absl::StatusOr<HttpAnswer> aAnswer) {
         this->OnAnswer(list, std::move(aAnswer));
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -537,6 +537,7 @@
     this->OnPause(took);
   }
   this->now = at;
+  this->steer.SetInstances(this->peers ? this->peers->Known() + 1 : 1);
   this->steer.Tick(at);
   this->ReleaseHeld();
   if (!this->log) {
--- a/tests/steer/steer_test.cpp
+++ b/tests/steer/steer_test.cpp
@@ -269,4 +269,57 @@
   CHECK(bench.steer.WindowOf("web")->Open() == 0);
 }
 
+// Seen on the bench after a loss of power: a bound of one, and callers that
+// had given up without a word counted against it for five seconds.
+TEST_CASE("Callers that went away do not keep others out")
+{
+  Bench bench;
+  uint16_t port = 7000;
+  auto openAndAsk = [&] {
+    Decision opened = bench.Open(++port);
+    if (opened.action == Action::Forward) {
+      bench.Data(port, opened.tag);
+    }
+    return opened;
+  };
+  // Slow responses bound the window.
+  for (int i = 0; i < 200; ++i) {
+    Decision opened = openAndAsk();
+    bench.now += 300 * kMillisecond;
+    if (opened.action == Action::Forward) {
+      bench.Data(port, opened.tag, 2);
+    }
+    bench.Fin(port, opened.tag);
+    bench.steer.Tick(bench.now);
+  }
+  REQUIRE(bench.steer.WindowOf("web")->Bounded());
+  // These never end.
+  for (int i = 0; i < 100; ++i) {
+    openAndAsk();
+  }
+  CHECK(openAndAsk().action == Action::Hold);
+  bench.now += kCountedAims * 100 * kMillisecond;
+  bench.steer.Tick(bench.now);
+  CHECK(bench.steer.WindowOf("web")->Open() == 0);
+  CHECK(bench.steer.Release(bench.now)->decision.action == Action::Forward);
+}
+
+TEST_CASE("The bound leaves an instance its share of the slots")
+{
+  Bench bench;
+  bench.steer.SetInstances(2);
+  bench.steer.Tick(bench.now);
+  uint16_t port = 7000;
+  for (int i = 0; i < 400; ++i) {
+    Decision opened = bench.Open(++port);
+    bench.Data(port, opened.tag);
+    bench.now += 300 * kMillisecond;
+    bench.Data(port, opened.tag, 2);
+    bench.Fin(port, opened.tag);
+    bench.steer.Tick(bench.now);
+  }
+  // Three servers of two slots, two instances, three quarters of the share.
+  CHECK(bench.steer.WindowOf("web")->Limit() == Approx(2.25));
+}
+
 }
--- a/tests/support/tagged_load.cpp
+++ b/tests/support/tagged_load.cpp
@@ -62,6 +62,7 @@
       made.placer.zone = this->Zone(i);
       made.hold = aOptions.way == TaggedWay::Product;
       this->instances.push_back(std::make_unique<Steer>(made));
+      this->instances.back()->SetInstances(aOptions.instances);
       this->FillView(this->instances.back()->Views());
     }
   }
