--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -67,6 +67,7 @@
   void ReleaseHeld();
   void Send(std::span<uint8_t> aBytes, Endpoint aTo);
   void SendAll();
+  void AddServer(LogLine& aLine, steer::ServerIndex aServer) const;
   void LogDecision(const steer::Decision& aDecision,
                    const steer::Packet& aPacket,
                    std::span<const uint8_t> aBytes);
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -392,6 +392,24 @@
   }
 }
 
+// The server, and what this instance knows of it.
+template<Platform P>
+void
+Node<P>::AddServer(LogLine& aLine, steer::ServerIndex aServer) const
+{
+  const steer::Server& server = this->steer.Views().At(aServer);
+  const steer::Evidence& evidence = this->steer.EvidenceOf(aServer);
+  aLine.Text("server", FormatEndpoint(server.entry.endpoint))
+    .Text("server_id", absl::StrCat(absl::Hex(server.entry.id)))
+    .Number("server_started", server.entry.startedAt)
+    .Number("server_revision", static_cast<int64_t>(server.revision))
+    .Text("server_zone", server.entry.zone)
+    .Number("open", evidence.open)
+    .Number("unanswered", evidence.unanswered)
+    .Number("evidence_age_ms",
+            (this->now - evidence.lastProgress) / kMillisecond);
+}
+
 // One line a decision; packets of a known flow only where they carry its
 // first request, or where something is wrong.
 template<Platform P>
@@ -422,17 +440,7 @@
     line.Text("request", P::RequestId(aBytes));
   }
   if (aDecision.server != steer::kNoServer) {
-    const steer::Server& server = this->steer.Views().At(aDecision.server);
-    const steer::Evidence& evidence = this->steer.EvidenceOf(aDecision.server);
-    line.Text("server", FormatEndpoint(server.entry.endpoint))
-      .Text("server_id", absl::StrCat(absl::Hex(server.entry.id)))
-      .Number("server_started", server.entry.startedAt)
-      .Number("server_revision", static_cast<int64_t>(server.revision))
-      .Text("server_zone", server.entry.zone)
-      .Number("open", evidence.open)
-      .Number("unanswered", evidence.unanswered)
-      .Number("evidence_age_ms",
-              (this->now - evidence.lastProgress) / kMillisecond);
+    this->AddServer(line, aDecision.server);
   }
   if (aPacket.syn) {
     line.Real("score", aDecision.choice.score)
