--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -66,7 +66,8 @@
          std::string(R"({"meta":5})"),
          std::string("17"),
        }) {
-    auto page = ObjectFormat::ParseServersList(List(good + "," + bad));
+    auto page =
+      ObjectFormat::ParseServersList(List(absl::StrCat(good, ",", bad)));
     REQUIRE(page.ok());
     size_t readable = 0;
     for (const steer::ServerChange& change : page->changes) {
