Make one piece of code of what the tagged transport wrote again

Each reset parsed the fabric's address from the settings again, and each packet read the clock a second time to judge the view's age: both are read once now. The revision known of servers was worked out in two places. Taken out as dead: KindFormat::name, Steer::Held, the place that View::Put returned, the versions kept of former routes. Behaviour and tests' assertions are as they were.

--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -157,7 +157,6 @@
 
   const SteerCounts& Counts() const { return this->counts; }
   size_t Flows() const { return this->flows.size(); }
-  size_t Held() const { return this->heldCount; }
   const Window* WindowOf(std::string_view aService) const;
   const Evidence& EvidenceOf(ServerIndex aServer) const
   {
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -2,8 +2,6 @@
 
 #include "base/text.h"
 
-#include "absl/container/flat_hash_set.h"
-
 #include <algorithm>
 
 namespace gentianspindle::steer {
@@ -39,7 +37,7 @@
     next[entry.endpoint] = std::move(route);
   }
   for (const auto& [endpoint, route] : this->routes) {
-    this->formerRoutes[endpoint] = this->config.version;
+    this->formerRoutes.insert(endpoint);
   }
   this->routes = std::move(next);
   this->config = aConfig;
@@ -154,7 +152,7 @@
   return place;
 }
 
-ServerIndex
+void
 View::Put(const ServerChange& aChange, Micros aNow)
 {
   const ServerEntry& entry = *aChange.entry;
@@ -181,7 +179,6 @@
     this->byService[entry.service].push_back(place);
     this->MarkTags();
   }
-  return place;
 }
 
 // Two live servers with one tag: the one with the smaller id keeps it, the
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -5,6 +5,7 @@
 #include "steer/types.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include <optional>
 #include <span>
@@ -122,7 +123,7 @@
   std::span<const ServerIndex> Of(std::string_view aService) const;
 
 private:
-  ServerIndex Put(const ServerChange& aChange, Micros aNow);
+  void Put(const ServerChange& aChange, Micros aNow);
   ServerIndex TakePlace(const std::string& aName);
   void Forget(ServerIndex aServer);
   static void MarkUnreadable(Server& aServer, Micros aNow);
@@ -131,7 +132,7 @@
 
   Config config;
   absl::flat_hash_map<Endpoint, Route> routes;
-  absl::flat_hash_map<Endpoint, int64_t> formerRoutes; // to their last version
+  absl::flat_hash_set<Endpoint> formerRoutes;
   std::vector<Server> servers;
   std::vector<ServerIndex> freePlaces;
   absl::flat_hash_map<std::string, ServerIndex> byName;
--- a/src/tagged/follower.h
+++ b/src/tagged/follower.h
@@ -50,7 +50,6 @@
 template<typename C>
 struct KindFormat
 {
-  std::string_view name; // for logs
   std::string (*listPath)(std::string_view aAfter);
   std::string (*watchPath)(uint64_t aRevision, int64_t aWaitMs);
   absl::StatusOr<Page<C>> (*parseList)(std::string_view aBody);
--- a/src/tagged/log.cpp
+++ b/src/tagged/log.cpp
@@ -2,9 +2,8 @@
 
 #include "base/text.h"
 
-#include <cerrno>
+#include <algorithm>
 #include <ctime>
-#include <deque>
 #include <fcntl.h>
 #include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -55,6 +55,11 @@
   void StartStore();
   void StartLog();
   void StartPeers();
+  // Of servers, from the store or a peer.
+  uint64_t KnownRevision() const
+  {
+    return std::max(this->servers->Revision(), this->peerRevision);
+  }
   bool WantsView(const PeerDigest& aDigest);
   void OnPeerView(const PeerView& aView, const std::string& aPeer);
   void StartSignals();
@@ -101,6 +106,8 @@
   std::string settingsPath;
   struct stat settingsStat
   {};
+  // Resets go to the callers at the port that the fabric uses here.
+  uint16_t callerPort;
   UdpSocket socket;
   EventPtr readable;
   ReceiveBatch received;
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -3,7 +3,6 @@
 
 #include "tagged/node.h"
 
-#include <cstring>
 #include <iostream>
 
 namespace gentianspindle::tagged {
@@ -16,6 +15,7 @@
   : base(aBase)
   , settings(aSettings)
   , settingsPath(aSettingsPath)
+  , callerPort(EndpointOf(aSettings.fabric.packets).port)
   , socket(std::move(aSocket))
   , steer({ .placer = { .zone = aSettings.instance.zone } })
   , tick(aBase, [this] { this->OnTick(); })
@@ -128,8 +128,7 @@
   this->config = std::make_unique<Follower<steer::ConfigChange>>(
     this->base,
     store,
-    KindFormat<steer::ConfigChange>{ "config",
-                                     P::ConfigListPath,
+    KindFormat<steer::ConfigChange>{ P::ConfigListPath,
                                      P::ConfigWatchPath,
                                      P::ParseConfigList,
                                      P::ParseConfigWatch },
@@ -142,8 +141,7 @@
   this->servers = std::make_unique<Follower<steer::ServerChange>>(
     this->base,
     store,
-    KindFormat<steer::ServerChange>{ "servers",
-                                     P::ServersListPath,
+    KindFormat<steer::ServerChange>{ P::ServersListPath,
                                      P::ServersWatchPath,
                                      P::ParseServersList,
                                      P::ParseServersWatch },
@@ -231,9 +229,8 @@
 bool
 Node<P>::WantsView(const PeerDigest& aDigest)
 {
-  uint64_t known = std::max(this->servers->Revision(), this->peerRevision);
   bool oldConfig = aDigest.configVersion > this->steer.Views().Version();
-  bool oldServers = aDigest.serversRevision > known;
+  bool oldServers = aDigest.serversRevision > this->KnownRevision();
   if (!oldConfig && !oldServers) {
     this->behindSince = 0;
     return false;
@@ -252,9 +249,9 @@
 {
   Micros at = SteadyNow();
   steer::View& view = this->steer.Views();
-  uint64_t known = std::max(this->servers->Revision(), this->peerRevision);
   bool newConfig = view.PutConfig(aView.config);
-  bool newServers = aView.serversRevision > known || !view.HasServers();
+  bool newServers =
+    aView.serversRevision > this->KnownRevision() || !view.HasServers();
   if (newServers) {
     view.PutServers(aView.servers, at);
     this->peerRevision = aView.serversRevision;
@@ -344,7 +341,7 @@
     this->Send(P::Wrap(aBytes, aDecision.tag, server.id), server.endpoint);
   } else if (aDecision.action == steer::Action::Reset) {
     Endpoint caller = aPacket.flow.caller;
-    caller.port = EndpointOf(this->settings.fabric.packets).port;
+    caller.port = this->callerPort;
     this->Send(P::MakeReset(aPacket, this->sending.Room()), caller);
   } else if (aDecision.action == steer::Action::Hold) {
     this->held[aPacket.flow].assign(aBytes.begin(), aBytes.end());
@@ -528,7 +525,7 @@
   Micros bound =
     this->settings.store.watchMs * kMillisecond + kWatchSlack + kSecond;
   return !this->config->Lost() &&
-         SteadyNow() - this->config->ConfirmedAt() < bound;
+         this->now - this->config->ConfirmedAt() < bound;
 }
 
 template<Platform P>
--- a/src/wire/packet.cpp
+++ b/src/wire/packet.cpp
@@ -1,5 +1,7 @@
 #include "wire/packet.h"
 
+#include "base/bytes.h"
+
 #include <algorithm>
 #include <array>
 
@@ -18,32 +20,6 @@
 constexpr uint8_t kOptionMss = 2;
 constexpr uint8_t kAnswerTtl = 64;
 
-uint16_t
-Load16(std::span<const uint8_t> aBytes, size_t aAt)
-{
-  return static_cast<uint16_t>((aBytes[aAt] << 8) | aBytes[aAt + 1]);
-}
-
-uint32_t
-Load32(std::span<const uint8_t> aBytes, size_t aAt)
-{
-  return (uint32_t{ Load16(aBytes, aAt) } << 16) | Load16(aBytes, aAt + 2);
-}
-
-void
-Store16(std::span<uint8_t> aBytes, size_t aAt, uint16_t aValue)
-{
-  aBytes[aAt] = static_cast<uint8_t>(aValue >> 8);
-  aBytes[aAt + 1] = static_cast<uint8_t>(aValue);
-}
-
-void
-Store32(std::span<uint8_t> aBytes, size_t aAt, uint32_t aValue)
-{
-  Store16(aBytes, aAt, static_cast<uint16_t>(aValue >> 16));
-  Store16(aBytes, aAt + 2, static_cast<uint16_t>(aValue));
-}
-
 uint32_t
 SumWords(std::span<const uint8_t> aBytes, uint32_t aSum)
 {
--- a/tests/daemon/docs_test.cpp
+++ b/tests/daemon/docs_test.cpp
@@ -2,26 +2,13 @@
 #include "core/types.h"
 #include "daemon/node.h"
 #include "daemon/settings.h"
+#include "support/source_file.h"
 
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <sstream>
 
 namespace gentianspindle {
 
-namespace {
-
-std::string
-ReadSource(const std::string& aPath)
-{
-  std::ifstream file(std::string(GENTIANSPINDLE_SOURCE) + "/" + aPath);
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-}
-
 TEST_CASE("The operators' page names all settings, reasons and paths")
 {
   std::string page = ReadSource("docs/OPERATING.md");
--- /dev/null
+++ b/tests/support/source_file.h
@@ -0,0 +1,19 @@
+// Files of the repository, for tests that compare documents with the code.
+#pragma once
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+namespace gentianspindle {
+
+inline std::string
+ReadSource(const std::string& aPath)
+{
+  std::ifstream file(std::string(GENTIANSPINDLE_SOURCE) + "/" + aPath);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}
--- a/tests/tagged/docs_test.cpp
+++ b/tests/tagged/docs_test.cpp
@@ -1,9 +1,9 @@
 // The operators' page names everything that the tagged daemon has.
+#include "support/source_file.h"
 #include "tagged/metrics.h"
 #include "tagged/settings.h"
 
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <regex>
 #include <sstream>
 
@@ -11,15 +11,6 @@
 
 namespace {
 
-std::string
-ReadSource(const std::string& aPath)
-{
-  std::ifstream file(std::string(GENTIANSPINDLE_SOURCE) + "/" + aPath);
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 void
 CheckNamed(const std::string& aPage, const std::string& aName)
 {
