--- a/schema/settings.py
+++ b/schema/settings.py
@@ -12,6 +12,7 @@
     "endpoints": "std::vector<std::string>",
     "addresses": "std::vector<std::string>",
     "integer": "int64_t",
+    "real": "double",
 }
 
 
@@ -32,7 +33,7 @@
         out += [f"struct {prefix}{section.capitalize()}Settings", "{"]
         for key, spec in keys.items():
             out.append(f"  {TYPES[spec['type']]} {member(key)}"
-                       f"{' = 0' if spec['type'] == 'integer' else ''};")
+                       f"{' = 0' if spec['type'] in ('integer', 'real') else ''};")
         out += ["};", ""]
     out += [f"struct {name}", "{"]
     out += [f"  {prefix}{s.capitalize()}Settings {s};" for s in schema]
--- a/src/base/settings_reader.cpp
+++ b/src/base/settings_reader.cpp
@@ -83,29 +83,51 @@
   }
 }
 
+// Whole numbers, or any where the slot takes them.
+template<typename N>
+void
+ReadNumber(FaultList& aReader,
+           const SettingKey& aKey,
+           const toml::node& aNode,
+           N& aTarget)
+{
+  constexpr bool kWhole = std::is_same_v<N, int64_t>;
+  std::optional<N> value = kWhole ? aNode.value_exact<N>() : aNode.value<N>();
+  if (!value) {
+    aReader.Fault(&aNode,
+                  FullName(aKey),
+                  kWhole ? "must be a whole number" : "must be a number");
+    return;
+  }
+  bool inRange =
+    *value >= static_cast<N>(aKey.min) && *value <= static_cast<N>(aKey.max);
+  if (!inRange) {
+    aReader.Fault(&aNode,
+                  FullName(aKey),
+                  absl::StrCat(*value,
+                               " is not from ",
+                               aKey.min,
+                               " to ",
+                               aKey.max,
+                               " ",
+                               ToAbsl(aKey.unit)));
+    return;
+  }
+  aTarget = *value;
+}
+
 void
 ReadNode(FaultList& aReader,
          const SettingKey& aKey,
          const toml::node& aNode,
          const SettingSlot& aSlot)
 {
-  if (int64_t* const* number = std::get_if<int64_t*>(&aSlot)) {
-    std::optional<int64_t> value = aNode.value_exact<int64_t>();
-    if (!value) {
-      aReader.Fault(&aNode, FullName(aKey), "must be a whole number");
-    } else if (*value < aKey.min || *value > aKey.max) {
-      aReader.Fault(&aNode,
-                    FullName(aKey),
-                    absl::StrCat(*value,
-                                 " is not from ",
-                                 aKey.min,
-                                 " to ",
-                                 aKey.max,
-                                 " ",
-                                 ToAbsl(aKey.unit)));
-    } else {
-      **number = *value;
-    }
+  if (int64_t* const* whole = std::get_if<int64_t*>(&aSlot)) {
+    ReadNumber(aReader, aKey, aNode, **whole);
+    return;
+  }
+  if (double* const* real = std::get_if<double*>(&aSlot)) {
+    ReadNumber(aReader, aKey, aNode, **real);
     return;
   }
   if (std::string* const* text = std::get_if<std::string*>(&aSlot)) {
@@ -114,8 +136,11 @@
   }
   std::vector<std::string>& list = *std::get<std::vector<std::string>*>(aSlot);
   const toml::array* array = aNode.as_array();
-  if (array == nullptr || array->empty()) {
-    aReader.Fault(&aNode, FullName(aKey), "must be a list with entries");
+  if (array == nullptr || (array->empty() && aKey.required)) {
+    aReader.Fault(&aNode,
+                  FullName(aKey),
+                  aKey.required ? "must be a list with entries"
+                                : "must be a list");
     return;
   }
   for (const toml::node& entry : *array) {
@@ -128,6 +153,8 @@
 {
   if (int64_t* const* number = std::get_if<int64_t*>(&aSlot)) {
     **number = aKey.defaultNumber;
+  } else if (double* const* real = std::get_if<double*>(&aSlot)) {
+    **real = static_cast<double>(aKey.defaultNumber);
   } else if (std::string* const* text = std::get_if<std::string*>(&aSlot)) {
     **text = std::string(aKey.defaultText);
   }
--- a/src/base/settings_reader.h
+++ b/src/base/settings_reader.h
@@ -23,11 +23,12 @@
   Endpoints,
   Addresses,
   Integer,
+  Real,
 };
 
 // Where a value goes.
 using SettingSlot =
-  std::variant<std::string*, std::vector<std::string>*, int64_t*>;
+  std::variant<std::string*, std::vector<std::string>*, int64_t*, double*>;
 
 struct SettingKey
 {
--- /dev/null
+++ b/src/spread/change_log.cpp
@@ -0,0 +1,88 @@
+#include "spread/change_log.h"
+
+#include <algorithm>
+
+namespace gentianspindle::spread {
+
+namespace {
+
+constexpr size_t kMostEntries = 400;
+// Of one change beside its names.
+constexpr size_t kFixedBytes = 40;
+
+size_t
+SizeOf(const steer::ServerChange& aChange)
+{
+  size_t names = aChange.name.size();
+  if (aChange.entry) {
+    names += aChange.entry->service.size() + aChange.entry->zone.size();
+  }
+  return kFixedBytes + names;
+}
+
+}
+
+void
+ChangeLog::StartAt(uint64_t aRevision)
+{
+  this->entries.clear();
+  this->floor = aRevision;
+  this->revision = aRevision;
+}
+
+void
+ChangeLog::Add(std::span<const steer::ServerChange> aChanges,
+               uint64_t aRevision,
+               Micros aNow)
+{
+  std::vector<steer::ServerChange> sorted(aChanges.begin(), aChanges.end());
+  std::sort(
+    sorted.begin(),
+    sorted.end(),
+    [](const steer::ServerChange& aLeft, const steer::ServerChange& aRight) {
+      return aLeft.revision < aRight.revision;
+    });
+  for (steer::ServerChange& change : sorted) {
+    if (change.revision > this->revision) {
+      this->entries.push_back({ std::move(change), aNow });
+    }
+  }
+  this->revision = std::max(this->revision, aRevision);
+  while (this->entries.size() > kMostEntries) {
+    this->floor = this->entries.front().change.revision;
+    this->entries.pop_front();
+  }
+}
+
+std::vector<ChangeRange>
+ChangeLog::Recent(Micros aNow)
+{
+  while (!this->entries.empty() &&
+         aNow - this->entries.front().at > kRepeatTime) {
+    this->floor = this->entries.front().change.revision;
+    this->entries.pop_front();
+  }
+  std::vector<ChangeRange> ranges;
+  ChangeRange range{ .from = this->floor, .to = this->floor };
+  size_t bytes = 0;
+  for (const Entry& entry : this->entries) {
+    size_t size = SizeOf(entry.change);
+    if (bytes + size > kChangeBytes && !range.changes.empty()) {
+      uint64_t last = range.to;
+      ranges.push_back(std::move(range));
+      range = { .from = last, .to = last };
+      bytes = 0;
+    }
+    range.to = entry.change.revision;
+    range.changes.push_back(entry.change);
+    bytes += size;
+  }
+  range.to = this->revision;
+  ranges.push_back(std::move(range));
+  if (ranges.size() > kMostRanges) {
+    ranges.erase(ranges.begin(), ranges.end() - kMostRanges);
+  }
+  return ranges;
+}
+
+}
--- /dev/null
+++ b/src/spread/members.cpp
@@ -0,0 +1,119 @@
+#include "spread/members.h"
+
+#include <algorithm>
+
+namespace gentianspindle::spread {
+
+void
+Members::Name(Address aAddress,
+              std::string_view aZone,
+              bool aReads,
+              Micros aNow)
+{
+  if (aAddress == this->self) {
+    return;
+  }
+  Member& member = this->members[aAddress];
+  member.namedAt = aNow;
+  if (member.heardAt == kNever) {
+    member.zone = aZone;
+    member.reads = aReads;
+  }
+}
+
+void
+Members::OnBeat(Address aFrom, const Beat& aBeat, Micros aNow)
+{
+  if (aFrom == this->self) {
+    return;
+  }
+  Member& member = this->members[aFrom];
+  member.zone = aBeat.zone;
+  member.cores = aBeat.cores;
+  member.reads = aBeat.reads;
+  member.storeAnswers = aBeat.storeAnswers;
+  member.zoneSize = aBeat.zoneSize;
+  member.heardAt = aNow;
+  for (const NamedReader& reader : aBeat.readers) {
+    this->Name(reader.address, reader.zone, true, aNow);
+  }
+  for (Address near : aBeat.members) {
+    this->Name(near, aBeat.zone, false, aNow);
+  }
+}
+
+// A member that spoke once and is silent now is dead or cut off; it comes back
+// as a new one where others name it.
+void
+Members::Forget(Micros aNow)
+{
+  std::erase_if(this->members, [aNow](const auto& aEntry) {
+    const Member& member = aEntry.second;
+    bool spoke = member.heardAt != kNever;
+    return spoke ? aNow - member.heardAt > kForgetHeard
+                 : aNow - member.namedAt > kForgetNamed;
+  });
+}
+
+uint32_t
+Members::ZoneSize() const
+{
+  auto near = std::count_if(
+    this->members.begin(), this->members.end(), [this](const auto& aEntry) {
+      return this->IsNear(aEntry.second);
+    });
+  return static_cast<uint32_t>(near) + 1;
+}
+
+uint32_t
+Members::FleetSize() const
+{
+  std::map<std::string_view, uint32_t> sizes;
+  for (const auto& [address, member] : this->members) {
+    uint32_t& size = sizes[member.zone];
+    size = std::max(size, std::max(1U, member.zoneSize));
+  }
+  sizes[this->zone] = this->ZoneSize();
+  uint32_t sum = 0;
+  for (const auto& [zone, size] : sizes) {
+    sum += size;
+  }
+  return sum;
+}
+
+std::vector<Address>
+Members::SampleNear(size_t aMost)
+{
+  std::vector<Address> near;
+  for (const auto& [address, member] : this->members) {
+    if (this->IsNear(member)) {
+      near.push_back(address);
+    }
+  }
+  std::shuffle(near.begin(), near.end(), this->random);
+  near.resize(std::min(near.size(), aMost));
+  return near;
+}
+
+bool
+Members::KnowsReader(Micros aNow) const
+{
+  return std::any_of(
+    this->members.begin(), this->members.end(), [&](const auto& aEntry) {
+      return this->IsNear(aEntry.second) && aEntry.second.MayRead(aNow);
+    });
+}
+
+std::vector<NamedReader>
+Members::FarReaders() const
+{
+  std::vector<NamedReader> readers;
+  for (const auto& [address, member] : this->members) {
+    if (member.reads && !this->IsNear(member)) {
+      readers.push_back({ address, member.zone });
+    }
+  }
+  return readers;
+}
+
+}
--- /dev/null
+++ b/src/spread/members.h
@@ -0,0 +1,81 @@
+// The other instances, as far as they were heard of.
+#pragma once
+
+#include "spread/beat.h"
+
+#include <map>
+#include <random>
+#include <span>
+#include <string_view>
+
+namespace gentianspindle::spread {
+
+// A reader that is silent for this time no longer counts as one.
+constexpr Micros kReaderSilence = 1300 * kMillisecond;
+// An instance that was not heard for this time gets no more beats.
+constexpr Micros kForgetHeard = 5 * kSecond;
+// One that others name, but that never spoke, is kept for this time.
+constexpr Micros kForgetNamed = 10 * kSecond;
+constexpr Micros kNever = -1000 * kSecond;
+
+struct Member
+{
+  std::string zone; // empty: not known
+  double cores = 0;
+  bool reads = false;
+  bool storeAnswers = false;
+  uint32_t zoneSize = 0;
+  Micros heardAt = kNever; // from itself
+  Micros namedAt = kNever; // by others
+
+  bool Reads(Micros aNow) const
+  {
+    return this->reads && aNow - this->heardAt < kReaderSilence;
+  }
+  // The same, or others say so.
+  bool MayRead(Micros aNow) const
+  {
+    return this->heardAt == kNever ? this->reads : this->Reads(aNow);
+  }
+};
+
+class Members
+{
+public:
+  explicit Members(Address aSelf, std::string_view aZone, uint32_t aSeed)
+    : self(aSelf)
+    , zone(aZone)
+    , random(aSeed)
+  {
+  }
+
+  void OnBeat(Address aFrom, const Beat& aBeat, Micros aNow);
+  void Forget(Micros aNow);
+
+  const std::map<Address, Member>& All() const { return this->members; }
+  bool IsNear(const Member& aMember) const
+  {
+    return aMember.zone == this->zone;
+  }
+  // Instances of this zone, this one included.
+  uint32_t ZoneSize() const;
+  // Of all zones, as far as their readers tell.
+  uint32_t FleetSize() const;
+
+  // At most aMost members of this zone, by chance.
+  std::vector<Address> SampleNear(size_t aMost);
+  // Is a reader of this zone heard or named?
+  bool KnowsReader(Micros aNow) const;
+  // Readers of other zones, also ones that fell silent a moment ago.
+  std::vector<NamedReader> FarReaders() const;
+
+private:
+  void Name(Address aAddress, std::string_view aZone, bool aReads, Micros aNow);
+
+  Address self;
+  std::string zone;
+  std::map<Address, Member> members;
+  std::minstd_rand random;
+};
+
+}
--- /dev/null
+++ b/src/spread/spread.cpp
@@ -0,0 +1,464 @@
+#include "spread/spread.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gentianspindle::spread {
+
+namespace {
+
+// Members that one beat names, and members that one without a reader asks.
+constexpr size_t kNamedMembers = 12;
+constexpr size_t kAskedMembers = 3;
+// Each of so many beats also goes to a seed, so that parts of a fleet that do
+// not know each other meet.
+constexpr uint32_t kSeedEvery = 5;
+
+}
+
+void
+Known::Confirm(uint64_t aRevision, Micros aAt)
+{
+  this->revision = std::max(this->revision, aRevision);
+  this->confirmedAt = std::max(this->confirmedAt, aAt);
+}
+
+Spread::Spread(const SpreadOptions& aOptions)
+  : options(aOptions)
+  , members(aOptions.self, aOptions.zone, aOptions.randomSeed)
+  , random(aOptions.randomSeed)
+{
+  std::erase(this->options.seeds, aOptions.self);
+}
+
+Micros
+Spread::Chance(Micros aMost)
+{
+  return static_cast<Micros>(this->random() % static_cast<uint64_t>(aMost));
+}
+
+void
+Spread::OnConfigAnswer(int64_t aVersion, uint64_t aRevision, Micros aNow)
+{
+  this->news = this->news || aVersion > this->configVersion;
+  this->configVersion = std::max(this->configVersion, aVersion);
+  this->hasConfig = this->hasConfig || aVersion > 0;
+  this->config.Confirm(aRevision, aNow);
+  this->storeAnswers = true;
+}
+
+void
+Spread::OnServersList(uint64_t aRevision, Micros aNow)
+{
+  this->hasServers = true;
+  this->news = true;
+  this->log.StartAt(aRevision);
+  this->servers.Confirm(aRevision, aNow);
+  this->storeAnswers = true;
+}
+
+void
+Spread::OnServersChanges(std::span<const steer::ServerChange> aChanges,
+                         uint64_t aRevision,
+                         Micros aNow)
+{
+  this->news = this->news || !aChanges.empty();
+  this->log.Add(aChanges, aRevision, aNow);
+  this->servers.Confirm(aRevision, aNow);
+  this->storeAnswers = true;
+}
+
+void
+Spread::OnStoreBack(Micros aNow)
+{
+  this->storeBackAt = aNow;
+  this->news = true;
+}
+
+void
+Spread::OnPause()
+{
+  this->config.confirmedAt = kNever;
+  this->servers.confirmedAt = kNever;
+}
+
+void
+Spread::OnView(int64_t aVersion,
+               uint64_t aConfigRevision,
+               uint64_t aServersRevision)
+{
+  this->configVersion = std::max(this->configVersion, aVersion);
+  this->hasConfig = this->hasConfig || aVersion > 0;
+  this->hasServers = true;
+  this->config.revision = std::max(this->config.revision, aConfigRevision);
+  if (aServersRevision > this->servers.revision) {
+    this->servers.revision = aServersRevision;
+    this->log.StartAt(aServersRevision);
+  }
+  this->news = true;
+}
+
+// Beside a better reader one trial is enough.
+void
+Spread::OnStoreLost(Micros aNow)
+{
+  this->storeAnswers = false;
+  if (this->reads && this->HasBetter(aNow)) {
+    this->StopReading(aNow);
+  }
+}
+
+std::vector<steer::ServerChange>
+Spread::OnBeat(Address aFrom, const Beat& aBeat, Micros aNow)
+{
+  bool knewReader = this->members.KnowsReader(aNow);
+  this->members.OnBeat(aFrom, aBeat, aNow);
+  if (!knewReader && this->members.KnowsReader(aNow)) {
+    this->lastHelloAt = kNever;
+  }
+  if (aBeat.wantsAnswer) {
+    this->answerTo.push_back(aFrom);
+  }
+  if (!this->reads && aBeat.reads && aBeat.zone == this->options.zone) {
+    this->fleetSize = aBeat.fleetSize;
+    this->followed = true;
+  }
+  if (!aBeat.hasView) {
+    return {};
+  }
+  if (aBeat.storeBackAge >= 0) {
+    this->storeBackAt = std::max(this->storeBackAt, aNow - aBeat.storeBackAge);
+  }
+  std::vector<steer::ServerChange> fresh;
+  const ChangeRange& recent = aBeat.recent;
+  bool follows = this->hasServers && recent.from <= this->servers.revision &&
+                 recent.to > this->servers.revision;
+  if (follows) {
+    for (const steer::ServerChange& change : recent.changes) {
+      if (change.revision > this->servers.revision) {
+        fresh.push_back(change);
+      }
+    }
+    this->log.Add(fresh, recent.to, aNow);
+    this->servers.revision = recent.to;
+    this->news = this->news || !fresh.empty();
+  }
+  this->NoteBehind(aFrom, aBeat, aNow);
+  return fresh;
+}
+
+// What a peer confirms holds here too where this instance knows as much.
+void
+Spread::NoteBehind(Address aFrom, const Beat& aBeat, Micros aNow)
+{
+  bool oldConfig = aBeat.configVersion > this->configVersion;
+  bool oldServers =
+    !this->hasServers || aBeat.serversRevision > this->servers.revision;
+  if (!oldConfig && this->hasConfig) {
+    this->config.Confirm(aBeat.configRevision, aNow - aBeat.configAge);
+  }
+  if (!oldServers) {
+    this->servers.Confirm(this->servers.revision, aNow - aBeat.serversAge);
+  }
+  if (!oldConfig && !oldServers) {
+    return;
+  }
+  if (!this->IsBehind()) {
+    this->behindSince = aNow;
+  }
+  this->behindVersion = aBeat.configVersion;
+  this->behindRevision = aBeat.serversRevision;
+  this->behindWhom = aFrom;
+}
+
+bool
+Spread::IsBehind() const
+{
+  return this->behindVersion > this->configVersion ||
+         this->behindRevision > this->servers.revision;
+}
+
+std::optional<Address>
+Spread::WantsView(Micros aNow) const
+{
+  if (!this->IsBehind()) {
+    return std::nullopt;
+  }
+  Micros wait = this->reads && this->storeAnswers ? kReaderGapTime : kGapTime;
+  bool urgent = !this->HasView() ||
+                (!this->reads && this->behindVersion > this->configVersion);
+  if (!urgent && aNow - this->behindSince < wait) {
+    return std::nullopt;
+  }
+  return this->behindWhom;
+}
+
+bool
+Spread::Stale(Micros aNow) const
+{
+  Micros oldest = std::min(this->config.confirmedAt, this->servers.confirmedAt);
+  return aNow - oldest > kStaleTime;
+}
+
+// One that the store answers goes first, then the larger, then the smaller
+// address; so all agree who reads.
+bool
+Spread::IsBetter(const Member& aMember, Address aAddress) const
+{
+  if (aMember.storeAnswers != this->storeAnswers) {
+    return aMember.storeAnswers;
+  }
+  if (aMember.cores != this->options.cores) {
+    return aMember.cores > this->options.cores;
+  }
+  return aAddress < this->options.self;
+}
+
+const Member*
+Spread::BestReader(Micros aNow) const
+{
+  const Member* best = nullptr;
+  for (const auto& [address, member] : this->members.All()) {
+    if (!member.Reads(aNow) || !this->members.IsNear(member)) {
+      continue;
+    }
+    bool better =
+      best == nullptr || (member.storeAnswers && !best->storeAnswers) ||
+      (member.storeAnswers == best->storeAnswers && member.cores > best->cores);
+    best = better ? &member : best;
+  }
+  return best;
+}
+
+void
+Spread::Tick(Micros aNow)
+{
+  this->members.Forget(aNow);
+  if (this->reads) {
+    this->fleetSize = this->members.FleetSize();
+    this->DecideReading(aNow);
+  } else {
+    this->DecideFollowing(aNow);
+  }
+}
+
+bool
+Spread::HasBetter(Micros aNow) const
+{
+  const auto& all = this->members.All();
+  return std::any_of(all.begin(), all.end(), [&](const auto& aEntry) {
+    const Member& member = aEntry.second;
+    return member.Reads(aNow) && this->members.IsNear(member) &&
+           this->IsBetter(member, aEntry.first);
+  });
+}
+
+void
+Spread::DecideReading(Micros aNow)
+{
+  if (!this->HasBetter(aNow)) {
+    this->betterSince = 0;
+    return;
+  }
+  this->betterSince = this->betterSince == 0 ? aNow : this->betterSince;
+  if (aNow - this->betterSince >= kStepDownTime) {
+    this->StopReading(aNow);
+  }
+}
+
+ReadReason
+Spread::WhyRead(const Member* aBest, Micros aNow) const
+{
+  if (aBest == nullptr) {
+    return ReadReason::NoReader;
+  }
+  if (this->Stale(aNow) && aNow >= this->nextTrialAt) {
+    return ReadReason::Stale;
+  }
+  bool larger = this->options.cores > aBest->cores &&
+                aNow - this->stoppedAt > kUpgradeTime;
+  return larger ? ReadReason::Larger : ReadReason::None;
+}
+
+Micros
+Spread::TakeOverDelay(ReadReason aReason)
+{
+  Micros size = this->members.ZoneSize();
+  if (aReason == ReadReason::Stale) {
+    return this->Chance(size * kTrialEach);
+  }
+  double part = 1 / (1 + 4 * this->options.cores);
+  Micros longest = this->followed ? kTakeOverTime : kFirstTakeOverTime;
+  longest += size * kTakeOverEach;
+  longest = static_cast<Micros>(part * static_cast<double>(longest));
+  Micros least = this->followed ? longest / 2 : kFirstTakeOver;
+  return least + this->Chance(longest / 2 + kMillisecond);
+}
+
+void
+Spread::DecideFollowing(Micros aNow)
+{
+  ReadReason reason = this->WhyRead(this->BestReader(aNow), aNow);
+  if (reason != this->takeOverWhy) {
+    this->takeOverWhy = reason;
+    this->takeOverAt = aNow + this->TakeOverDelay(reason);
+  }
+  bool due = this->options.alone || aNow >= this->takeOverAt;
+  if (reason != ReadReason::None && due) {
+    this->StartReading(reason, aNow);
+  }
+}
+
+void
+Spread::StartReading(ReadReason aWhy, Micros aNow)
+{
+  this->reads = true;
+  this->why = aWhy;
+  this->storeAnswers = false;
+  this->takeOverWhy = ReadReason::None;
+  this->betterSince = 0;
+  this->fleetSize = this->members.FleetSize();
+  // The first beat also goes to a seed.
+  this->beats = kSeedEvery - 1;
+  this->lastBeatAt = aNow - kBeatPeriod;
+}
+
+void
+Spread::StopReading(Micros aNow)
+{
+  this->reads = false;
+  this->why = ReadReason::BetterReader;
+  this->betterSince = 0;
+  this->stoppedAt = aNow;
+  this->nextTrialAt = aNow + kTrialPause + this->Chance(kTrialPause);
+  // The other reader and the seeds hear at once that this one follows.
+  this->lastHelloAt = kNever;
+}
+
+Beat
+Spread::MakeBeat(Micros aNow)
+{
+  Beat beat;
+  beat.zone = this->options.zone;
+  beat.cores = this->options.cores;
+  beat.reads = this->reads;
+  beat.storeAnswers = this->storeAnswers;
+  beat.hasView = this->HasView();
+  beat.configVersion = this->configVersion;
+  beat.configRevision = this->config.revision;
+  beat.configAge = aNow - this->config.confirmedAt;
+  beat.serversRevision = this->servers.revision;
+  beat.serversAge = aNow - this->servers.confirmedAt;
+  beat.storeBackAge =
+    this->storeBackAt == kNever ? -1 : aNow - this->storeBackAt;
+  beat.recent = { this->servers.revision, this->servers.revision, {} };
+  beat.zoneSize = this->members.ZoneSize();
+  beat.fleetSize = this->fleetSize;
+  return beat;
+}
+
+void
+Spread::SendToAll(std::vector<Sending>& aSendings, Micros aNow)
+{
+  std::vector<Address> to;
+  for (const auto& [address, member] : this->members.All()) {
+    if (this->members.IsNear(member)) {
+      to.push_back(address);
+    }
+  }
+  std::vector<NamedReader> far = this->members.FarReaders();
+  for (const NamedReader& reader : far) {
+    to.push_back(reader.address);
+  }
+  Beat beat = this->MakeBeat(aNow);
+  beat.members = this->members.SampleNear(kNamedMembers);
+  beat.readers = std::move(far);
+  for (ChangeRange& range : this->log.Recent(aNow)) {
+    beat.recent = std::move(range);
+    aSendings.push_back({ to, beat });
+    beat.members.clear();
+    beat.readers.clear();
+  }
+  ++this->beats;
+  if (this->beats % kSeedEvery == 0 && !this->options.seeds.empty()) {
+    Beat question = this->MakeBeat(aNow);
+    question.wantsAnswer = true;
+    Address seed =
+      this->options.seeds[this->random() % this->options.seeds.size()];
+    aSendings.push_back({ { seed }, std::move(question) });
+  }
+}
+
+std::vector<Address>
+Spread::AskedForReaders()
+{
+  std::vector<Address> asked = this->members.SampleNear(kAskedMembers);
+  asked.insert(
+    asked.end(), this->options.seeds.begin(), this->options.seeds.end());
+  std::sort(asked.begin(), asked.end());
+  asked.erase(std::unique(asked.begin(), asked.end()), asked.end());
+  return asked;
+}
+
+// To the readers of this zone; where none is known, to whoever may name one.
+void
+Spread::SendHello(std::vector<Sending>& aSendings, Micros aNow)
+{
+  Sending hello{ {}, this->MakeBeat(aNow) };
+  for (const auto& [address, member] : this->members.All()) {
+    if (member.MayRead(aNow) && this->members.IsNear(member)) {
+      hello.to.push_back(address);
+    }
+  }
+  if (hello.to.empty() || !this->HasView()) {
+    hello.beat.wantsAnswer = true;
+    hello.to = this->AskedForReaders();
+  }
+  if (!hello.to.empty()) {
+    aSendings.push_back(std::move(hello));
+  }
+}
+
+void
+Spread::SendAnswers(std::vector<Sending>& aSendings, Micros aNow)
+{
+  if (this->answerTo.empty()) {
+    return;
+  }
+  Beat beat = this->MakeBeat(aNow);
+  beat.members = this->members.SampleNear(kNamedMembers);
+  beat.readers = this->members.FarReaders();
+  for (const auto& [address, member] : this->members.All()) {
+    if (member.Reads(aNow) && this->members.IsNear(member)) {
+      beat.readers.push_back({ address, member.zone });
+    }
+  }
+  aSendings.push_back({ std::move(this->answerTo), std::move(beat) });
+  this->answerTo.clear();
+}
+
+std::vector<Sending>
+Spread::TakeSendings(Micros aNow)
+{
+  std::vector<Sending> sendings;
+  this->SendAnswers(sendings, aNow);
+  if (this->reads) {
+    Micros since = aNow - this->lastBeatAt;
+    bool due = since >= kBeatPeriod || (this->news && since >= kLeastBeatGap);
+    if (due) {
+      this->lastBeatAt = aNow;
+      this->news = false;
+      this->SendToAll(sendings, aNow);
+    }
+    return sendings;
+  }
+  bool settled = this->HasView() && this->members.KnowsReader(aNow);
+  Micros period = settled ? kHelloPeriod : kFirstHelloPeriod;
+  if (aNow - this->lastHelloAt >= period) {
+    this->lastHelloAt = aNow;
+    this->SendHello(sendings, aNow);
+  }
+  return sendings;
+}
+
+}
--- /dev/null
+++ b/src/spread/spread.h
@@ -0,0 +1,180 @@
+// How configuration and servers reach all instances while few ask the store:
+// one instance of each availability zone reads, and tells the others. Answers
+// the load of large fleets, whose calls to the store would grow with their
+// size. No input or output, clock or thread; the driver brings beats, answers
+// of the store and ticks.
+#pragma once
+
+#include "spread/change_log.h"
+#include "spread/members.h"
+
+#include <array>
+#include <optional>
+
+namespace gentianspindle::spread {
+
+// Time between two beats of a reader.
+constexpr Micros kBeatPeriod = 400 * kMillisecond;
+// News go out at once, but not more often than this.
+constexpr Micros kLeastBeatGap = 50 * kMillisecond;
+// Time between two beats of an instance that does not read.
+constexpr Micros kHelloPeriod = 1 * kSecond;
+constexpr Micros kFirstHelloPeriod = 200 * kMillisecond;
+// Older than this, what is known must be asked for. A watch that waits for a
+// second and a beat after it are younger.
+constexpr Micros kStaleTime = 1800 * kMillisecond;
+// Without a reader the others wait by chance up to this time, the larger ones
+// less, so that one takes over and the rest hear it; a little more for each
+// instance of the zone.
+constexpr Micros kTakeOverTime = 500 * kMillisecond;
+constexpr Micros kTakeOverEach = 10 * kMillisecond;
+// At start a reader is heard after this time, if there is one.
+constexpr Micros kFirstTakeOver = 800 * kMillisecond;
+constexpr Micros kFirstTakeOverTime = 2 * kSecond;
+// Beside a reader with old news the instances of a zone try the store one
+// after the other, in this time each on average.
+constexpr Micros kTrialEach = 250 * kMillisecond;
+// A better reader must be there for this time before the worse one stops.
+constexpr Micros kStepDownTime = 1 * kSecond;
+// One that asked in vain beside another reader waits before the next trial.
+constexpr Micros kTrialPause = 3 * kSecond;
+// One that left reading to another takes it back, being larger, after this
+// time.
+constexpr Micros kUpgradeTime = 5 * kSecond;
+// Who misses changes waits for the next datagrams before it takes a view; a
+// reader waits for its own watch.
+constexpr Micros kGapTime = 150 * kMillisecond;
+constexpr Micros kReaderGapTime = 700 * kMillisecond;
+
+struct SpreadOptions
+{
+  Address self = 0;
+  std::string zone;
+  double cores = 1;
+  std::vector<Address> seeds;
+  bool alone = false; // there are no peers
+  uint32_t randomSeed = 1;
+};
+
+// How far one kind is known here.
+struct Known
+{
+  uint64_t revision = 0; // of the store
+  Micros confirmedAt = kNever;
+
+  void Confirm(uint64_t aRevision, Micros aAt);
+};
+
+struct Sending
+{
+  std::vector<Address> to;
+  Beat beat;
+};
+
+// Why an instance starts or stops to read, for the log.
+enum class ReadReason : uint8_t
+{
+  None,
+  NoReader,     // none is heard in this zone
+  Stale,        // what the readers tell is too old
+  Larger,       // than the reader
+  BetterReader, // another one reads
+  Count,
+};
+
+constexpr std::array<std::string_view, static_cast<size_t>(ReadReason::Count)>
+  kReadReasonNames{ "", "no_reader", "stale", "larger", "better_reader" };
+
+class Spread
+{
+public:
+  explicit Spread(const SpreadOptions& aOptions);
+
+  // The store answered this instance: all up to aRevision is known.
+  void OnConfigAnswer(int64_t aVersion, uint64_t aRevision, Micros aNow);
+  void OnServersList(uint64_t aRevision, Micros aNow);
+  void OnServersChanges(std::span<const steer::ServerChange> aChanges,
+                        uint64_t aRevision,
+                        Micros aNow);
+  void OnStoreLost(Micros aNow);
+  void OnStoreBack(Micros aNow);
+  // This instance stood still: how new its knowledge is, it cannot tell.
+  void OnPause();
+  // A whole view of a peer was taken over.
+  void OnView(int64_t aVersion,
+              uint64_t aConfigRevision,
+              uint64_t aServersRevision);
+  // Returns the changes that are new here, in their order.
+  std::vector<steer::ServerChange> OnBeat(Address aFrom,
+                                          const Beat& aBeat,
+                                          Micros aNow);
+  // Decides who reads. Call often.
+  void Tick(Micros aNow);
+
+  bool Reads() const { return this->reads; }
+  ReadReason Why() const { return this->why; }
+  // Whose view is wanted now.
+  std::optional<Address> WantsView(Micros aNow) const;
+  // Beats that are due.
+  std::vector<Sending> TakeSendings(Micros aNow);
+
+  const Known& Config() const { return this->config; }
+  const Known& Servers() const { return this->servers; }
+  bool HasView() const { return this->hasConfig && this->hasServers; }
+  bool Stale(Micros aNow) const;
+  // When the store was last back, as far as known.
+  Micros StoreBackAt() const { return this->storeBackAt; }
+  uint32_t FleetSize() const { return this->fleetSize; }
+
+private:
+  const Member* BestReader(Micros aNow) const;
+  bool HasBetter(Micros aNow) const;
+  bool IsBehind() const;
+  Micros TakeOverDelay(ReadReason aReason);
+  bool IsBetter(const Member& aMember, Address aAddress) const;
+  void DecideFollowing(Micros aNow);
+  void DecideReading(Micros aNow);
+  void StartReading(ReadReason aWhy, Micros aNow);
+  void StopReading(Micros aNow);
+  ReadReason WhyRead(const Member* aBest, Micros aNow) const;
+  void NoteBehind(Address aFrom, const Beat& aBeat, Micros aNow);
+  Beat MakeBeat(Micros aNow);
+  void SendToAll(std::vector<Sending>& aSendings, Micros aNow);
+  void SendHello(std::vector<Sending>& aSendings, Micros aNow);
+  void SendAnswers(std::vector<Sending>& aSendings, Micros aNow);
+  std::vector<Address> AskedForReaders();
+  Micros Chance(Micros aMost);
+
+  SpreadOptions options;
+  Members members;
+  ChangeLog log;
+  Known config;
+  Known servers;
+  int64_t configVersion = 0;
+  bool hasConfig = false;
+  bool hasServers = false;
+  bool reads = false;
+  bool storeAnswers = false;
+  ReadReason why = ReadReason::None;
+  Micros storeBackAt = kNever;
+  ReadReason takeOverWhy = ReadReason::None;
+  Micros takeOverAt = 0;
+  Micros betterSince = 0; // another reader is better; 0: none is
+  Micros stoppedAt = kNever; // reading
+  bool followed = false; // a reader of this zone was heard
+  Micros nextTrialAt = 0;
+  // What a peer knows that is more than what is known here.
+  int64_t behindVersion = 0;
+  uint64_t behindRevision = 0;
+  Address behindWhom = 0;
+  Micros behindSince = 0;
+  bool news = false; // to be told at once
+  Micros lastBeatAt = kNever;
+  Micros lastHelloAt = kNever;
+  uint32_t beats = 0;
+  uint32_t fleetSize = 1;
+  std::vector<Address> answerTo;
+  std::minstd_rand random;
+};
+
+}
--- a/src/tagged/follower.h
+++ b/src/tagged/follower.h
@@ -1,5 +1,6 @@
-// Follows one kind of object at the store: a list, then watches from there.
-// Goes on for ever; what was read stays valid while the store is away.
+// Follows one kind of object at the store: a list, then watches from there
+// while this instance reads for others. What was read stays valid while the
+// store is away.
 #pragma once
 
 #include "tagged/http_client.h"
@@ -19,6 +20,8 @@
 // After a failure a watch waits only this long: its answer tells that the
 // store is back, and one that the store never answers is soon given up.
 constexpr Micros kProbeWait = 400 * kMillisecond;
+// The first watch of an instance that starts to read only asks for news.
+constexpr Micros kFirstWait = 20 * kMillisecond;
 constexpr Micros kFirstRetry = 150 * kMillisecond;
 constexpr Micros kLongestRetry = 1 * kSecond;
 constexpr double kRetryGrowth = 1.7;
@@ -59,15 +62,18 @@
 template<typename C>
 struct FollowerEvents
 {
-  std::function<void(std::span<const C>)> onList;
-  std::function<void(std::span<const C>)> onChanges;
-  std::function<void(const std::string&)> onLost; // with the error
-  std::function<void(Micros)> onBack;             // after this time
+  // With the revision up to which all is known then; of a watch the changes
+  // may be none.
+  std::function<void(std::span<const C>, uint64_t)> onList;
+  std::function<void(std::span<const C>, uint64_t)> onChanges;
+  // A call failed, with the error; whether it is the first in a row.
+  std::function<void(const std::string&, bool)> onLost;
+  std::function<void(Micros)> onBack; // after this time
 };
 
 struct FollowerOptions
 {
-  Micros wait = 2500 * kMillisecond;
+  Micros wait = 1 * kSecond;
   // Time between an answer with changes and the next watch, so that changes
   // that come in a row cost one call.
   Micros pace = 0;
@@ -92,13 +98,40 @@
   {
   }
 
-  void Start() { this->Call(); }
+  // Lists once; goes on with watches if told to.
+  void Start() { this->next.Start(0); }
+
+  // Whether watches follow the list.
+  void Watch(bool aWatch)
+  {
+    if (this->watching == aWatch) {
+      return;
+    }
+    this->watching = aWatch;
+    if (aWatch) {
+      this->first = true;
+      this->next.Start(0);
+    } else if (this->listed) {
+      this->Stop();
+    }
+  }
+
+  // All up to aRevision is known by other means.
+  void Know(uint64_t aRevision)
+  {
+    if (!this->listed) {
+      this->Stop();
+      this->listed = true;
+      this->collected.clear();
+      this->after.clear();
+      this->next.Start(0);
+    }
+    this->revision = std::max(this->revision, aRevision);
+  }
 
   // What is known may be old: asks anew on a new connection.
   void Restart() { this->client.Disconnect(); }
 
-  uint64_t Revision() const { return this->revision; }
-  Micros ConfirmedAt() const { return this->confirmedAt; }
   bool Lost() const { return this->lostAt != 0; }
   const FollowerCounts& Counts() const { return this->counts; }
 
@@ -106,8 +139,13 @@
   void Call()
   {
     bool list = !this->listed;
-    Micros wait = this->Lost() ? std::min(kProbeWait, this->options.wait)
-                               : this->options.wait;
+    if (!list && !this->watching) {
+      return;
+    }
+    Micros wait = this->options.wait;
+    if (this->Lost() || this->first) {
+      wait = std::min(wait, this->first ? kFirstWait : kProbeWait);
+    }
     std::string path =
       list ? this->format.listPath(this->after)
            : this->format.watchPath(this->revision, wait / kMillisecond);
@@ -147,6 +185,7 @@
       return;
     }
     this->NoteAnswer();
+    this->first = false;
     if (aList) {
       this->OnListPage(*std::move(page));
     } else {
@@ -169,21 +208,26 @@
       return;
     }
     this->listed = true;
-    this->events.onList(this->collected);
+    std::vector<C> list = std::move(this->collected);
     this->collected.clear();
     this->after.clear();
+    this->events.onList(list, this->revision);
     this->next.Start(this->options.pace);
   }
 
   void OnWatchPage(const Page<C>& aPage)
   {
     this->revision = std::max(this->revision, aPage.revision);
-    if (aPage.changes.empty()) {
-      this->Call();
-      return;
-    }
-    this->events.onChanges(aPage.changes);
-    this->next.Start(this->options.pace);
+    this->events.onChanges(aPage.changes, this->revision);
+    this->next.Start(aPage.changes.empty() ? 0 : this->options.pace);
+  }
+
+  void Stop()
+  {
+    this->client.Cancel();
+    this->next.Stop();
+    this->lostAt = 0;
+    this->retryAfter = kFirstRetry;
   }
 
   void StartOver()
@@ -196,7 +240,6 @@
   void NoteAnswer()
   {
     Micros now = SteadyNow();
-    this->confirmedAt = now;
     this->retryAfter = kFirstRetry;
     if (this->lostAt != 0) {
       Micros away = now - this->lostAt;
@@ -209,9 +252,13 @@
   void Retry(StoreRetry aWhy, const std::string& aProblem)
   {
     ++this->counts.retries[static_cast<size_t>(aWhy)];
-    if (!aProblem.empty() && this->lostAt == 0) {
-      this->lostAt = SteadyNow();
-      this->events.onLost(aProblem);
+    if (!aProblem.empty()) {
+      bool before = this->Lost();
+      this->lostAt = before ? this->lostAt : SteadyNow();
+      this->events.onLost(aProblem, !before);
+      if (!this->watching && this->listed) {
+        return; // told to stop meanwhile
+      }
     }
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
     auto base = static_cast<double>(this->retryAfter);
@@ -227,10 +274,11 @@
   Timer next;
   std::minstd_rand random;
   bool listed = false;
+  bool watching = false;
+  bool first = false; // no watch has answered yet
   std::string after;
   std::vector<C> collected;
   uint64_t revision = 0;
-  Micros confirmedAt = 0;
   Micros lostAt = 0;
   Micros retryAfter = kFirstRetry;
   FollowerCounts counts;
--- a/src/tagged/gen/peers_types.cpp
+++ b/src/tagged/gen/peers_types.cpp
@@ -633,6 +633,10 @@
 void ViewCopy::__set_servers(const std::vector<Server> & val) {
   this->servers = val;
 }
+
+void ViewCopy::__set_configRevision(const int64_t val) {
+  this->configRevision = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewCopy& obj)
 {
   obj.printTo(out);
@@ -725,6 +729,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configRevision);
+          this->__isset.configRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -778,6 +790,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("configRevision", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->configRevision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -790,6 +806,7 @@
   swap(a.idle, b.idle);
   swap(a.serversRevision, b.serversRevision);
   swap(a.servers, b.servers);
+  swap(a.configRevision, b.configRevision);
   swap(a.__isset, b.__isset);
 }
 
@@ -799,6 +816,7 @@
   idle = other24.idle;
   serversRevision = other24.serversRevision;
   servers = other24.servers;
+  configRevision = other24.configRevision;
   __isset = other24.__isset;
 }
 ViewCopy& ViewCopy::operator=(const ViewCopy& other25) {
@@ -807,6 +825,7 @@
   idle = other25.idle;
   serversRevision = other25.serversRevision;
   servers = other25.servers;
+  configRevision = other25.configRevision;
   __isset = other25.__isset;
   return *this;
 }
@@ -818,33 +837,322 @@
   out << ", " << "idle=" << to_string(idle);
   out << ", " << "serversRevision=" << to_string(serversRevision);
   out << ", " << "servers=" << to_string(servers);
+  out << ", " << "configRevision=" << to_string(configRevision);
+  out << ")";
+}
+
+
+Change::~Change() noexcept {
+}
+
+
+void Change::__set_server(const Server& val) {
+  this->server = val;
+}
+
+void Change::__set_kind(const int8_t val) {
+  this->kind = val;
+}
+std::ostream& operator<<(std::ostream& out, const Change& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Change::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->server.read(iprot);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Change::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Change");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->server.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_BYTE, 2);
+  xfer += oprot->writeByte(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Change &a, Change &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.kind, b.kind);
+  swap(a.__isset, b.__isset);
+}
+
+Change::Change(const Change& other26) {
+  server = other26.server;
+  kind = other26.kind;
+  __isset = other26.__isset;
+}
+Change& Change::operator=(const Change& other27) {
+  server = other27.server;
+  kind = other27.kind;
+  __isset = other27.__isset;
+  return *this;
+}
+void Change::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Change(";
+  out << "server=" << to_string(server);
+  out << ", " << "kind=" << to_string(kind);
   out << ")";
 }
 
 
-Digest::~Digest() noexcept {
+Reader::~Reader() noexcept {
 }
 
 
-void Digest::__set_configVersion(const int64_t val) {
+void Reader::__set_address(const int32_t val) {
+  this->address = val;
+}
+
+void Reader::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+std::ostream& operator<<(std::ostream& out, const Reader& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Reader::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Reader::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Reader");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Reader &a, Reader &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.zone, b.zone);
+  swap(a.__isset, b.__isset);
+}
+
+Reader::Reader(const Reader& other28) {
+  address = other28.address;
+  zone = other28.zone;
+  __isset = other28.__isset;
+}
+Reader& Reader::operator=(const Reader& other29) {
+  address = other29.address;
+  zone = other29.zone;
+  __isset = other29.__isset;
+  return *this;
+}
+void Reader::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Reader(";
+  out << "address=" << to_string(address);
+  out << ", " << "zone=" << to_string(zone);
+  out << ")";
+}
+
+
+Beat::~Beat() noexcept {
+}
+
+
+void Beat::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void Beat::__set_share(const int32_t val) {
+  this->share = val;
+}
+
+void Beat::__set_reads(const bool val) {
+  this->reads = val;
+}
+
+void Beat::__set_storeAnswers(const bool val) {
+  this->storeAnswers = val;
+}
+
+void Beat::__set_hasView(const bool val) {
+  this->hasView = val;
+}
+
+void Beat::__set_wantsAnswer(const bool val) {
+  this->wantsAnswer = val;
+}
+
+void Beat::__set_configVersion(const int64_t val) {
   this->configVersion = val;
 }
 
-void Digest::__set_serversRevision(const int64_t val) {
+void Beat::__set_configRevision(const int64_t val) {
+  this->configRevision = val;
+}
+
+void Beat::__set_configAge(const int64_t val) {
+  this->configAge = val;
+}
+
+void Beat::__set_serversRevision(const int64_t val) {
   this->serversRevision = val;
 }
 
-void Digest::__set_members(const std::vector<int32_t> & val) {
+void Beat::__set_serversAge(const int64_t val) {
+  this->serversAge = val;
+}
+
+void Beat::__set_storeBackAge(const int64_t val) {
+  this->storeBackAge = val;
+}
+
+void Beat::__set_changesFrom(const int64_t val) {
+  this->changesFrom = val;
+}
+
+void Beat::__set_changesTo(const int64_t val) {
+  this->changesTo = val;
+}
+
+void Beat::__set_changes(const std::vector<Change> & val) {
+  this->changes = val;
+}
+
+void Beat::__set_members(const std::vector<int32_t> & val) {
   this->members = val;
 }
-std::ostream& operator<<(std::ostream& out, const Digest& obj)
+
+void Beat::__set_readers(const std::vector<Reader> & val) {
+  this->readers = val;
+}
+
+void Beat::__set_zoneSize(const int32_t val) {
+  this->zoneSize = val;
+}
+
+void Beat::__set_fleetSize(const int32_t val) {
+  this->fleetSize = val;
+}
+std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Digest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Beat::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -866,6 +1174,54 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->share);
+          this->__isset.share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reads);
+          this->__isset.reads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storeAnswers);
+          this->__isset.storeAnswers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasView);
+          this->__isset.hasView = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsAnswer);
+          this->__isset.wantsAnswer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->configVersion);
           this->__isset.configVersion = true;
@@ -873,7 +1229,23 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configRevision);
+          this->__isset.configRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configAge);
+          this->__isset.configAge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->serversRevision);
           this->__isset.serversRevision = true;
@@ -881,18 +1253,70 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serversAge);
+          this->__isset.serversAge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeBackAge);
+          this->__isset.storeBackAge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changesFrom);
+          this->__isset.changesFrom = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changesTo);
+          this->__isset.changesTo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->changes.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += this->changes[_i34].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->members.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->members.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              xfer += iprot->readI32(this->members[_i30]);
+              xfer += iprot->readI32(this->members[_i39]);
             }
             xfer += iprot->readListEnd();
           }
@@ -901,6 +1325,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->readers.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->readers.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += this->readers[_i44].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.readers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->zoneSize);
+          this->__isset.zoneSize = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->fleetSize);
+          this->__isset.fleetSize = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -913,63 +1373,207 @@
   return xfer;
 }
 
-uint32_t Digest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Beat::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Digest");
+  xfer += oprot->writeStructBegin("Beat");
 
-  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->share);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->reads);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("storeAnswers", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->storeAnswers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hasView", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->hasView);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wantsAnswer", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->wantsAnswer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->configVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("serversRevision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("configRevision", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->configRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configAge", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->configAge);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serversRevision", ::apache::thrift::protocol::T_I64, 10);
   xfer += oprot->writeI64(this->serversRevision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("serversAge", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->serversAge);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("storeBackAge", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->storeBackAge);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changesFrom", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->changesFrom);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changesTo", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->changesTo);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<Change> ::const_iterator _iter45;
+    for (_iter45 = this->changes.begin(); _iter45 != this->changes.end(); ++_iter45)
+    {
+      xfer += (*_iter45).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter31;
-    for (_iter31 = this->members.begin(); _iter31 != this->members.end(); ++_iter31)
+    std::vector<int32_t> ::const_iterator _iter46;
+    for (_iter46 = this->members.begin(); _iter46 != this->members.end(); ++_iter46)
+    {
+      xfer += oprot->writeI32((*_iter46));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("readers", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readers.size()));
+    std::vector<Reader> ::const_iterator _iter47;
+    for (_iter47 = this->readers.begin(); _iter47 != this->readers.end(); ++_iter47)
     {
-      xfer += oprot->writeI32((*_iter31));
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("zoneSize", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->zoneSize);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fleetSize", ::apache::thrift::protocol::T_I32, 19);
+  xfer += oprot->writeI32(this->fleetSize);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Digest &a, Digest &b) {
+void swap(Beat &a, Beat &b) {
   using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.share, b.share);
+  swap(a.reads, b.reads);
+  swap(a.storeAnswers, b.storeAnswers);
+  swap(a.hasView, b.hasView);
+  swap(a.wantsAnswer, b.wantsAnswer);
   swap(a.configVersion, b.configVersion);
+  swap(a.configRevision, b.configRevision);
+  swap(a.configAge, b.configAge);
   swap(a.serversRevision, b.serversRevision);
+  swap(a.serversAge, b.serversAge);
+  swap(a.storeBackAge, b.storeBackAge);
+  swap(a.changesFrom, b.changesFrom);
+  swap(a.changesTo, b.changesTo);
+  swap(a.changes, b.changes);
   swap(a.members, b.members);
+  swap(a.readers, b.readers);
+  swap(a.zoneSize, b.zoneSize);
+  swap(a.fleetSize, b.fleetSize);
   swap(a.__isset, b.__isset);
 }
 
-Digest::Digest(const Digest& other32) {
-  configVersion = other32.configVersion;
-  serversRevision = other32.serversRevision;
-  members = other32.members;
-  __isset = other32.__isset;
-}
-Digest& Digest::operator=(const Digest& other33) {
-  configVersion = other33.configVersion;
-  serversRevision = other33.serversRevision;
-  members = other33.members;
-  __isset = other33.__isset;
+Beat::Beat(const Beat& other48) {
+  zone = other48.zone;
+  share = other48.share;
+  reads = other48.reads;
+  storeAnswers = other48.storeAnswers;
+  hasView = other48.hasView;
+  wantsAnswer = other48.wantsAnswer;
+  configVersion = other48.configVersion;
+  configRevision = other48.configRevision;
+  configAge = other48.configAge;
+  serversRevision = other48.serversRevision;
+  serversAge = other48.serversAge;
+  storeBackAge = other48.storeBackAge;
+  changesFrom = other48.changesFrom;
+  changesTo = other48.changesTo;
+  changes = other48.changes;
+  members = other48.members;
+  readers = other48.readers;
+  zoneSize = other48.zoneSize;
+  fleetSize = other48.fleetSize;
+  __isset = other48.__isset;
+}
+Beat& Beat::operator=(const Beat& other49) {
+  zone = other49.zone;
+  share = other49.share;
+  reads = other49.reads;
+  storeAnswers = other49.storeAnswers;
+  hasView = other49.hasView;
+  wantsAnswer = other49.wantsAnswer;
+  configVersion = other49.configVersion;
+  configRevision = other49.configRevision;
+  configAge = other49.configAge;
+  serversRevision = other49.serversRevision;
+  serversAge = other49.serversAge;
+  storeBackAge = other49.storeBackAge;
+  changesFrom = other49.changesFrom;
+  changesTo = other49.changesTo;
+  changes = other49.changes;
+  members = other49.members;
+  readers = other49.readers;
+  zoneSize = other49.zoneSize;
+  fleetSize = other49.fleetSize;
+  __isset = other49.__isset;
   return *this;
 }
-void Digest::printTo(std::ostream& out) const {
+void Beat::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Digest(";
-  out << "configVersion=" << to_string(configVersion);
+  out << "Beat(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "share=" << to_string(share);
+  out << ", " << "reads=" << to_string(reads);
+  out << ", " << "storeAnswers=" << to_string(storeAnswers);
+  out << ", " << "hasView=" << to_string(hasView);
+  out << ", " << "wantsAnswer=" << to_string(wantsAnswer);
+  out << ", " << "configVersion=" << to_string(configVersion);
+  out << ", " << "configRevision=" << to_string(configRevision);
+  out << ", " << "configAge=" << to_string(configAge);
   out << ", " << "serversRevision=" << to_string(serversRevision);
+  out << ", " << "serversAge=" << to_string(serversAge);
+  out << ", " << "storeBackAge=" << to_string(storeBackAge);
+  out << ", " << "changesFrom=" << to_string(changesFrom);
+  out << ", " << "changesTo=" << to_string(changesTo);
+  out << ", " << "changes=" << to_string(changes);
   out << ", " << "members=" << to_string(members);
+  out << ", " << "readers=" << to_string(readers);
+  out << ", " << "zoneSize=" << to_string(zoneSize);
+  out << ", " << "fleetSize=" << to_string(fleetSize);
   out << ")";
 }
 
--- a/src/tagged/gen/peers_types.h
+++ b/src/tagged/gen/peers_types.h
@@ -29,7 +29,11 @@
 
 class ViewCopy;
 
-class Digest;
+class Change;
+
+class Reader;
+
+class Beat;
 
 typedef struct _Weight__isset {
   _Weight__isset() : serviceName(false), weight(false) {}
@@ -265,12 +269,13 @@
 std::ostream& operator<<(std::ostream& out, const Server& obj);
 
 typedef struct _ViewCopy__isset {
-  _ViewCopy__isset() : configVersion(false), routes(false), idle(false), serversRevision(false), servers(false) {}
+  _ViewCopy__isset() : configVersion(false), routes(false), idle(false), serversRevision(false), servers(false), configRevision(false) {}
   bool configVersion :1;
   bool routes :1;
   bool idle :1;
   bool serversRevision :1;
   bool servers :1;
+  bool configRevision :1;
 } _ViewCopy__isset;
 
 class ViewCopy : public virtual ::apache::thrift::TBase {
@@ -281,7 +286,8 @@
   ViewCopy() noexcept
            : configVersion(0),
              idle(0),
-             serversRevision(0) {
+             serversRevision(0),
+             configRevision(0) {
   }
 
   virtual ~ViewCopy() noexcept;
@@ -290,6 +296,7 @@
   int64_t idle;
   int64_t serversRevision;
   std::vector<Server>  servers;
+  int64_t configRevision;
 
   _ViewCopy__isset __isset;
 
@@ -303,6 +310,8 @@
 
   void __set_servers(const std::vector<Server> & val);
 
+  void __set_configRevision(const int64_t val);
+
   bool operator == (const ViewCopy & rhs) const
   {
     if (!(configVersion == rhs.configVersion))
@@ -315,6 +324,8 @@
       return false;
     if (!(servers == rhs.servers))
       return false;
+    if (!(configRevision == rhs.configRevision))
+      return false;
     return true;
   }
   bool operator != (const ViewCopy &rhs) const {
@@ -333,51 +344,260 @@
 
 std::ostream& operator<<(std::ostream& out, const ViewCopy& obj);
 
-typedef struct _Digest__isset {
-  _Digest__isset() : configVersion(false), serversRevision(false), members(false) {}
+typedef struct _Change__isset {
+  _Change__isset() : server(false), kind(false) {}
+  bool server :1;
+  bool kind :1;
+} _Change__isset;
+
+class Change : public virtual ::apache::thrift::TBase {
+ public:
+
+  Change(const Change&);
+  Change& operator=(const Change&);
+  Change() noexcept
+         : kind(0) {
+  }
+
+  virtual ~Change() noexcept;
+  Server server;
+  int8_t kind;
+
+  _Change__isset __isset;
+
+  void __set_server(const Server& val);
+
+  void __set_kind(const int8_t val);
+
+  bool operator == (const Change & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    return true;
+  }
+  bool operator != (const Change &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Change & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Change &a, Change &b);
+
+std::ostream& operator<<(std::ostream& out, const Change& obj);
+
+typedef struct _Reader__isset {
+  _Reader__isset() : address(false), zone(false) {}
+  bool address :1;
+  bool zone :1;
+} _Reader__isset;
+
+class Reader : public virtual ::apache::thrift::TBase {
+ public:
+
+  Reader(const Reader&);
+  Reader& operator=(const Reader&);
+  Reader() noexcept
+         : address(0),
+           zone() {
+  }
+
+  virtual ~Reader() noexcept;
+  int32_t address;
+  std::string zone;
+
+  _Reader__isset __isset;
+
+  void __set_address(const int32_t val);
+
+  void __set_zone(const std::string& val);
+
+  bool operator == (const Reader & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    return true;
+  }
+  bool operator != (const Reader &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Reader & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Reader &a, Reader &b);
+
+std::ostream& operator<<(std::ostream& out, const Reader& obj);
+
+typedef struct _Beat__isset {
+  _Beat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false) {}
+  bool zone :1;
+  bool share :1;
+  bool reads :1;
+  bool storeAnswers :1;
+  bool hasView :1;
+  bool wantsAnswer :1;
   bool configVersion :1;
+  bool configRevision :1;
+  bool configAge :1;
   bool serversRevision :1;
+  bool serversAge :1;
+  bool storeBackAge :1;
+  bool changesFrom :1;
+  bool changesTo :1;
+  bool changes :1;
   bool members :1;
-} _Digest__isset;
+  bool readers :1;
+  bool zoneSize :1;
+  bool fleetSize :1;
+} _Beat__isset;
 
-class Digest : public virtual ::apache::thrift::TBase {
+class Beat : public virtual ::apache::thrift::TBase {
  public:
 
-  Digest(const Digest&);
-  Digest& operator=(const Digest&);
-  Digest() noexcept
-         : configVersion(0),
-           serversRevision(0) {
+  Beat(const Beat&);
+  Beat& operator=(const Beat&);
+  Beat() noexcept
+       : zone(),
+         share(0),
+         reads(0),
+         storeAnswers(0),
+         hasView(0),
+         wantsAnswer(0),
+         configVersion(0),
+         configRevision(0),
+         configAge(0),
+         serversRevision(0),
+         serversAge(0),
+         storeBackAge(0),
+         changesFrom(0),
+         changesTo(0),
+         zoneSize(0),
+         fleetSize(0) {
   }
 
-  virtual ~Digest() noexcept;
+  virtual ~Beat() noexcept;
+  std::string zone;
+  int32_t share;
+  bool reads;
+  bool storeAnswers;
+  bool hasView;
+  bool wantsAnswer;
   int64_t configVersion;
+  int64_t configRevision;
+  int64_t configAge;
   int64_t serversRevision;
+  int64_t serversAge;
+  int64_t storeBackAge;
+  int64_t changesFrom;
+  int64_t changesTo;
+  std::vector<Change>  changes;
   std::vector<int32_t>  members;
+  std::vector<Reader>  readers;
+  int32_t zoneSize;
+  int32_t fleetSize;
+
+  _Beat__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_share(const int32_t val);
 
-  _Digest__isset __isset;
+  void __set_reads(const bool val);
+
+  void __set_storeAnswers(const bool val);
+
+  void __set_hasView(const bool val);
+
+  void __set_wantsAnswer(const bool val);
 
   void __set_configVersion(const int64_t val);
 
+  void __set_configRevision(const int64_t val);
+
+  void __set_configAge(const int64_t val);
+
   void __set_serversRevision(const int64_t val);
 
+  void __set_serversAge(const int64_t val);
+
+  void __set_storeBackAge(const int64_t val);
+
+  void __set_changesFrom(const int64_t val);
+
+  void __set_changesTo(const int64_t val);
+
+  void __set_changes(const std::vector<Change> & val);
+
   void __set_members(const std::vector<int32_t> & val);
 
-  bool operator == (const Digest & rhs) const
+  void __set_readers(const std::vector<Reader> & val);
+
+  void __set_zoneSize(const int32_t val);
+
+  void __set_fleetSize(const int32_t val);
+
+  bool operator == (const Beat & rhs) const
   {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(share == rhs.share))
+      return false;
+    if (!(reads == rhs.reads))
+      return false;
+    if (!(storeAnswers == rhs.storeAnswers))
+      return false;
+    if (!(hasView == rhs.hasView))
+      return false;
+    if (!(wantsAnswer == rhs.wantsAnswer))
+      return false;
     if (!(configVersion == rhs.configVersion))
       return false;
+    if (!(configRevision == rhs.configRevision))
+      return false;
+    if (!(configAge == rhs.configAge))
+      return false;
     if (!(serversRevision == rhs.serversRevision))
       return false;
+    if (!(serversAge == rhs.serversAge))
+      return false;
+    if (!(storeBackAge == rhs.storeBackAge))
+      return false;
+    if (!(changesFrom == rhs.changesFrom))
+      return false;
+    if (!(changesTo == rhs.changesTo))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
     if (!(members == rhs.members))
       return false;
+    if (!(readers == rhs.readers))
+      return false;
+    if (!(zoneSize == rhs.zoneSize))
+      return false;
+    if (!(fleetSize == rhs.fleetSize))
+      return false;
     return true;
   }
-  bool operator != (const Digest &rhs) const {
+  bool operator != (const Beat &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const Digest & ) const;
+  bool operator < (const Beat & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -385,9 +605,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Digest &a, Digest &b);
+void swap(Beat &a, Beat &b);
 
-std::ostream& operator<<(std::ostream& out, const Digest& obj);
+std::ostream& operator<<(std::ostream& out, const Beat& obj);
 
 }}} // namespace
 
--- a/src/tagged/http_client.cpp
+++ b/src/tagged/http_client.cpp
@@ -96,6 +96,15 @@
   }
 }
 
+void
+HttpClient::Cancel()
+{
+  this->broken = this->broken || this->busy;
+  this->busy = false;
+  this->timeout.Stop();
+  this->onAnswer = nullptr;
+}
+
 void
 HttpClient::Disconnect()
 {
--- a/src/tagged/http_client.h
+++ b/src/tagged/http_client.h
@@ -27,6 +27,9 @@
 
   // Ends a call under way without calling back.
   void Get(const std::string& aPath, Micros aTimeout, OnAnswer aOnAnswer);
+  // Ends a call under way without calling back; the next one takes a new
+  // connection.
+  void Cancel();
   // The next call takes a new connection; a call under way fails.
   void Disconnect();
 
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -165,7 +165,7 @@
         "Configuration in force",
         static_cast<double>(aSource.steer.Views().Version()));
   gauge("view_age_seconds",
-        "Time since the store last answered",
+        "Time since the view was last confirmed",
         static_cast<double>(aSource.viewAge) / kSecond);
   gauge(
     "ready", "1 where the readiness page answers 200", aSource.ready ? 1 : 0);
@@ -176,11 +176,21 @@
                  "First data to the first acknowledged answer",
                  aSource.response);
   AddStore(writer, aSource);
-  counter("peers_asked_total", "Questions to peers", aSource.peers.asked);
+  gauge("reads_store",
+        "1 where this instance asks the store",
+        aSource.reads ? 1 : 0);
+  counter("beats_in_total", "Beats of peers", aSource.peers.beatsIn);
+  counter("beats_out_total", "Beats sent to peers", aSource.peers.beatsOut);
+  counter("bad_beats_total",
+          "Datagrams of peers that are no beats",
+          aSource.peers.badBeats);
+  counter("peer_bytes_out_total",
+          "Bytes of beats and views for peers",
+          aSource.peers.bytesOut);
   counter(
     "peer_views_total", "Views taken over from peers", aSource.peers.views);
   writer.Table("peer_retries_total",
-               "Questions to peers in vain, by reason",
+               "Questions for a view in vain, by reason",
                "reason",
                kPeerRetryNames,
                aSource.peers.retries);
--- a/src/tagged/metrics.h
+++ b/src/tagged/metrics.h
@@ -49,6 +49,7 @@
   PeerCounts peers;
   LogCounts log;
   Micros viewAge = 0;
+  bool reads = false; // this instance asks the store
   bool ready = false;
 };
 
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -2,12 +2,11 @@
 // from start to a planned stop. All on one thread.
 #pragma once
 
-#include "tagged/follower.h"
 #include "tagged/log.h"
 #include "tagged/metrics.h"
 #include "tagged/pages.h"
-#include "tagged/peers.h"
 #include "tagged/settings.h"
+#include "tagged/sync.h"
 #include "tagged/udp.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -29,10 +28,6 @@
 constexpr Micros kQuietStop = 400 * kMillisecond;
 constexpr Micros kStopMargin = 500 * kMillisecond;
 
-// A peer may hear of a change a little earlier; after this time this
-// instance's own watch is to blame.
-constexpr Micros kBehindTime = 700 * kMillisecond;
-
 template<Platform P>
 class Node
 {
@@ -54,14 +49,6 @@
   absl::Status StartPages();
   void StartStore();
   void StartLog();
-  void StartPeers();
-  // Of servers, from the store or a peer.
-  uint64_t KnownRevision() const
-  {
-    return std::max(this->servers->Revision(), this->peerRevision);
-  }
-  bool WantsView(const PeerDigest& aDigest);
-  void OnPeerView(const PeerView& aView, const std::string& aPeer);
   void StartSignals();
 
   void OnReadable();
@@ -77,8 +64,6 @@
                    const steer::Packet& aPacket,
                    std::span<const uint8_t> aBytes);
 
-  void OnServers(std::span<const steer::ServerChange> aChanges, bool aList);
-  void OnConfig(std::span<const steer::ConfigChange> aChanges);
   void OnView();
   void OnTick();
   void OnPause(Micros aTook);
@@ -86,13 +71,7 @@
   void CheckStop();
   void CheckSettings(bool aSignalled);
 
-  template<typename C>
-  FollowerEvents<C> EventsOf(std::string_view aKind,
-                             std::function<void(std::span<const C>)> aOnList,
-                             std::function<void(std::span<const C>)> aOnChange);
-
   bool Ready() const { return this->steer.Views().Ready() && !this->stopping; }
-  bool Fresh() const;
   std::string Metrics() const;
   void Write(const LogLine& aLine)
   {
@@ -115,12 +94,8 @@
   // Held packets, each behind its headroom.
   absl::flat_hash_map<steer::FlowId, std::vector<uint8_t>> held;
   steer::Steer steer;
-  std::unique_ptr<Follower<steer::ServerChange>> servers;
-  std::unique_ptr<Follower<steer::ConfigChange>> config;
+  std::unique_ptr<Sync> sync;
   std::unique_ptr<Pages> pages;
-  std::unique_ptr<Peers> peers;
-  uint64_t peerRevision = 0; // of servers, taken over from a peer
-  Micros behindSince = 0;    // a peer knows more; 0: none does
   std::unique_ptr<Log> log;
   std::vector<EventPtr> signals;
   Timer tick;
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -51,7 +51,6 @@
     return status;
   }
   node->StartSignals();
-  node->StartPeers();
   return node;
 }
 
@@ -88,72 +87,28 @@
   return this->pages->Listen(EndpointOf(this->settings.ready.listen));
 }
 
-template<Platform P>
-template<typename C>
-FollowerEvents<C>
-Node<P>::EventsOf(std::string_view aKind,
-                  std::function<void(std::span<const C>)> aOnList,
-                  std::function<void(std::span<const C>)> aOnChange)
-{
-  FollowerEvents<C> events;
-  events.onList = std::move(aOnList);
-  events.onChanges = std::move(aOnChange);
-  events.onLost = [this, aKind](const std::string& aProblem) {
-    LogLine line("store_lost");
-    line.Text("kind", aKind)
-      .Text("store", this->settings.store.address)
-      .Text("problem", aProblem)
-      .Number("config_version", this->steer.Views().Version());
-    this->Write(line);
-  };
-  events.onBack = [this, aKind](Micros aAway) {
-    this->steer.Views().NoteStoreBack(SteadyNow());
-    LogLine line("store_back");
-    line.Text("kind", aKind).Number("away_ms", aAway / kMillisecond);
-    this->Write(line);
-  };
-  return events;
-}
-
 template<Platform P>
 void
 Node<P>::StartStore()
 {
-  Endpoint store = EndpointOf(this->settings.store.address);
-  Micros wait = this->settings.store.watchMs * kMillisecond;
-  auto seed = static_cast<uint32_t>(
-    absl::HashOf(this->settings.instance.address, SteadyNow()));
-  using Servers = std::span<const steer::ServerChange>;
-  using Configs = std::span<const steer::ConfigChange>;
-  this->config = std::make_unique<Follower<steer::ConfigChange>>(
-    this->base,
-    store,
-    KindFormat<steer::ConfigChange>{ P::ConfigListPath,
-                                     P::ConfigWatchPath,
-                                     P::ParseConfigList,
-                                     P::ParseConfigWatch },
-    FollowerOptions{ .wait = wait },
-    this->EventsOf<steer::ConfigChange>(
-      "config",
-      [this](Configs aList) { this->OnConfig(aList); },
-      [this](Configs aChanges) { this->OnConfig(aChanges); }),
-    seed);
-  this->servers = std::make_unique<Follower<steer::ServerChange>>(
-    this->base,
-    store,
-    KindFormat<steer::ServerChange>{ P::ServersListPath,
-                                     P::ServersWatchPath,
-                                     P::ParseServersList,
-                                     P::ParseServersWatch },
-    FollowerOptions{ .wait = wait,
-                     .pace = this->settings.store.paceMs * kMillisecond },
-    this->EventsOf<steer::ServerChange>(
-      "servers",
-      [this](Servers aList) { this->OnServers(aList, true); },
-      [this](Servers aChanges) { this->OnServers(aChanges, false); }),
-    seed + 1);
-  this->servers->Start();
-  this->config->Start();
+  StoreFormats formats{
+    .servers = { P::ServersListPath,
+                 P::ServersWatchPath,
+                 P::ParseServersList,
+                 P::ParseServersWatch },
+    .config = { P::ConfigListPath,
+                P::ConfigWatchPath,
+                P::ParseConfigList,
+                P::ParseConfigWatch },
+  };
+  SyncEvents events;
+  events.onView = [this] { this->OnView(); };
+  events.log = [this](const LogLine& aLine) { this->Write(aLine); };
+  this->sync = Sync::Make(this->base,
+                          this->settings,
+                          formats,
+                          this->steer.Views(),
+                          std::move(events));
 }
 
 template<Platform P>
@@ -179,100 +134,6 @@
   }
 }
 
-template<Platform P>
-void
-Node<P>::StartPeers()
-{
-  if (this->settings.peers.port == 0) {
-    return;
-  }
-  PeerOptions options;
-  ParseAddress(this->settings.instance.address, options.self.address);
-  options.self.port = static_cast<uint16_t>(this->settings.peers.port);
-  for (const std::string& seed : this->settings.peers.seeds) {
-    options.seeds.push_back(EndpointOf(seed).address);
-  }
-  options.randomSeed =
-    static_cast<uint32_t>(absl::HashOf(options.self.address, SteadyNow()));
-  PeerEvents events;
-  events.digest = [this] {
-    return PeerDigest{ this->steer.Views().Version(),
-                       this->steer.Views().ServersRevision(),
-                       {} };
-  };
-  events.view = [this] {
-    const steer::View& view = this->steer.Views();
-    return PeerView{ view.CopyConfig(),
-                     view.ServersRevision(),
-                     view.CopyServers(SteadyNow()) };
-  };
-  events.hasView = [this] { return this->steer.Views().Ready(); };
-  events.wants = [this](const PeerDigest& aDigest) {
-    return this->WantsView(aDigest);
-  };
-  events.onView = [this](const PeerView& aView, const std::string& aPeer) {
-    this->OnPeerView(aView, aPeer);
-  };
-  absl::StatusOr<std::unique_ptr<Peers>> made =
-    Peers::Make(this->base, options, std::move(events));
-  if (!made.ok()) {
-    // Callers are served without peers.
-    std::cerr << "gentianspindled: " << made.status().message() << std::endl;
-    return;
-  }
-  this->peers = *std::move(made);
-}
-
-// Our own watches normally tell first. Where a peer stays ahead they are
-// silent, or the store turns this instance away.
-template<Platform P>
-bool
-Node<P>::WantsView(const PeerDigest& aDigest)
-{
-  bool oldConfig = aDigest.configVersion > this->steer.Views().Version();
-  bool oldServers = aDigest.serversRevision > this->KnownRevision();
-  if (!oldConfig && !oldServers) {
-    this->behindSince = 0;
-    return false;
-  }
-  Micros at = SteadyNow();
-  if (this->behindSince == 0) {
-    this->behindSince = at;
-  }
-  bool lost = this->config->Lost() || this->servers->Lost();
-  return lost || at - this->behindSince >= kBehindTime;
-}
-
-template<Platform P>
-void
-Node<P>::OnPeerView(const PeerView& aView, const std::string& aPeer)
-{
-  Micros at = SteadyNow();
-  steer::View& view = this->steer.Views();
-  bool newConfig = view.PutConfig(aView.config);
-  bool newServers =
-    aView.serversRevision > this->KnownRevision() || !view.HasServers();
-  if (newServers) {
-    view.PutServers(aView.servers, at);
-    this->peerRevision = aView.serversRevision;
-  }
-  this->OnView();
-  if (newConfig && !this->config->Lost()) {
-    this->config->Restart();
-  }
-  if (newServers && !this->servers->Lost()) {
-    this->servers->Restart();
-  }
-  this->behindSince = 0;
-  LogLine line("view_from_peer");
-  line.Text("peer", aPeer)
-    .Number("config_version", view.Version())
-    .Text("config", newConfig ? "newer" : "known")
-    .Number("servers_revision", static_cast<int64_t>(aView.serversRevision))
-    .Text("servers", newServers ? "newer" : "known");
-  this->Write(line);
-}
-
 template<Platform P>
 void
 Node<P>::StartSignals()
@@ -318,7 +179,7 @@
     return;
   }
   steer::Decision decision =
-    this->steer.OnPacket(*packet, this->Fresh(), this->now);
+    this->steer.OnPacket(*packet, this->sync->Fresh(this->now), this->now);
   const steer::Sample& sample = this->steer.LastSample();
   if (sample.handshake) {
     this->handshake.Add(sample.took);
@@ -431,8 +292,7 @@
     .Text("target", FormatEndpoint(aPacket.flow.target))
     .Number("tag", aPacket.tag)
     .Number("config_version", this->steer.Views().Version())
-    .Number("view_age_ms",
-            (this->now - this->servers->ConfirmedAt()) / kMillisecond);
+    .Number("view_age_ms", this->sync->ViewAge(this->now) / kMillisecond);
   if (aDecision.firstRequest) {
     line.Text("request", P::RequestId(aBytes));
   }
@@ -453,58 +313,6 @@
   this->Write(line);
 }
 
-template<Platform P>
-void
-Node<P>::OnServers(std::span<const steer::ServerChange> aChanges, bool aList)
-{
-  Micros at = SteadyNow();
-  steer::View& view = this->steer.Views();
-  if (aList) {
-    view.PutServers(aChanges, at);
-  } else {
-    for (const steer::ServerChange& change : aChanges) {
-      view.PutServer(change, at);
-    }
-  }
-  this->OnView();
-  for (const steer::ServerChange& change : aChanges) {
-    LogLine line("server");
-    line.Text("id", change.name)
-      .Number("revision", static_cast<int64_t>(change.revision))
-      .Text("state",
-            change.removed           ? "removed"
-            : !change.entry          ? "unreadable"
-            : change.entry->draining ? "draining"
-                                     : "ready");
-    this->Write(line);
-  }
-}
-
-template<Platform P>
-void
-Node<P>::OnConfig(std::span<const steer::ConfigChange> aChanges)
-{
-  for (const steer::ConfigChange& change : aChanges) {
-    if (change.removed || !change.config) {
-      LogLine line("config_unreadable");
-      line.Text("name", change.name)
-        .Number("revision", static_cast<int64_t>(change.revision));
-      this->Write(line);
-      continue;
-    }
-    int64_t before = this->steer.Views().Version();
-    if (this->steer.Views().PutConfig(*change.config)) {
-      this->OnView();
-      LogLine line("config");
-      line.Number("version", change.config->version)
-        .Number("former", before)
-        .Number("revision", static_cast<int64_t>(change.revision))
-        .Number("routes", static_cast<int64_t>(this->steer.Views().Routes()));
-      this->Write(line);
-    }
-  }
-}
-
 // The first complete view opens the packet path.
 template<Platform P>
 void
@@ -518,16 +326,6 @@
   event_add(this->readable.get(), nullptr);
 }
 
-template<Platform P>
-bool
-Node<P>::Fresh() const
-{
-  Micros bound =
-    this->settings.store.watchMs * kMillisecond + kWatchSlack + kSecond;
-  return !this->config->Lost() &&
-         this->now - this->config->ConfirmedAt() < bound;
-}
-
 template<Platform P>
 void
 Node<P>::OnTick()
@@ -542,7 +340,8 @@
     this->OnPause(took);
   }
   this->now = at;
-  this->steer.SetInstances(this->peers ? this->peers->Known() + 1 : 1);
+  this->sync->Tick(at);
+  this->steer.SetInstances(this->sync->FleetSize());
   this->steer.Tick(at);
   this->ReleaseHeld();
   if (!this->log) {
@@ -562,8 +361,7 @@
 Node<P>::OnPause(Micros aTook)
 {
   this->steer.OnPause(SteadyNow());
-  this->servers->Restart();
-  this->config->Restart();
+  this->sync->OnPause();
   LogLine line("paused");
   line.Number("took_ms", aTook / kMillisecond);
   this->Write(line);
@@ -639,12 +437,12 @@
                         .steer = this->steer,
                         .handshake = this->handshake,
                         .response = this->response,
-                        .servers = this->servers->Counts(),
-                        .config = this->config->Counts(),
-                        .peers =
-                          this->peers ? this->peers->Counts() : PeerCounts{},
+                        .servers = this->sync->ServersCounts(),
+                        .config = this->sync->ConfigCounts(),
+                        .peers = this->sync->Counts(),
                         .log = this->log ? this->log->Counts() : LogCounts{},
-                        .viewAge = SteadyNow() - this->servers->ConfirmedAt(),
+                        .viewAge = this->sync->ViewAge(SteadyNow()),
+                        .reads = this->sync->Reads(),
                         .ready = this->Ready() };
   return FormatMetrics(source);
 }
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -18,6 +18,7 @@
 // Bounds on what a peer's message may make this instance allocate.
 constexpr int32_t kMostText = 4096;
 constexpr int32_t kMostEntries = 1 << 20;
+constexpr double kThousandths = 1000;
 
 template<typename M>
 std::string
@@ -97,10 +98,13 @@
 msg::Server
 ToMessage(const steer::ServerChange& aChange)
 {
-  const steer::ServerEntry& entry = *aChange.entry;
   msg::Server server;
   server.name = aChange.name;
   server.revision = static_cast<int64_t>(aChange.revision);
+  if (!aChange.entry) {
+    return server;
+  }
+  const steer::ServerEntry& entry = *aChange.entry;
   server.id = static_cast<int64_t>(entry.id);
   server.startedAt = entry.startedAt;
   server.serviceName = entry.service;
@@ -141,6 +145,7 @@
     copy.routes.push_back(ToMessage(route));
   }
   copy.idle = aView.config.idle;
+  copy.configRevision = static_cast<int64_t>(aView.configRevision);
   copy.serversRevision = static_cast<int64_t>(aView.serversRevision);
   for (const steer::ServerChange& change : aView.servers) {
     copy.servers.push_back(ToMessage(change));
@@ -161,6 +166,7 @@
   for (const msg::Route& route : copy->routes) {
     view.config.routes.push_back(FromMessage(route));
   }
+  view.configRevision = static_cast<uint64_t>(copy->configRevision);
   view.serversRevision = static_cast<uint64_t>(copy->serversRevision);
   for (const msg::Server& server : copy->servers) {
     view.servers.push_back(FromMessage(server));
@@ -168,28 +174,126 @@
   return view;
 }
 
+namespace {
+
+// Kinds of a change in a message.
+constexpr int8_t kListed = 0;
+constexpr int8_t kRemoved = 1;
+constexpr int8_t kUnreadable = 2;
+
+msg::Change
+ToChange(const steer::ServerChange& aChange)
+{
+  msg::Change change;
+  change.server = ToMessage(aChange);
+  change.kind = aChange.removed ? kRemoved
+                : aChange.entry ? kListed
+                                : kUnreadable;
+  return change;
+}
+
+steer::ServerChange
+FromChange(const msg::Change& aChange)
+{
+  steer::ServerChange change = FromMessage(aChange.server);
+  change.removed = aChange.kind == kRemoved;
+  if (aChange.kind != kListed) {
+    change.entry.reset();
+  }
+  return change;
+}
+
+void
+PutKnowledge(const spread::Beat& aBeat, msg::Beat& aMessage)
+{
+  aMessage.configVersion = aBeat.configVersion;
+  aMessage.configRevision = static_cast<int64_t>(aBeat.configRevision);
+  aMessage.configAge = aBeat.configAge;
+  aMessage.serversRevision = static_cast<int64_t>(aBeat.serversRevision);
+  aMessage.serversAge = aBeat.serversAge;
+  aMessage.storeBackAge = aBeat.storeBackAge;
+  aMessage.changesFrom = static_cast<int64_t>(aBeat.recent.from);
+  aMessage.changesTo = static_cast<int64_t>(aBeat.recent.to);
+  for (const steer::ServerChange& change : aBeat.recent.changes) {
+    aMessage.changes.push_back(ToChange(change));
+  }
+}
+
+void
+TakeKnowledge(const msg::Beat& aMessage, spread::Beat& aBeat)
+{
+  aBeat.configVersion = aMessage.configVersion;
+  aBeat.configRevision = static_cast<uint64_t>(aMessage.configRevision);
+  aBeat.configAge = aMessage.configAge;
+  aBeat.serversRevision = static_cast<uint64_t>(aMessage.serversRevision);
+  aBeat.serversAge = aMessage.serversAge;
+  aBeat.storeBackAge = aMessage.storeBackAge;
+  aBeat.recent.from = static_cast<uint64_t>(aMessage.changesFrom);
+  aBeat.recent.to = static_cast<uint64_t>(aMessage.changesTo);
+  for (const msg::Change& change : aMessage.changes) {
+    aBeat.recent.changes.push_back(FromChange(change));
+  }
+}
+
+// An age that a peer cannot have would make old news look new.
+bool
+IsSound(const spread::Beat& aBeat)
+{
+  return aBeat.configAge >= 0 && aBeat.serversAge >= 0 &&
+         aBeat.recent.from <= aBeat.recent.to;
+}
+
+}
+
 std::string
-EncodePeerDigest(const PeerDigest& aDigest)
+EncodeBeat(const spread::Beat& aBeat)
 {
-  msg::Digest digest;
-  digest.configVersion = aDigest.configVersion;
-  digest.serversRevision = static_cast<int64_t>(aDigest.serversRevision);
-  digest.members.assign(aDigest.members.begin(), aDigest.members.end());
-  return Encode(digest);
+  msg::Beat message;
+  message.zone = aBeat.zone;
+  message.share = static_cast<int32_t>(aBeat.cores * kThousandths);
+  message.reads = aBeat.reads;
+  message.storeAnswers = aBeat.storeAnswers;
+  message.hasView = aBeat.hasView;
+  message.wantsAnswer = aBeat.wantsAnswer;
+  PutKnowledge(aBeat, message);
+  message.members.assign(aBeat.members.begin(), aBeat.members.end());
+  for (const spread::NamedReader& reader : aBeat.readers) {
+    msg::Reader named;
+    named.address = static_cast<int32_t>(reader.address);
+    named.zone = reader.zone;
+    message.readers.push_back(std::move(named));
+  }
+  message.zoneSize = static_cast<int32_t>(aBeat.zoneSize);
+  message.fleetSize = static_cast<int32_t>(aBeat.fleetSize);
+  return Encode(message);
 }
 
-absl::StatusOr<PeerDigest>
-DecodePeerDigest(std::string_view aBytes)
+absl::StatusOr<spread::Beat>
+DecodeBeat(std::string_view aBytes)
 {
-  absl::StatusOr<msg::Digest> digest = Decode<msg::Digest>(aBytes, "digest");
-  if (!digest.ok()) {
-    return digest.status();
+  absl::StatusOr<msg::Beat> message = Decode<msg::Beat>(aBytes, "beat");
+  if (!message.ok()) {
+    return message.status();
+  }
+  spread::Beat beat;
+  beat.zone = message->zone;
+  beat.cores = message->share / kThousandths;
+  beat.reads = message->reads;
+  beat.storeAnswers = message->storeAnswers;
+  beat.hasView = message->hasView;
+  beat.wantsAnswer = message->wantsAnswer;
+  TakeKnowledge(*message, beat);
+  beat.members.assign(message->members.begin(), message->members.end());
+  for (const msg::Reader& reader : message->readers) {
+    beat.readers.push_back(
+      { static_cast<Address>(reader.address), reader.zone });
+  }
+  beat.zoneSize = static_cast<uint32_t>(message->zoneSize);
+  beat.fleetSize = static_cast<uint32_t>(message->fleetSize);
+  if (!IsSound(beat)) {
+    return absl::DataLossError("read beat of a peer: ages or revisions");
   }
-  PeerDigest result;
-  result.configVersion = digest->configVersion;
-  result.serversRevision = static_cast<uint64_t>(digest->serversRevision);
-  result.members.assign(digest->members.begin(), digest->members.end());
-  return result;
+  return beat;
 }
 
 }
--- a/src/tagged/peer_codec.h
+++ b/src/tagged/peer_codec.h
@@ -1,6 +1,7 @@
 // Messages between instances: what one believes, and how new that is.
 #pragma once
 
+#include "spread/beat.h"
 #include "steer/view.h"
 
 #include "absl/status/statusor.h"
@@ -11,28 +12,23 @@
 
 namespace gentianspindle::tagged {
 
+// All that an instance believes.
 struct PeerView
 {
   steer::Config config;
+  uint64_t configRevision = 0; // of the store, up to which all is known
   uint64_t serversRevision = 0;
   std::vector<steer::ServerChange> servers;
 };
 
-struct PeerDigest
-{
-  int64_t configVersion = 0;
-  uint64_t serversRevision = 0;
-  std::vector<Address> members;
-};
-
 std::string
 EncodePeerView(const PeerView& aView);
 absl::StatusOr<PeerView>
 DecodePeerView(std::string_view aBytes);
 
 std::string
-EncodePeerDigest(const PeerDigest& aDigest);
-absl::StatusOr<PeerDigest>
-DecodePeerDigest(std::string_view aBytes);
+EncodeBeat(const spread::Beat& aBeat);
+absl::StatusOr<spread::Beat>
+DecodeBeat(std::string_view aBytes);
 
 }
--- a/src/tagged/peers.cpp
+++ b/src/tagged/peers.cpp
@@ -1,166 +1,154 @@
 #include "tagged/peers.h"
 
-#include <algorithm>
-
 namespace gentianspindle::tagged {
 
 namespace {
 
-constexpr char kDigestPath[] = "/digest";
 constexpr char kViewPath[] = "/view";
-// Members that one digest names.
-constexpr size_t kMostMembers = 64;
 
 }
 
-Peers::Peers(event_base* aBase, const PeerOptions& aOptions, PeerEvents aEvents)
+Peers::Peers(event_base* aBase,
+             Endpoint aSelf,
+             UdpSocket aSocket,
+             PeerEvents aEvents)
   : base(aBase)
-  , options(aOptions)
+  , self(aSelf)
   , events(std::move(aEvents))
-  , next(aBase, [this] { this->Ask(); })
-  , random(aOptions.randomSeed)
+  , socket(std::move(aSocket))
 {
 }
 
 absl::StatusOr<std::unique_ptr<Peers>>
-Peers::Make(event_base* aBase, const PeerOptions& aOptions, PeerEvents aEvents)
+Peers::Make(event_base* aBase, Endpoint aSelf, PeerEvents aEvents)
 {
-  std::unique_ptr<Peers> peers(new Peers(aBase, aOptions, std::move(aEvents)));
+  absl::StatusOr<UdpSocket> socket = UdpSocket::Bind(aSelf);
+  if (!socket.ok()) {
+    return socket.status();
+  }
+  std::unique_ptr<Peers> peers(
+    new Peers(aBase, aSelf, *std::move(socket), std::move(aEvents)));
   absl::StatusOr<std::unique_ptr<Pages>> pages = Pages::Make(aBase);
   if (!pages.ok()) {
     return pages.status();
   }
   peers->pages = *std::move(pages);
-  Peers* self = peers.get();
-  peers->pages->Put(kDigestPath, [self](Address aCaller) {
-    return self->AnswerDigest(aCaller);
-  });
-  peers->pages->Put(
-    kViewPath, [self](Address aCaller) { return self->AnswerView(aCaller); });
-  if (absl::Status status = peers->pages->Listen(aOptions.self); !status.ok()) {
+  Peers* made = peers.get();
+  peers->pages->Put(kViewPath,
+                    [made](Address /*aCaller*/) { return made->AnswerView(); });
+  if (absl::Status status = peers->pages->Listen(aSelf); !status.ok()) {
     return status;
   }
-  for (Address seed : aOptions.seeds) {
-    peers->Note(seed, SteadyNow());
-  }
-  peers->next.Start(kPeerFirst);
+  peers->readable.reset(event_new(
+    aBase,
+    peers->socket.Descriptor(),
+    EV_READ | EV_PERSIST,
+    [](evutil_socket_t, short, void* aPeers) {
+      static_cast<Peers*>(aPeers)->OnReadable();
+    },
+    made));
+  event_add(peers->readable.get(), nullptr);
   return peers;
 }
 
 void
-Peers::Note(Address aPeer, Micros aNow)
+Peers::OnReadable()
 {
-  if (aPeer != this->options.self.address) {
-    this->heardAt[aPeer] = aNow;
+  size_t count = this->received.Receive(this->socket.Descriptor());
+  for (size_t i = 0; i < count; ++i) {
+    std::span<uint8_t> bytes = this->received.At(i).subspan(kHeadroom);
+    absl::StatusOr<spread::Beat> beat =
+      DecodeBeat({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+    if (!beat.ok()) {
+      ++this->counts.badBeats;
+      continue;
+    }
+    ++this->counts.beatsIn;
+    this->events.onBeat(this->received.From(i).address, *beat);
   }
 }
 
-PageAnswer
-Peers::AnswerDigest(Address aCaller)
+void
+Peers::DropWaiting()
 {
-  this->Note(aCaller, SteadyNow());
-  PeerDigest digest = this->events.digest();
-  for (const auto& [peer, heard] : this->heardAt) {
-    if (digest.members.size() < kMostMembers) {
-      digest.members.push_back(peer);
-    }
+  while (this->received.Receive(this->socket.Descriptor()) > 0) {
   }
-  return { 200, EncodePeerDigest(digest) };
 }
 
-PageAnswer
-Peers::AnswerView(Address aCaller)
+void
+Peers::Send(std::span<const Address> aTo, const spread::Beat& aBeat)
 {
-  this->Note(aCaller, SteadyNow());
-  if (!this->events.hasView()) {
-    return { 503, "" };
+  std::string bytes = EncodeBeat(aBeat);
+  std::span<uint8_t> data(reinterpret_cast<uint8_t*>(bytes.data()),
+                          bytes.size());
+  SendBatch batch;
+  for (Address to : aTo) {
+    if (!batch.Add(data, { to, this->self.port })) {
+      batch.Send(this->socket.Descriptor());
+      batch.Add(data, { to, this->self.port });
+    }
   }
-  return { 200, EncodePeerView(this->events.view()) };
+  batch.Send(this->socket.Descriptor());
+  this->counts.beatsOut += aTo.size();
+  this->counts.bytesOut += aTo.size() * bytes.size();
 }
 
-Address
-Peers::Pick()
+PageAnswer
+Peers::AnswerView()
 {
-  Micros at = SteadyNow();
-  const std::vector<Address>& seeds = this->options.seeds;
-  std::erase_if(this->heardAt, [&](const auto& aPeer) {
-    bool isSeed =
-      std::find(seeds.begin(), seeds.end(), aPeer.first) != seeds.end();
-    return !isSeed && at - aPeer.second > kPeerForget;
-  });
-  if (this->heardAt.empty()) {
-    return 0;
+  std::optional<PeerView> view = this->events.view();
+  if (!view) {
+    return { 503, "" };
+  }
+  Micros now = SteadyNow();
+  bool same = view->config.version == this->viewVersion &&
+              view->serversRevision == this->viewRevision &&
+              now - this->viewMadeAt < kViewReuse;
+  if (!same) {
+    this->viewBytes = EncodePeerView(*view);
+    this->viewVersion = view->config.version;
+    this->viewRevision = view->serversRevision;
+    this->viewMadeAt = now;
   }
-  auto peer = this->heardAt.begin();
-  std::advance(peer, this->random() % this->heardAt.size());
-  return peer->first;
+  this->counts.bytesOut += this->viewBytes.size();
+  return { 200, this->viewBytes };
 }
 
 void
-Peers::Ask()
+Peers::AskForView(Address aPeer)
 {
-  this->next.Start(this->events.hasView() ? kPeerPeriod : kPeerTimeout);
-  this->asked = this->Pick();
-  if (this->asked == 0) {
+  if (this->asked != 0) {
     return;
   }
+  this->asked = aPeer;
   this->client = std::make_unique<HttpClient>(
-    this->base, Endpoint{ this->asked, this->options.self.port });
-  ++this->counts.asked;
-  if (this->events.hasView()) {
-    this->AskFor(kDigestPath, &Peers::OnDigest);
-  } else {
-    this->AskFor(kViewPath, &Peers::OnView);
-  }
+    this->base, Endpoint{ aPeer, this->self.port });
+  this->client->Get(
+    kViewPath, kViewTimeout, [this](const absl::StatusOr<HttpAnswer>& aAnswer) {
+      this->OnViewAnswer(aAnswer);
+    });
 }
 
 void
-Peers::AskFor(const char* aPath, void (Peers::*aOn)(const std::string&))
+Peers::OnViewAnswer(const absl::StatusOr<HttpAnswer>& aAnswer)
 {
-  this->client->Get(aPath,
-                    kPeerTimeout - 50 * kMillisecond,
-                    [this, aOn](absl::StatusOr<HttpAnswer> aAnswer) {
-                      if (!aAnswer.ok()) {
-                        this->Retry(PeerRetry::NoAnswer);
-                      } else if (aAnswer->status != 200) {
-                        this->Retry(PeerRetry::NotReady);
-                      } else {
-                        this->Note(this->asked, SteadyNow());
-                        (this->*aOn)(aAnswer->body);
-                      }
-                    });
-}
-
-void
-Peers::OnDigest(const std::string& aBody)
-{
-  absl::StatusOr<PeerDigest> digest = DecodePeerDigest(aBody);
-  if (!digest.ok()) {
-    this->Retry(PeerRetry::Unreadable);
+  std::string peer = FormatAddress(this->asked);
+  this->asked = 0;
+  if (!aAnswer.ok()) {
+    this->Retry(PeerRetry::NoAnswer);
     return;
   }
-  Micros at = SteadyNow();
-  for (Address member : digest->members) {
-    // Heard of only; it counts as heard when it answers.
-    if (member != this->options.self.address) {
-      this->heardAt.try_emplace(member, at - kPeerForget / 2);
-    }
-  }
-  if (this->events.wants(*digest)) {
-    this->AskFor(kViewPath, &Peers::OnView);
+  if (aAnswer->status != 200) {
+    this->Retry(PeerRetry::NotReady);
+    return;
   }
-}
-
-void
-Peers::OnView(const std::string& aBody)
-{
-  absl::StatusOr<PeerView> view = DecodePeerView(aBody);
+  absl::StatusOr<PeerView> view = DecodePeerView(aAnswer->body);
   if (!view.ok()) {
     this->Retry(PeerRetry::Unreadable);
     return;
   }
   ++this->counts.views;
-  this->events.onView(*view, FormatAddress(this->asked));
+  this->events.onView(*view, peer);
 }
 
 void
--- a/src/tagged/peers.h
+++ b/src/tagged/peers.h
@@ -1,25 +1,19 @@
-// Other instances: each asks one of them a second what it knows. So an
-// instance that the store turned away, or whose watch went silent, learns of
-// newer versions, and one that starts while the store is away gets its view.
+// Messages between instances: beats as datagrams, whole views over HTTP.
 #pragma once
 
 #include "tagged/http_client.h"
 #include "tagged/pages.h"
 #include "tagged/peer_codec.h"
+#include "tagged/udp.h"
 
 #include <array>
-#include <map>
-#include <random>
 
 namespace gentianspindle::tagged {
 
-// Time between two questions.
-constexpr Micros kPeerPeriod = 1 * kSecond;
-// At start the view is urgent; the store gets this much time first.
-constexpr Micros kPeerFirst = 150 * kMillisecond;
-constexpr Micros kPeerTimeout = 400 * kMillisecond;
-// A peer that nobody has heard of for this time is forgotten; seeds never.
-constexpr Micros kPeerForget = 20 * kSecond;
+// A view of the largest fleet takes less on a small instance.
+constexpr Micros kViewTimeout = 800 * kMillisecond;
+// A view that was just made is given again.
+constexpr Micros kViewReuse = 500 * kMillisecond;
 
 enum class PeerRetry : uint8_t
 {
@@ -34,59 +28,61 @@
 
 struct PeerCounts
 {
-  uint64_t asked = 0;
+  uint64_t beatsIn = 0;
+  uint64_t beatsOut = 0;
+  uint64_t bytesOut = 0; // of beats and views
+  uint64_t badBeats = 0;
   uint64_t views = 0; // taken over
   std::array<uint64_t, static_cast<size_t>(PeerRetry::Count)> retries{};
 };
 
-struct PeerOptions
-{
-  Endpoint self;
-  std::vector<Address> seeds;
-  uint32_t randomSeed = 1;
-};
-
-// What the instance gives and takes.
 struct PeerEvents
 {
-  std::function<PeerDigest()> digest;
-  std::function<PeerView()> view;
-  std::function<bool()> hasView;
-  // Is a peer with this digest so much ahead that its view is wanted?
-  std::function<bool(const PeerDigest&)> wants;
+  std::function<void(Address, const spread::Beat&)> onBeat;
+  // None: there is no view yet.
+  std::function<std::optional<PeerView>()> view;
   std::function<void(const PeerView&, const std::string&)> onView;
 };
 
 class Peers
 {
 public:
-  static absl::StatusOr<std::unique_ptr<Peers>>
-  Make(event_base* aBase, const PeerOptions& aOptions, PeerEvents aEvents);
+  // Listens at aSelf, for datagrams and for connections.
+  static absl::StatusOr<std::unique_ptr<Peers>> Make(event_base* aBase,
+                                                     Endpoint aSelf,
+                                                     PeerEvents aEvents);
+
+  void Send(std::span<const Address> aTo, const spread::Beat& aBeat);
+  // Asks aPeer for its view, unless a question is under way.
+  void AskForView(Address aPeer);
+  // Datagrams that wait say nothing any more.
+  void DropWaiting();
 
   const PeerCounts& Counts() const { return this->counts; }
-  size_t Known() const { return this->heardAt.size(); }
 
 private:
-  Peers(event_base* aBase, const PeerOptions& aOptions, PeerEvents aEvents);
-  PageAnswer AnswerDigest(Address aCaller);
-  PageAnswer AnswerView(Address aCaller);
-  void Ask();
-  void AskFor(const char* aPath, void (Peers::*aOn)(const std::string&));
-  void OnDigest(const std::string& aBody);
-  void OnView(const std::string& aBody);
+  Peers(event_base* aBase,
+        Endpoint aSelf,
+        UdpSocket aSocket,
+        PeerEvents aEvents);
+  void OnReadable();
+  PageAnswer AnswerView();
+  void OnViewAnswer(const absl::StatusOr<HttpAnswer>& aAnswer);
   void Retry(PeerRetry aWhy);
-  void Note(Address aPeer, Micros aNow);
-  Address Pick();
 
   event_base* base;
-  PeerOptions options;
+  Endpoint self;
   PeerEvents events;
+  UdpSocket socket;
+  EventPtr readable;
+  ReceiveBatch received{ true };
   std::unique_ptr<Pages> pages;
   std::unique_ptr<HttpClient> client;
-  Address asked = 0;
-  std::map<Address, Micros> heardAt;
-  Timer next;
-  std::minstd_rand random;
+  Address asked = 0; // 0: no question is under way
+  std::string viewBytes;
+  uint64_t viewRevision = 0; // of servers, in viewBytes
+  int64_t viewVersion = 0;
+  Micros viewMadeAt = 0;
   PeerCounts counts;
 };
 
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -15,6 +15,7 @@
   std::string name;
   std::string address;
   std::string zone;
+  double cores = 0;
 };
 
 struct TaggedFabricSettings
@@ -67,7 +68,7 @@
   TaggedLogSettings log;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 13>
+inline constexpr std::array<SettingField<TaggedSettings>, 14>
   kTaggedSettingsFields{ {
     {
       { "instance",
@@ -114,6 +115,22 @@
         return &aSettings.instance.zone;
       },
     },
+    {
+      { "instance",
+        "cores",
+        SettingType::Real,
+        false,
+        "",
+        1,
+        0,
+        1024,
+        "processors",
+        "processor time that this instance may use; of a zone's instances one "
+        "with the most reads the store for the others" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.instance.cores;
+      },
+    },
     {
       { "fabric",
         "packets",
@@ -165,7 +182,7 @@
         SettingType::Integer,
         false,
         "",
-        10000,
+        1000,
         100,
         30000,
         "milliseconds",
@@ -198,7 +215,7 @@
         0,
         0,
         65535,
-        "UDP port",
+        "TCP and UDP port",
         "port for messages between instances; 0 for none" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.peers.port;
--- a/src/tagged/udp.cpp
+++ b/src/tagged/udp.cpp
@@ -60,8 +60,9 @@
   }
 }
 
-ReceiveBatch::ReceiveBatch()
+ReceiveBatch::ReceiveBatch(bool aSources)
   : bytes(kBatch * kStride)
+  , sources(aSources)
 {
   for (size_t i = 0; i < kBatch; ++i) {
     this->parts[i] = { this->bytes.data() + i * kStride + kHeadroom,
@@ -71,9 +72,20 @@
   }
 }
 
+Endpoint
+ReceiveBatch::From(size_t aPlace) const
+{
+  const sockaddr_in& address = this->addresses[aPlace];
+  return { ntohl(address.sin_addr.s_addr), ntohs(address.sin_port) };
+}
+
 size_t
 ReceiveBatch::Receive(int aSocket)
 {
+  for (size_t i = 0; this->sources && i < kBatch; ++i) {
+    this->messages[i].msg_hdr.msg_name = &this->addresses[i];
+    this->messages[i].msg_hdr.msg_namelen = sizeof this->addresses[i];
+  }
   int count =
     recvmmsg(aSocket, this->messages.data(), kBatch, MSG_DONTWAIT, nullptr);
   return count < 0 ? 0 : static_cast<size_t>(count);
--- a/src/tagged/udp.h
+++ b/src/tagged/udp.h
@@ -45,16 +45,20 @@
 class ReceiveBatch
 {
 public:
-  ReceiveBatch();
+  // aSources: also where the datagrams come from.
+  explicit ReceiveBatch(bool aSources = false);
   size_t Receive(int aSocket);
+  Endpoint From(size_t aPlace) const;
   // Headroom and datagram.
   std::span<uint8_t> At(size_t aPlace);
 
 private:
   static constexpr size_t kStride = kHeadroom + kDatagramBytes;
   std::vector<uint8_t> bytes;
+  bool sources;
   std::array<iovec, kBatch> parts{};
   std::array<mmsghdr, kBatch> messages{};
+  std::array<sockaddr_in, kBatch> addresses{};
 };
 
 // Datagrams to be sent together. Their bytes must stay until Send.
--- /dev/null
+++ b/tests/spread/spread_test.cpp
@@ -0,0 +1,248 @@
+// Decisions of spreading, and a fleet of them in virtual time.
+#include "support/spread_fleet.h"
+#include "support/tagged_view.h"
+
+#include <catch2/catch.hpp>
+
+namespace gentianspindle {
+
+namespace {
+
+using spread::Beat;
+using spread::Spread;
+
+constexpr Address kSelf = 10;
+constexpr Address kOther = 20;
+
+Spread
+MakeSpread(double aCores = 0.5)
+{
+  spread::SpreadOptions options;
+  options.self = kSelf;
+  options.zone = "a";
+  options.cores = aCores;
+  options.seeds = { kOther };
+  return Spread(options);
+}
+
+Beat
+MakeBeat(const std::string& aZone, bool aReads)
+{
+  Beat beat;
+  beat.zone = aZone;
+  beat.cores = 0.5;
+  beat.reads = aReads;
+  beat.storeAnswers = aReads;
+  beat.hasView = true;
+  beat.configVersion = 3;
+  beat.configRevision = 50;
+  beat.serversRevision = 50;
+  beat.recent = { 50, 50, {} };
+  return beat;
+}
+
+// A fleet after its first fifteen seconds.
+std::unique_ptr<SpreadFleet>
+MakeFleet(const SpreadFleetOptions& aOptions = {})
+{
+  auto fleet = std::make_unique<SpreadFleet>(aOptions);
+  for (steer::ServerId id = 1; id <= 30; ++id) {
+    fleet->store.PutServer(id);
+  }
+  for (size_t i = 0; i < fleet->Size(); ++i) {
+    fleet->Start(i);
+  }
+  fleet->Run(15 * kSecond);
+  return fleet;
+}
+
+}
+
+TEST_CASE("Changes follow on without a gap, or a view is wanted")
+{
+  Spread spread = MakeSpread();
+  spread.OnConfigAnswer(3, 50, kSecond);
+  spread.OnServersList(50, kSecond);
+  Beat beat = MakeBeat("a", true);
+  beat.serversRevision = 60;
+  beat.recent = { 50, 60, { MakeServer(1, "web", 55) } };
+  CHECK(spread.OnBeat(kOther, beat, kSecond).size() == 1);
+  // Told again.
+  CHECK(spread.OnBeat(kOther, beat, kSecond).empty());
+  CHECK(spread.Servers().revision == 60);
+  beat.serversRevision = 80;
+  beat.recent = { 70, 80, { MakeServer(2, "web", 75) } };
+  CHECK(spread.OnBeat(kOther, beat, kSecond).empty());
+  CHECK_FALSE(spread.WantsView(kSecond));
+  CHECK(spread.WantsView(kSecond + spread::kGapTime) == kOther);
+  // The datagram between the two was only late.
+  beat.recent = { 60, 80, { MakeServer(2, "web", 75) } };
+  CHECK(spread.OnBeat(kOther, beat, 2 * kSecond).size() == 1);
+  CHECK_FALSE(spread.WantsView(3 * kSecond));
+}
+
+TEST_CASE("An older peer makes nothing go back and confirms what it knew")
+{
+  Spread spread = MakeSpread();
+  spread.OnConfigAnswer(5, 90, kSecond);
+  spread.OnServersList(90, kSecond);
+  Beat old = MakeBeat("a", true);
+  old.configAge = 100 * kMillisecond;
+  old.serversAge = 100 * kMillisecond;
+  CHECK(spread.OnBeat(kOther, old, 3 * kSecond).empty());
+  CHECK(spread.Servers().revision == 90);
+  CHECK_FALSE(spread.WantsView(10 * kSecond));
+  CHECK(spread.Config().confirmedAt == 3 * kSecond - 100 * kMillisecond);
+}
+
+TEST_CASE("A newer peer's age says nothing until its version is in force")
+{
+  Spread spread = MakeSpread();
+  spread.OnConfigAnswer(3, 50, kSecond);
+  spread.OnServersList(50, kSecond);
+  Beat beat = MakeBeat("a", true);
+  beat.configVersion = 4;
+  spread.OnBeat(kOther, beat, 9 * kSecond);
+  CHECK(spread.Config().confirmedAt == kSecond);
+  CHECK(spread.WantsView(9 * kSecond) == kOther);
+}
+
+TEST_CASE("Of two readers of a zone the better one goes on")
+{
+  Spread spread = MakeSpread(0.1);
+  Micros now = 20 * kSecond;
+  // Nobody reads: this instance does.
+  for (Micros end = now + 5 * kSecond; now < end; now += 50 * kMillisecond) {
+    spread.Tick(now);
+  }
+  REQUIRE(spread.Reads());
+  spread.OnConfigAnswer(3, 50, now);
+  spread.OnServersList(50, now);
+  Beat larger = MakeBeat("a", true);
+  SECTION("One without an answer of the store is not better")
+  {
+    larger.storeAnswers = false;
+  }
+  SECTION("One of another zone is no rival")
+  {
+    larger.zone = "b";
+  }
+  SECTION("A larger one that the store answers is") {}
+  for (Micros end = now + 2 * kSecond; now < end; now += 50 * kMillisecond) {
+    spread.OnBeat(kOther, larger, now);
+    spread.Tick(now);
+  }
+  CHECK(spread.Reads() == !(larger.storeAnswers && larger.zone == "a"));
+}
+
+TEST_CASE("A pause makes what is known old")
+{
+  Spread spread = MakeSpread();
+  spread.OnConfigAnswer(3, 50, kSecond);
+  spread.OnServersList(50, kSecond);
+  CHECK_FALSE(spread.Stale(kSecond));
+  spread.OnPause();
+  CHECK(spread.Stale(kSecond));
+}
+
+TEST_CASE("A fleet reads with one instance a zone, and all follow")
+{
+  auto fleet = MakeFleet();
+  CHECK(fleet->Readers() == 4);
+  CHECK(fleet->Behind() == 0);
+  uint64_t before = fleet->store.calls;
+  for (int i = 0; i < 10; ++i) {
+    fleet->ChangeConfig();
+    fleet->store.PutServer(static_cast<steer::ServerId>(100 + i));
+    fleet->store.RemoveServer(static_cast<steer::ServerId>(1 + i));
+    fleet->Run(kSecond);
+  }
+  fleet->Run(2 * kSecond);
+  CHECK(fleet->Behind() == 0);
+  CHECK(fleet->Slowest() <= kSecond);
+  // Four readers, two kinds, a watch a second, one more for each change.
+  CHECK(fleet->store.calls - before < 4 * (2 * 12 + 2 * 10) * 1.2);
+}
+
+TEST_CASE("Readers that die are replaced within the bound")
+{
+  auto fleet = MakeFleet();
+  for (size_t i = 0; i < fleet->Size(); ++i) {
+    if (fleet->At(i).spread->Reads()) {
+      fleet->Kill(i);
+    }
+  }
+  fleet->ChangeConfig();
+  fleet->store.PutServer(77);
+  fleet->Run(6 * kSecond);
+  CHECK(fleet->Behind() == 0);
+  CHECK(fleet->Readers() == 4);
+  CHECK(fleet->Slowest() <= 3 * kSecond);
+}
+
+TEST_CASE("Readers that the store turns away do not hold their zone up")
+{
+  auto fleet = MakeFleet();
+  SECTION("one") {}
+  SECTION("all")
+  {
+    for (size_t i = 0; i < fleet->Size(); ++i) {
+      if (fleet->At(i).spread->Reads()) {
+        fleet->TurnAway(i, true);
+      }
+    }
+  }
+  for (size_t i = 0; i < fleet->Size(); ++i) {
+    if (fleet->At(i).spread->Reads()) {
+      fleet->TurnAway(i, true);
+      break;
+    }
+  }
+  fleet->ChangeConfig();
+  fleet->Run(3 * kSecond);
+  fleet->ChangeConfig();
+  fleet->Run(6 * kSecond);
+  CHECK(fleet->Slowest() <= 3 * kSecond);
+}
+
+TEST_CASE("A zone that is cut off reads for itself, and joins again")
+{
+  auto fleet = MakeFleet();
+  fleet->CutZone(2, true);
+  fleet->ChangeConfig();
+  fleet->Run(8 * kSecond);
+  fleet->CutZone(2, false);
+  fleet->ChangeConfig();
+  fleet->Run(8 * kSecond);
+  CHECK(fleet->Behind() == 0);
+  CHECK(fleet->Readers() == 4);
+  CHECK(fleet->Slowest() <= 3 * kSecond);
+}
+
+TEST_CASE("While the store is down few ask it, and all know soon after")
+{
+  auto fleet = MakeFleet({ .perZone = 20 });
+  fleet->store.down = true;
+  uint64_t before = fleet->store.calls;
+  fleet->Run(6 * kSecond);
+  // Of 80 instances that all asked every second: 960.
+  CHECK(fleet->store.calls - before < 250);
+  fleet->store.down = false;
+  fleet->ChangeConfig();
+  fleet->Run(5 * kSecond);
+  CHECK(fleet->Behind() == 0);
+  CHECK(fleet->Slowest() <= 3 * kSecond);
+}
+
+TEST_CASE("A fresh instance gets its view from a peer while the store is down")
+{
+  auto fleet = MakeFleet();
+  fleet->store.down = true;
+  fleet->Kill(3);
+  fleet->Run(kSecond);
+  fleet->Start(3);
+  fleet->Run(200 * kMillisecond);
+  CHECK(fleet->At(3).spread->HasView());
+}
+
+}
--- a/tests/tagged/docs_test.cpp
+++ b/tests/tagged/docs_test.cpp
@@ -1,4 +1,5 @@
 // The operators' page names everything that the tagged daemon has.
+#include "spread/spread.h"
 #include "support/source_file.h"
 #include "tagged/metrics.h"
 #include "tagged/settings.h"
@@ -40,6 +41,11 @@
   for (std::string_view name : tagged::kPeerRetryNames) {
     CheckNamed(page, std::string(name));
   }
+  for (std::string_view name : spread::kReadReasonNames) {
+    if (!name.empty()) {
+      CheckNamed(page, std::string(name));
+    }
+  }
 }
 
 TEST_CASE("OPERATIONS.md names all metrics and log events of the sources")
@@ -57,8 +63,9 @@
     ++found;
   }
   CHECK(found >= 20);
-  std::string node = ReadSource("src/tagged/node_impl.h");
-  std::regex event("LogLine \\w+\\(\"(\\w+)\"\\)");
+  std::string node =
+    ReadSource("src/tagged/node_impl.h") + ReadSource("src/tagged/sync.cpp");
+  std::regex event("LogLine \\w+\\((?:\\w+ \\? \"\\w+\" : )?\"(\\w+)\"\\)");
   found = 0;
   for (std::sregex_iterator at(node.begin(), node.end(), event), end; at != end;
        ++at) {
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -400,11 +400,44 @@
   site.store.status = 503;
   Daemon second({ site.port, kSecond, port, { kFirst, kSecond } });
   CHECK(Eventually([&] { return second.Ready() == 200; }));
-  CHECK(second.Metric("gentianspindle_peer_views_total") == 1);
+  // The metrics page comes after the packet path.
+  CHECK(Eventually(
+    [&] { return second.Metric("gentianspindle_peer_views_total") == 1; }));
   second.Send(MakePacket(7000, true), site.fabric);
   CHECK(site.host.Receive().size() == 40);
 }
 
+TEST_CASE("One instance of a zone reads the store and tells the others")
+{
+  Site site;
+  uint16_t port = FreePort();
+  constexpr Address kFirst = kLoopback + 1;
+  constexpr Address kSecond = kLoopback + 2;
+  Daemon first({ site.port, kFirst, port, { kFirst, kSecond } });
+  Daemon second({ site.port, kSecond, port, { kFirst, kSecond } });
+  auto readers = [&] {
+    return first.Metric("gentianspindle_reads_store") +
+           second.Metric("gentianspindle_reads_store");
+  };
+  // A reader is chosen within three seconds; of two, one steps down.
+  usleep(3'500'000);
+  REQUIRE(Eventually([&] { return readers() == 1; }));
+  site.store.Put("config", "main", ConfigSpec(8));
+  for (const Daemon* daemon : { &first, &second }) {
+    CHECK(Eventually(
+      [&] { return daemon->Metric("gentianspindle_config_version") == 8; }));
+  }
+  Daemon& reader =
+    first.Metric("gentianspindle_reads_store") == 1 ? first : second;
+  Daemon& other = &reader == &first ? second : first;
+  kill(reader.pid, SIGKILL);
+  CHECK(Eventually(
+    [&] { return other.Metric("gentianspindle_reads_store") == 1; }));
+  site.store.Put("config", "main", ConfigSpec(9));
+  CHECK(Eventually(
+    [&] { return other.Metric("gentianspindle_config_version") == 9; }));
+}
+
 TEST_CASE("An instance that the store turns away hears changes from peers")
 {
   Site site;
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -17,11 +17,26 @@
 {
   auto settings = ParseTaggedSettings(kGood, "file");
   REQUIRE(settings.ok());
-  CHECK(settings->store.watchMs == 10000);
+  CHECK(settings->store.watchMs == 1000);
+  CHECK(settings->instance.cores == 1);
   CHECK(settings->stop.graceMs == 6000);
   CHECK(settings->peers.seeds.empty());
 }
 
+TEST_CASE("Seeds may be none, and parts of a processor are numbers")
+{
+  std::string text = kGood + "[peers]\nport = 7720\nseeds = []\n";
+  auto settings = ParseTaggedSettings(text, "file");
+  REQUIRE(settings.ok());
+  CHECK(settings->peers.seeds.empty());
+  text.replace(text.find("zone ="), 0, "cores = 0.038\n");
+  settings = ParseTaggedSettings(text, "file");
+  REQUIRE(settings.ok());
+  CHECK(settings->instance.cores == 0.038);
+  text.replace(text.find("0.038"), 5, "\"x\"");
+  CHECK_FALSE(ParseTaggedSettings(text, "file").ok());
+}
+
 TEST_CASE("Bad settings of the tagged daemon are refused with the reason")
 {
   for (const auto& [more, reason] :
