Soak the real programs with faults, and spread a configuration alone

Change: tests/soak starts store, relay, backend servers and instances as processes, plays a plan from a seed, and checks whole answers, service, at most once, refusals, drains, configurations, flows under planned work, exit codes. Spread::NoteAnswer takes the store for away when nobody confirmed the view for long; not after a pause.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -34,7 +34,7 @@
   1: i64 configVersion
   2: list<Route> routes
   3: i64 idle
-  4: i64 serversRevision // of the store, up to which all is known
+  4: i64 serversRevision // of the store, up to which all is known; 0: no servers here
   5: list<Server> servers
   6: i64 configRevision // of the store, up to which all is known
 }
--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -37,24 +37,37 @@
   return static_cast<Micros>(this->random() % static_cast<uint64_t>(aMost));
 }
 
+// The store was away if nobody could confirm the view for long. One that
+// begins to read just then has lost no call of its own that would tell.
+void
+Spread::NoteAnswer(Micros aNow)
+{
+  bool paused =
+    this->config.confirmedAt == kNever || this->servers.confirmedAt == kNever;
+  if (this->HasView() && !paused && this->Stale(aNow)) {
+    this->OnStoreBack(aNow);
+  }
+  this->storeAnswers = true;
+}
+
 void
 Spread::OnConfigAnswer(int64_t aVersion, uint64_t aRevision, Micros aNow)
 {
+  this->NoteAnswer(aNow);
   this->news = this->news || aVersion > this->configVersion;
   this->configVersion = std::max(this->configVersion, aVersion);
   this->hasConfig = this->hasConfig || aVersion > 0;
   this->config.Confirm(aRevision, aNow);
-  this->storeAnswers = true;
 }
 
 void
 Spread::OnServersList(uint64_t aRevision, Micros aNow)
 {
+  this->NoteAnswer(aNow);
   this->hasServers = true;
   this->news = true;
   this->log.StartAt(aRevision);
   this->servers.Confirm(aRevision, aNow);
-  this->storeAnswers = true;
 }
 
 void
@@ -62,10 +75,10 @@
                          uint64_t aRevision,
                          Micros aNow)
 {
+  this->NoteAnswer(aNow);
   this->news = this->news || !aChanges.empty();
   this->log.Add(aChanges, aRevision, aNow);
   this->servers.Confirm(aRevision, aNow);
-  this->storeAnswers = true;
 }
 
 void
@@ -83,17 +96,21 @@
 }
 
 void
-Spread::OnView(int64_t aVersion,
-               uint64_t aConfigRevision,
-               uint64_t aServersRevision)
+Spread::OnPeerConfig(int64_t aVersion, uint64_t aRevision)
 {
   this->configVersion = std::max(this->configVersion, aVersion);
   this->hasConfig = this->hasConfig || aVersion > 0;
+  this->config.revision = std::max(this->config.revision, aRevision);
+  this->news = true;
+}
+
+void
+Spread::OnPeerServers(uint64_t aRevision)
+{
   this->hasServers = true;
-  this->config.revision = std::max(this->config.revision, aConfigRevision);
-  if (aServersRevision > this->servers.revision) {
-    this->servers.revision = aServersRevision;
-    this->log.StartAt(aServersRevision);
+  if (aRevision > this->servers.revision) {
+    this->servers.revision = aRevision;
+    this->log.StartAt(aRevision);
   }
   this->news = true;
 }
@@ -178,19 +195,23 @@
          this->behindRevision > this->servers.revision;
 }
 
-std::optional<Address>
+std::optional<Wanted>
 Spread::WantsView(Micros aNow) const
 {
   if (!this->IsBehind()) {
     return std::nullopt;
   }
   Micros wait = this->reads && this->storeAnswers ? kReaderGapTime : kGapTime;
-  bool urgent = !this->HasView() ||
-                (!this->reads && this->behindVersion > this->configVersion);
-  if (!urgent && aNow - this->behindSince < wait) {
+  bool oldConfig = this->behindVersion > this->configVersion;
+  bool oldServers =
+    !this->hasServers || this->behindRevision > this->servers.revision;
+  bool urgent = !this->HasView() || (!this->reads && oldConfig);
+  bool waited = aNow - this->behindSince >= wait;
+  if (!urgent && !waited) {
     return std::nullopt;
   }
-  return this->behindWhom;
+  // Changes of servers that are late may still come.
+  return Wanted{ this->behindWhom, oldServers && (waited || !this->HasView()) };
 }
 
 bool
@@ -275,8 +296,8 @@
   if (this->Stale(aNow) && aNow >= this->nextTrialAt) {
     return ReadReason::Stale;
   }
-  bool larger = this->options.cores > aBest->cores &&
-                aNow - this->stoppedAt > kUpgradeTime;
+  bool larger =
+    this->options.cores > aBest->cores && aNow - this->stoppedAt > kUpgradeTime;
   return larger ? ReadReason::Larger : ReadReason::None;
 }
 
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -71,6 +71,14 @@
   Beat beat;
 };
 
+// What a peer is to be asked for; of a new configuration alone the servers,
+// which are many more, need not come along.
+struct Wanted
+{
+  Address peer = 0;
+  bool servers = false;
+};
+
 // Why an instance starts or stops to read, for the log.
 enum class ReadReason : uint8_t
 {
@@ -100,10 +108,9 @@
   void OnStoreBack(Micros aNow);
   // This instance stood still: how new its knowledge is, it cannot tell.
   void OnPause();
-  // A whole view of a peer was taken over.
-  void OnView(int64_t aVersion,
-              uint64_t aConfigRevision,
-              uint64_t aServersRevision);
+  // What a peer knows was taken over, as a whole.
+  void OnPeerConfig(int64_t aVersion, uint64_t aRevision);
+  void OnPeerServers(uint64_t aRevision);
   // Returns the changes that are new here, in their order.
   std::vector<steer::ServerChange> OnBeat(Address aFrom,
                                           const Beat& aBeat,
@@ -113,8 +120,8 @@
 
   bool Reads() const { return this->reads; }
   ReadReason Why() const { return this->why; }
-  // Whose view is wanted now.
-  std::optional<Address> WantsView(Micros aNow) const;
+  // Whose view is wanted now, and what of it.
+  std::optional<Wanted> WantsView(Micros aNow) const;
   // Beats that are due.
   std::vector<Sending> TakeSendings(Micros aNow);
 
@@ -127,6 +134,7 @@
   uint32_t FleetSize() const { return this->fleetSize; }
 
 private:
+  void NoteAnswer(Micros aNow);
   const Member* BestReader(Micros aNow) const;
   bool HasBetter(Micros aNow) const;
   bool IsBehind() const;
@@ -159,9 +167,9 @@
   Micros storeBackAt = kNever;
   ReadReason takeOverWhy = ReadReason::None;
   Micros takeOverAt = 0;
-  Micros betterSince = 0; // another reader is better; 0: none is
+  Micros betterSince = 0;    // another reader is better; 0: none is
   Micros stoppedAt = kNever; // reading
-  bool followed = false; // a reader of this zone was heard
+  bool followed = false;     // a reader of this zone was heard
   Micros nextTrialAt = 0;
   // What a peer knows that is more than what is known here.
   int64_t behindVersion = 0;
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -177,33 +177,40 @@
   server.coldUntil = aNow + entry.coldFor;
   if (moved) {
     this->byService[entry.service].push_back(place);
-    this->MarkTags();
+  }
+  if (isNew) {
+    this->AddTag(place);
   }
 }
 
 // Two live servers with one tag: the one with the smaller id keeps it, the
 // other takes no new flows. Every instance that knows both decides the same.
 void
+View::AddTag(ServerIndex aPlace)
+{
+  Server& server = this->servers[aPlace];
+  server.tagTaken = false;
+  auto [held, free] = this->byTag.try_emplace(server.tag, aPlace);
+  if (free) {
+    return;
+  }
+  Server& other = this->servers[held->second];
+  bool mine =
+    other.presence == Presence::Gone ||
+    (server.presence != Presence::Gone && server.entry.id < other.entry.id);
+  (mine ? other : server).tagTaken = true;
+  held->second = mine ? aPlace : held->second;
+}
+
+// A place became free: its tag may be another server's now.
+void
 View::MarkTags()
 {
   this->byTag.clear();
   for (size_t i = 0; i < this->servers.size(); ++i) {
-    Server& server = this->servers[i];
-    server.tagTaken = false;
-    if (server.presence == Presence::Forgotten) {
-      continue;
-    }
-    auto place = static_cast<ServerIndex>(i);
-    auto [held, free] = this->byTag.try_emplace(server.tag, place);
-    if (free) {
-      continue;
+    if (this->servers[i].presence != Presence::Forgotten) {
+      this->AddTag(static_cast<ServerIndex>(i));
     }
-    Server& other = this->servers[held->second];
-    bool mine =
-      other.presence == Presence::Gone ||
-      (server.presence != Presence::Gone && server.entry.id < other.entry.id);
-    (mine ? other : server).tagTaken = true;
-    held->second = mine ? place : held->second;
   }
 }
 
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -128,6 +128,7 @@
   void Forget(ServerIndex aServer);
   static void MarkUnreadable(Server& aServer, Micros aNow);
   void MarkMissing(Server& aServer, Micros aNow);
+  void AddTag(ServerIndex aPlace);
   void MarkTags();
 
   Config config;
--- a/src/tagged/follower.h
+++ b/src/tagged/follower.h
@@ -22,6 +22,10 @@
 constexpr Micros kProbeWait = 400 * kMillisecond;
 // The first watch of an instance that starts to read only asks for news.
 constexpr Micros kFirstWait = 20 * kMillisecond;
+// Pages of a list that every instance reads at once, and the pause between
+// further ones where it is not eager.
+constexpr uint32_t kPagesAtOnce = 4;
+constexpr Micros kPagePause = 400 * kMillisecond;
 constexpr Micros kFirstRetry = 150 * kMillisecond;
 constexpr Micros kLongestRetry = 1 * kSecond;
 constexpr double kRetryGrowth = 1.7;
@@ -77,6 +81,9 @@
   // Time between an answer with changes and the next watch, so that changes
   // that come in a row cost one call.
   Micros pace = 0;
+  // Whether a long list is read at full speed. Instances that all start at
+  // once would keep each other from it; the others get it from peers sooner.
+  bool eager = true;
 };
 
 template<typename C>
@@ -204,9 +211,12 @@
       this->collected.push_back(std::move(change));
     }
     if (aPage.more && !aPage.changes.empty()) {
-      this->Call();
+      ++this->pages;
+      bool pause = !this->options.eager && this->pages >= kPagesAtOnce;
+      this->next.Start(pause ? kPagePause : 0);
       return;
     }
+    this->pages = 0;
     this->listed = true;
     std::vector<C> list = std::move(this->collected);
     this->collected.clear();
@@ -233,6 +243,7 @@
   void StartOver()
   {
     this->listed = false;
+    this->pages = 0;
     this->after.clear();
     this->collected.clear();
   }
@@ -277,6 +288,7 @@
   bool watching = false;
   bool first = false; // no watch has answered yet
   std::string after;
+  uint32_t pages = 0; // of the list, read so far
   std::vector<C> collected;
   uint64_t revision = 0;
   Micros lostAt = 0;
--- a/src/tagged/peer_codec.h
+++ b/src/tagged/peer_codec.h
@@ -12,12 +12,12 @@
 
 namespace gentianspindle::tagged {
 
-// All that an instance believes.
+// All that an instance believes, or the configuration alone.
 struct PeerView
 {
   steer::Config config;
-  uint64_t configRevision = 0; // of the store, up to which all is known
-  uint64_t serversRevision = 0;
+  uint64_t configRevision = 0;  // of the store, up to which all is known
+  uint64_t serversRevision = 0; // 0: without servers
   std::vector<steer::ServerChange> servers;
 };
 
--- a/src/tagged/peers.cpp
+++ b/src/tagged/peers.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr char kViewPath[] = "/view";
+constexpr char kConfigPath[] = "/config";
 
 }
 
@@ -34,8 +35,12 @@
   }
   peers->pages = *std::move(pages);
   Peers* made = peers.get();
-  peers->pages->Put(kViewPath,
-                    [made](Address /*aCaller*/) { return made->AnswerView(); });
+  peers->pages->Put(kViewPath, [made](Address /*aCaller*/) {
+    return made->AnswerView(true, made->whole);
+  });
+  peers->pages->Put(kConfigPath, [made](Address /*aCaller*/) {
+    return made->AnswerView(false, made->configOnly);
+  });
   if (absl::Status status = peers->pages->Listen(aSelf); !status.ok()) {
     return status;
   }
@@ -94,39 +99,54 @@
 }
 
 PageAnswer
-Peers::AnswerView()
+Peers::AnswerView(bool aServers, MadeView& aMade)
 {
-  std::optional<PeerView> view = this->events.view();
-  if (!view) {
+  std::optional<ViewState> state = this->events.state();
+  if (!state) {
     return { 503, "" };
   }
   Micros now = SteadyNow();
-  bool same = view->config.version == this->viewVersion &&
-              view->serversRevision == this->viewRevision &&
-              now - this->viewMadeAt < kViewReuse;
-  if (!same) {
-    this->viewBytes = EncodePeerView(*view);
-    this->viewVersion = view->config.version;
-    this->viewRevision = view->serversRevision;
-    this->viewMadeAt = now;
+  if (aMade.state != *state || now - aMade.madeAt >= kViewReuse) {
+    aMade = { EncodePeerView(this->events.view(aServers)), *state, now };
   }
-  this->counts.bytesOut += this->viewBytes.size();
-  return { 200, this->viewBytes };
+  // A configuration is urgent and small.
+  if (aServers && !this->TakesView(aMade.bytes.size(), now)) {
+    return { 503, "" };
+  }
+  this->counts.bytesOut += aMade.bytes.size();
+  return { 200, aMade.bytes };
+}
+
+// The first view of a second is always given.
+bool
+Peers::TakesView(size_t aBytes, Micros aNow)
+{
+  if (aNow - this->secondFrom >= kSecond) {
+    this->secondFrom = aNow;
+    this->bytesThisSecond = 0;
+  }
+  bool first = this->bytesThisSecond == 0;
+  bool fits = this->bytesThisSecond + aBytes <= kViewBytesPerSecond;
+  if (first || fits) {
+    this->bytesThisSecond += aBytes;
+  }
+  return first || fits;
 }
 
 void
-Peers::AskForView(Address aPeer)
+Peers::AskForView(Address aPeer, bool aServers)
 {
-  if (this->asked != 0) {
+  if (this->asked != 0 || SteadyNow() < this->askAt) {
     return;
   }
   this->asked = aPeer;
   this->client = std::make_unique<HttpClient>(
     this->base, Endpoint{ aPeer, this->self.port });
-  this->client->Get(
-    kViewPath, kViewTimeout, [this](const absl::StatusOr<HttpAnswer>& aAnswer) {
-      this->OnViewAnswer(aAnswer);
-    });
+  this->client->Get(aServers ? kViewPath : kConfigPath,
+                    kViewTimeout,
+                    [this](const absl::StatusOr<HttpAnswer>& aAnswer) {
+                      this->OnViewAnswer(aAnswer);
+                    });
 }
 
 void
@@ -154,6 +174,7 @@
 void
 Peers::Retry(PeerRetry aWhy)
 {
+  this->askAt = SteadyNow() + kViewRetry;
   ++this->counts.retries[static_cast<size_t>(aWhy)];
 }
 
--- a/src/tagged/peers.h
+++ b/src/tagged/peers.h
@@ -12,6 +12,11 @@
 
 // A view of the largest fleet takes less on a small instance.
 constexpr Micros kViewTimeout = 800 * kMillisecond;
+// Bytes of views that an instance gives in a second: most of the smallest
+// link. Who gets none asks another instance.
+constexpr size_t kViewBytesPerSecond = 1'000'000;
+// Time after a question in vain.
+constexpr Micros kViewRetry = 200 * kMillisecond;
 // A view that was just made is given again.
 constexpr Micros kViewReuse = 500 * kMillisecond;
 
@@ -36,11 +41,21 @@
   std::array<uint64_t, static_cast<size_t>(PeerRetry::Count)> retries{};
 };
 
+// Tells two views apart.
+struct ViewState
+{
+  int64_t configVersion = 0;
+  uint64_t serversRevision = 0;
+  friend bool operator==(const ViewState&, const ViewState&) = default;
+};
+
 struct PeerEvents
 {
   std::function<void(Address, const spread::Beat&)> onBeat;
   // None: there is no view yet.
-  std::function<std::optional<PeerView>()> view;
+  std::function<std::optional<ViewState>()> state;
+  // With or without servers.
+  std::function<PeerView(bool)> view;
   std::function<void(const PeerView&, const std::string&)> onView;
 };
 
@@ -53,8 +68,9 @@
                                                      PeerEvents aEvents);
 
   void Send(std::span<const Address> aTo, const spread::Beat& aBeat);
-  // Asks aPeer for its view, unless a question is under way.
-  void AskForView(Address aPeer);
+  // Asks aPeer for its view, with or without servers, unless a question is
+  // under way.
+  void AskForView(Address aPeer, bool aServers);
   // Datagrams that wait say nothing any more.
   void DropWaiting();
 
@@ -66,7 +82,15 @@
         UdpSocket aSocket,
         PeerEvents aEvents);
   void OnReadable();
-  PageAnswer AnswerView();
+  // A view that is given again while it is the same.
+  struct MadeView
+  {
+    std::string bytes;
+    ViewState state;
+    Micros madeAt = 0;
+  };
+  PageAnswer AnswerView(bool aServers, MadeView& aMade);
+  bool TakesView(size_t aBytes, Micros aNow);
   void OnViewAnswer(const absl::StatusOr<HttpAnswer>& aAnswer);
   void Retry(PeerRetry aWhy);
 
@@ -79,10 +103,11 @@
   std::unique_ptr<Pages> pages;
   std::unique_ptr<HttpClient> client;
   Address asked = 0; // 0: no question is under way
-  std::string viewBytes;
-  uint64_t viewRevision = 0; // of servers, in viewBytes
-  int64_t viewVersion = 0;
-  Micros viewMadeAt = 0;
+  Micros askAt = 0;  // not before
+  Micros secondFrom = 0;
+  size_t bytesThisSecond = 0; // of views
+  MadeView whole;
+  MadeView configOnly;
   PeerCounts counts;
 };
 
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -2,12 +2,16 @@
 
 #include "absl/hash/hash.h"
 
+#include <algorithm>
 #include <iostream>
 
 namespace gentianspindle::tagged {
 
 namespace {
 
+// Changes that come together and are logged one by one.
+constexpr size_t kMostServerLines = 50;
+
 uint32_t
 RandomSeed(const TaggedSettings& aSettings)
 {
@@ -30,6 +34,18 @@
   return options;
 }
 
+// Seeds are asked by all others, so they get the view first.
+bool
+IsEager(const TaggedSettings& aSettings)
+{
+  const std::vector<std::string>& seeds = aSettings.peers.seeds;
+  return seeds.empty() ||
+         std::any_of(seeds.begin(), seeds.end(), [&](const std::string& aSeed) {
+           return FormatAddress(EndpointOf(aSeed).address) ==
+                  aSettings.instance.address;
+         });
+}
+
 std::string_view
 StateName(const steer::ServerChange& aChange)
 {
@@ -57,7 +73,8 @@
             EndpointOf(aSettings.store.address),
             aFormats.servers,
             { .wait = aSettings.store.watchMs * kMillisecond,
-              .pace = aSettings.store.paceMs * kMillisecond },
+              .pace = aSettings.store.paceMs * kMillisecond,
+              .eager = IsEager(aSettings) },
             this->EventsOf<steer::ServerChange>("servers"),
             RandomSeed(aSettings))
   , config(aBase,
@@ -101,7 +118,8 @@
   peerEvents.onBeat = [this](Address aFrom, const spread::Beat& aBeat) {
     this->OnBeat(aFrom, aBeat);
   };
-  peerEvents.view = [this] { return this->CopyView(); };
+  peerEvents.state = [this] { return this->StateOfView(); };
+  peerEvents.view = [this](bool aServers) { return this->CopyView(aServers); };
   peerEvents.onView = [this](const PeerView& aView, const std::string& aPeer) {
     this->OnPeerView(aView, aPeer);
   };
@@ -170,13 +188,18 @@
 {
   Micros now = SteadyNow();
   if (aList) {
-    this->view.PutServers(aChanges, now);
     this->spread.OnServersList(aRevision, now);
+  } else {
+    this->spread.OnServersChanges(aChanges, aRevision, now);
+  }
+  // Whether missing entries may have lapsed depends on it.
+  this->view.NoteStoreBack(this->spread.StoreBackAt());
+  if (aList) {
+    this->view.PutServers(aChanges, now);
   } else {
     for (const steer::ServerChange& change : aChanges) {
       this->view.PutServer(change, now);
     }
-    this->spread.OnServersChanges(aChanges, aRevision, now);
   }
   this->events.onView();
   this->LogServers(aChanges, "store");
@@ -229,32 +252,40 @@
   this->Exchange(now);
 }
 
-std::optional<PeerView>
-Sync::CopyView() const
+std::optional<ViewState>
+Sync::StateOfView() const
 {
   if (!this->spread.HasView()) {
     return std::nullopt;
   }
-  return PeerView{ this->view.CopyConfig(),
-                   this->spread.Config().revision,
-                   this->spread.Servers().revision,
-                   this->view.CopyServers(SteadyNow()) };
+  return ViewState{ this->view.Version(), this->spread.Servers().revision };
+}
+
+PeerView
+Sync::CopyView(bool aServers) const
+{
+  PeerView copy;
+  copy.config = this->view.CopyConfig();
+  copy.configRevision = this->spread.Config().revision;
+  if (aServers) {
+    copy.serversRevision = this->spread.Servers().revision;
+    copy.servers = this->view.CopyServers(SteadyNow());
+  }
+  return copy;
 }
 
 void
 Sync::OnPeerView(const PeerView& aView, const std::string& aPeer)
 {
-  Micros now = SteadyNow();
   this->peerAnswers = false;
   int64_t before = this->view.Version();
   bool newConfig = this->view.PutConfig(aView.config);
-  bool newServers = aView.serversRevision > this->spread.Servers().revision ||
-                    !this->view.HasServers();
+  this->spread.OnPeerConfig(this->view.Version(), aView.configRevision);
+  bool newServers = aView.serversRevision > this->spread.Servers().revision;
   if (newServers) {
-    this->view.PutServers(aView.servers, now);
+    this->view.PutServers(aView.servers, SteadyNow());
+    this->spread.OnPeerServers(aView.serversRevision);
   }
-  this->spread.OnView(
-    this->view.Version(), aView.configRevision, aView.serversRevision);
   // A watch that did not tell is silent.
   if (this->reading && newConfig) {
     this->config.Restart();
@@ -262,7 +293,9 @@
   if (this->reading && newServers) {
     this->servers.Restart();
   }
-  this->servers.Know(this->spread.Servers().revision);
+  if (this->view.HasServers()) {
+    this->servers.Know(this->spread.Servers().revision);
+  }
   if (this->view.Version() > 0) {
     this->config.Know(this->spread.Config().revision);
   }
@@ -271,7 +304,8 @@
   line.Text("peer", aPeer)
     .Number("config_version", this->view.Version())
     .Number("former", before)
-    .Number("servers_revision", static_cast<int64_t>(aView.serversRevision))
+    .Number("servers_revision",
+            static_cast<int64_t>(this->spread.Servers().revision))
     .Text("servers", newServers ? "newer" : "known");
   this->events.log(line);
 }
@@ -331,11 +365,11 @@
   for (const spread::Sending& sending : this->spread.TakeSendings(aNow)) {
     this->peers->Send(sending.to, sending.beat);
   }
-  std::optional<Address> peer = this->spread.WantsView(aNow);
-  if (!peer) {
+  std::optional<spread::Wanted> wanted = this->spread.WantsView(aNow);
+  if (!wanted) {
     return;
   }
-  this->peers->AskForView(*peer);
+  this->peers->AskForView(wanted->peer, wanted->servers);
   bool waits = !this->storeAsked && !this->peerAnswers;
   if (!this->spread.HasView() && waits) {
     this->peerAnswers = true;
@@ -365,10 +399,18 @@
   }
 }
 
+// A whole list says with one line how many it named.
 void
 Sync::LogServers(std::span<const steer::ServerChange> aChanges,
                  std::string_view aSource)
 {
+  if (aChanges.size() > kMostServerLines) {
+    LogLine line("servers");
+    line.Number("entries", static_cast<int64_t>(aChanges.size()))
+      .Text("source", aSource);
+    this->events.log(line);
+    return;
+  }
   for (const steer::ServerChange& change : aChanges) {
     LogLine line("server");
     line.Text("id", change.name)
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -80,7 +80,8 @@
                 uint64_t aRevision,
                 bool aList);
   void OnBeat(Address aFrom, const spread::Beat& aBeat);
-  std::optional<PeerView> CopyView() const;
+  std::optional<ViewState> StateOfView() const;
+  PeerView CopyView(bool aServers) const;
   void OnPeerView(const PeerView& aView, const std::string& aPeer);
   void FollowRole();
   void FollowAge(Micros aNow);
--- /dev/null
+++ b/tests/soak/packet.cpp
@@ -0,0 +1,112 @@
+#include "soak/packet.h"
+
+#include "base/bytes.h"
+
+#include <algorithm>
+#include <ctime>
+
+namespace gentianspindle::soak {
+
+namespace {
+
+constexpr uint8_t kSyn = 1;
+constexpr uint8_t kFin = 2;
+constexpr uint8_t kAck = 64;
+constexpr uint8_t kRst = 128;
+
+uint8_t
+FlagsOf(const Packet& aPacket)
+{
+  return static_cast<uint8_t>(
+    (aPacket.syn ? kSyn : 0) | (aPacket.fin ? kFin : 0) |
+    (aPacket.acks ? kAck : 0) | (aPacket.rst ? kRst : 0));
+}
+
+// Over all but the echo, which changes on the way.
+uint32_t
+SumOf(const Packet& aPacket)
+{
+  uint32_t sum = 2166136261U;
+  auto mix = [&sum](uint32_t aValue) {
+    for (int shift = 0; shift < 32; shift += 8) {
+      sum = (sum ^ ((aValue >> shift) & 0xFF)) * 16777619U;
+    }
+  };
+  mix(aPacket.seq);
+  mix(aPacket.ack);
+  mix(FlagsOf(aPacket));
+  mix(aPacket.from.address);
+  mix(aPacket.from.port);
+  mix(aPacket.to.address);
+  mix(aPacket.to.port);
+  for (char byte : aPacket.data) {
+    mix(static_cast<uint8_t>(byte));
+  }
+  return sum == 0 ? 1 : sum;
+}
+
+}
+
+std::vector<uint8_t>
+Encode(Packet aPacket)
+{
+  std::vector<uint8_t> bytes(kHeadBytes + aPacket.data.size());
+  Store32(bytes, 0, aPacket.seq);
+  Store32(bytes, 4, aPacket.ack);
+  bytes[8] = FlagsOf(aPacket);
+  Store16(bytes, 10, static_cast<uint16_t>(aPacket.data.size()));
+  Store32(bytes, 12, SumOf(aPacket));
+  Store16(bytes, 16, aPacket.from.port);
+  Store32(bytes, 18, aPacket.from.address);
+  Store16(bytes, 22, aPacket.to.port);
+  Store32(bytes, 24, aPacket.to.address);
+  Store32(bytes, 28, aPacket.echo);
+  std::copy(
+    aPacket.data.begin(), aPacket.data.end(), bytes.begin() + kHeadBytes);
+  return bytes;
+}
+
+std::optional<Packet>
+Decode(std::span<const uint8_t> aBytes)
+{
+  bool sized = aBytes.size() >= kHeadBytes &&
+               aBytes.size() == kHeadBytes + Load16(aBytes, 10);
+  if (!sized) {
+    return std::nullopt;
+  }
+  Packet packet;
+  packet.seq = Load32(aBytes, 0);
+  packet.ack = Load32(aBytes, 4);
+  packet.syn = (aBytes[8] & kSyn) != 0;
+  packet.fin = (aBytes[8] & kFin) != 0;
+  packet.acks = (aBytes[8] & kAck) != 0;
+  packet.rst = (aBytes[8] & kRst) != 0;
+  packet.sum = Load32(aBytes, 12);
+  packet.from = { Load32(aBytes, 18), Load16(aBytes, 16) };
+  packet.to = { Load32(aBytes, 24), Load16(aBytes, 22) };
+  packet.echo = Load32(aBytes, 28);
+  packet.data.assign(aBytes.begin() + kHeadBytes, aBytes.end());
+  return packet;
+}
+
+bool
+IsWhole(const Packet& aPacket)
+{
+  return aPacket.sum == SumOf(aPacket);
+}
+
+bool
+IsForeignReset(const Packet& aPacket)
+{
+  return aPacket.rst && aPacket.sum == 0 && aPacket.data.empty();
+}
+
+Micros
+Now()
+{
+  timespec now{};
+  clock_gettime(CLOCK_MONOTONIC, &now);
+  return now.tv_sec * kSecond + now.tv_nsec / 1000;
+}
+
+}
--- /dev/null
+++ b/tests/soak/prober.cpp
@@ -0,0 +1,151 @@
+#include "soak/prober.h"
+
+namespace gentianspindle::soak {
+
+namespace {
+
+constexpr Micros kPeriod = 400 * kMillisecond;
+constexpr int64_t kKeptVersions = 8;
+constexpr Endpoint kProbeRoutes{ 0xC6120009, 10000 };
+constexpr size_t kMostQuestions = 20000;
+
+Endpoint
+RouteOf(int64_t aVersion)
+{
+  return { kProbeRoutes.address,
+           static_cast<uint16_t>(kProbeRoutes.port + aVersion) };
+}
+
+nlohmann::json
+MakeRoute(Endpoint aTarget, const std::string& aService)
+{
+  return { { "name", FormatEndpoint(aTarget) },
+           { "host", FormatAddress(aTarget.address) },
+           { "path_prefix", "/" + std::to_string(aTarget.port) + "/" },
+           { "slo_ms", 300 },
+           { "priority", 1 },
+           { "service", aService } };
+}
+
+}
+
+nlohmann::json
+MakeConfigSpec(int64_t aVersion,
+               const std::vector<std::pair<Endpoint, std::string>>& aTargets)
+{
+  nlohmann::json routes = nlohmann::json::array();
+  for (const auto& [target, service] : aTargets) {
+    routes.push_back(MakeRoute(target, service));
+  }
+  for (int64_t version = std::max<int64_t>(1, aVersion - kKeptVersions);
+       version <= aVersion;
+       ++version) {
+    routes.push_back(MakeRoute(RouteOf(version), "probe"));
+  }
+  return { { "version", aVersion },
+           { "routes", routes },
+           { "services", nlohmann::json::array() },
+           { "limits", { { "idle_timeout_ms", 15000 } } } };
+}
+
+Prober::Prober(Endpoint aSelf,
+               std::vector<Endpoint> aInstances,
+               Ledger& aLedger,
+               tagged::UdpSocket aSocket)
+  : self(aSelf)
+  , instances(std::move(aInstances))
+  , ledger(aLedger)
+  , socket(std::move(aSocket))
+{
+}
+
+absl::StatusOr<std::unique_ptr<Prober>>
+Prober::Make(Endpoint aSelf, std::vector<Endpoint> aInstances, Ledger& aLedger)
+{
+  absl::StatusOr<tagged::UdpSocket> socket = tagged::UdpSocket::Bind(aSelf);
+  if (!socket.ok()) {
+    return socket.status();
+  }
+  return std::unique_ptr<Prober>(
+    new Prober(aSelf, std::move(aInstances), aLedger, *std::move(socket)));
+}
+
+void
+Prober::Step(int64_t aNewestVersion)
+{
+  size_t count = this->received.Receive(this->socket.Descriptor());
+  for (size_t i = 0; i < count; ++i) {
+    std::optional<Packet> packet =
+      Decode(this->received.At(i).subspan(tagged::kHeadroom));
+    if (packet) {
+      this->OnPacket(*packet);
+    }
+  }
+  Micros now = Now();
+  if (now < this->askAt) {
+    return;
+  }
+  this->askAt = now + kPeriod;
+  for (size_t i = 0; i < this->instances.size(); ++i) {
+    this->Ask(i, aNewestVersion);
+  }
+}
+
+void
+Prober::Ask(size_t aInstance, int64_t aVersion)
+{
+  this->nextPort = std::max<uint16_t>(1024, this->nextPort + 1);
+  if (this->questions.size() > kMostQuestions) {
+    this->questions.clear();
+  }
+  this->questions[this->nextPort] = { aInstance, aVersion, Now() };
+  Packet packet{ .seq = this->nextPort, .syn = true };
+  packet.from = { this->self.address, this->nextPort };
+  packet.to = RouteOf(aVersion);
+  this->Send(aInstance, packet);
+}
+
+// An answer of the route's server shows that the version is in force, a reset
+// that it is not.
+void
+Prober::OnPacket(const Packet& aPacket)
+{
+  auto known = this->questions.find(aPacket.to.port);
+  if (known == this->questions.end()) {
+    return;
+  }
+  Question question = known->second;
+  bool answers = aPacket.syn && aPacket.acks;
+  if (!answers && !IsForeignReset(aPacket)) {
+    return;
+  }
+  this->questions.erase(known);
+  this->ledger.OnInForce(question.instance,
+                         answers ? question.version : question.version - 1,
+                         question.at);
+  if (answers) {
+    Packet end{ .seq = aPacket.ack,
+                .ack = aPacket.seq + 1,
+                .acks = true,
+                .rst = true,
+                .from = aPacket.to,
+                .to = aPacket.from,
+                .echo = aPacket.echo };
+    this->Send(question.instance, end);
+  }
+}
+
+void
+Prober::Send(size_t aInstance, const Packet& aPacket)
+{
+  std::vector<uint8_t> bytes = Encode(aPacket);
+  sockaddr_in to = tagged::ToSocketAddress(this->instances[aInstance]);
+  sendto(this->socket.Descriptor(),
+         bytes.data(),
+         bytes.size(),
+         0,
+         reinterpret_cast<const sockaddr*>(&to),
+         sizeof to);
+}
+
+}
--- a/tests/spread/spread_test.cpp
+++ b/tests/spread/spread_test.cpp
@@ -74,7 +74,11 @@
   beat.recent = { 70, 80, { MakeServer(2, "web", 75) } };
   CHECK(spread.OnBeat(kOther, beat, kSecond).empty());
   CHECK_FALSE(spread.WantsView(kSecond));
-  CHECK(spread.WantsView(kSecond + spread::kGapTime) == kOther);
+  std::optional<spread::Wanted> wanted =
+    spread.WantsView(kSecond + spread::kGapTime);
+  REQUIRE(wanted);
+  CHECK(wanted->peer == kOther);
+  CHECK(wanted->servers);
   // The datagram between the two was only late.
   beat.recent = { 60, 80, { MakeServer(2, "web", 75) } };
   CHECK(spread.OnBeat(kOther, beat, 2 * kSecond).size() == 1);
@@ -104,7 +108,11 @@
   beat.configVersion = 4;
   spread.OnBeat(kOther, beat, 9 * kSecond);
   CHECK(spread.Config().confirmedAt == kSecond);
-  CHECK(spread.WantsView(9 * kSecond) == kOther);
+  std::optional<spread::Wanted> wanted = spread.WantsView(9 * kSecond);
+  REQUIRE(wanted);
+  CHECK(wanted->peer == kOther);
+  // The servers are as new here.
+  CHECK_FALSE(wanted->servers);
 }
 
 TEST_CASE("Of two readers of a zone the better one goes on")
@@ -145,16 +153,37 @@
   CHECK(spread.Stale(kSecond));
 }
 
+TEST_CASE("A store that answers after a long silence was away")
+{
+  Spread spread = MakeSpread();
+  spread.OnConfigAnswer(3, 50, kSecond);
+  spread.OnServersList(50, kSecond);
+  // At the start, and at watches that tell nothing, it was not.
+  spread.OnServersChanges({}, 50, 2 * kSecond);
+  CHECK(spread.StoreBackAt() == spread::kNever);
+  SECTION("for whoever begins to read just then")
+  {
+    spread.OnServersChanges({}, 60, 9 * kSecond);
+    CHECK(spread.StoreBackAt() == 9 * kSecond);
+  }
+  SECTION("but not for one that stood still itself")
+  {
+    spread.OnPause();
+    spread.OnServersChanges({}, 60, 9 * kSecond);
+    CHECK(spread.StoreBackAt() == spread::kNever);
+  }
+}
+
 TEST_CASE("A fleet reads with one instance a zone, and all follow")
 {
   auto fleet = MakeFleet();
   CHECK(fleet->Readers() == 4);
   CHECK(fleet->Behind() == 0);
   uint64_t before = fleet->store.calls;
-  for (int i = 0; i < 10; ++i) {
+  for (steer::ServerId id = 1; id <= 10; ++id) {
     fleet->ChangeConfig();
-    fleet->store.PutServer(static_cast<steer::ServerId>(100 + i));
-    fleet->store.RemoveServer(static_cast<steer::ServerId>(1 + i));
+    fleet->store.PutServer(100 + id);
+    fleet->store.RemoveServer(id);
     fleet->Run(kSecond);
   }
   fleet->Run(2 * kSecond);
--- a/tests/support/object_store.cpp
+++ b/tests/support/object_store.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr size_t kThreads = 16;
+constexpr size_t kThreads = 96;
 constexpr std::chrono::milliseconds kSilence{ 100 };
 
 }
@@ -36,9 +36,13 @@
 }
 
 int
-ObjectStore::Start()
+ObjectStore::Start(int aPort, const char* aHost)
 {
-  this->port = this->server.bind_to_any_port("127.0.0.1");
+  if (aPort == 0) {
+    this->port = this->server.bind_to_any_port(aHost);
+  } else {
+    this->port = this->server.bind_to_port(aHost, aPort) ? aPort : -1;
+  }
   this->thread = std::thread([this] { this->server.listen_after_bind(); });
   while (!this->server.is_running()) {
     std::this_thread::yield();
@@ -52,6 +56,11 @@
                  const nlohmann::json& aSpec)
 {
   std::lock_guard lock(this->mutex);
+  this->putAt[aKind + "/" + aName] = std::chrono::steady_clock::now();
+  auto known = this->objects[aKind].find(aName);
+  if (known != this->objects[aKind].end() && known->second["spec"] == aSpec) {
+    return;
+  }
   nlohmann::json object{
     { "meta", { { "name", aName }, { "revision", ++this->revision } } },
     { "spec", aSpec },
@@ -68,6 +77,9 @@
 ObjectStore::Remove(const std::string& aKind, const std::string& aName)
 {
   std::lock_guard lock(this->mutex);
+  if (!this->objects[aKind].contains(aName)) {
+    return;
+  }
   nlohmann::json object = this->objects[aKind][aName];
   this->objects[aKind].erase(aName);
   object["meta"]["revision"] = ++this->revision;
@@ -76,6 +88,75 @@
   this->changed.notify_all();
 }
 
+void
+ObjectStore::RemoveSilent(const std::string& aKind,
+                          std::chrono::milliseconds aTime)
+{
+  std::vector<std::string> silent;
+  {
+    std::lock_guard lock(this->mutex);
+    auto oldest = std::chrono::steady_clock::now() - aTime;
+    for (const auto& [name, object] : this->objects[aKind]) {
+      std::string path = aKind;
+      path += "/";
+      path += name;
+      if (this->putAt[path] < oldest) {
+        silent.push_back(name);
+      }
+    }
+  }
+  for (const std::string& name : silent) {
+    this->Remove(aKind, name);
+  }
+}
+
+void
+ObjectStore::ServeWrites()
+{
+  const std::string object = "/-/objects/(\\w+)/([^/]+)";
+  auto write = [this](const httplib::Request& aRequest,
+                      httplib::Response& aResponse) {
+    this->OnWrite(aRequest, aResponse);
+  };
+  this->server.Put(object, write);
+  this->server.Delete(object, write);
+  this->server.Post(
+    "/fault/(\\w+)/(\\d+)",
+    [this](const httplib::Request& aRequest, httplib::Response& /*aResponse*/) {
+      this->OnFault(aRequest.matches[1], std::stoi(aRequest.matches[2]));
+    });
+}
+
+void
+ObjectStore::OnWrite(const httplib::Request& aRequest,
+                     httplib::Response& aResponse)
+{
+  // A store that is away takes nothing; a silent one neither.
+  if (this->status != 200 || this->silent) {
+    aResponse.status = 503;
+    return;
+  }
+  if (aRequest.method == "PUT") {
+    this->Put(aRequest.matches[1],
+              aRequest.matches[2],
+              nlohmann::json::parse(aRequest.body));
+  } else {
+    this->Remove(aRequest.matches[1], aRequest.matches[2]);
+  }
+}
+
+void
+ObjectStore::OnFault(const std::string& aName, int aValue)
+{
+  if (aName == "status") {
+    this->status = aValue;
+  } else if (aName == "silent") {
+    this->silent = aValue != 0;
+  } else if (aName == "forget") {
+    this->ForgetHistory();
+  }
+}
+
 void
 ObjectStore::ForgetHistory()
 {
@@ -101,6 +182,18 @@
     aResponse.status = this->status;
     return;
   }
+  this->Answer(aRequest, aResponse);
+  // Trouble that began meanwhile holds for watches that waited.
+  if (this->status != 200 || this->silent) {
+    aResponse.status = this->silent ? 503 : this->status.load();
+    aResponse.body.clear();
+  }
+}
+
+void
+ObjectStore::Answer(const httplib::Request& aRequest,
+                    httplib::Response& aResponse)
+{
   std::string kind = aRequest.matches[1];
   if (aRequest.has_param("watch")) {
     this->Watch(kind,
--- a/tests/support/object_store.h
+++ b/tests/support/object_store.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <httplib.h>
@@ -20,12 +21,16 @@
   ObjectStore();
   ~ObjectStore();
 
-  // Listens at 127.0.0.1; returns the port.
-  int Start();
+  // Listens at a free port where aPort is 0; returns the port.
+  int Start(int aPort = 0, const char* aHost = "127.0.0.1");
+  // Also takes PUT and DELETE of objects, and POST /fault/NAME/VALUE.
+  void ServeWrites();
   void Put(const std::string& aKind,
            const std::string& aName,
            const nlohmann::json& aSpec);
   void Remove(const std::string& aKind, const std::string& aName);
+  // Removes objects that nobody has put for aTime, as leases that run out.
+  void RemoveSilent(const std::string& aKind, std::chrono::milliseconds aTime);
   // Watches from before now get 410.
   void ForgetHistory();
 
@@ -42,7 +47,10 @@
     uint64_t revision = 0;
     nlohmann::json body;
   };
+  void OnWrite(const httplib::Request& aRequest, httplib::Response& aResponse);
+  void OnFault(const std::string& aName, int aValue);
   void OnGet(const httplib::Request& aRequest, httplib::Response& aResponse);
+  void Answer(const httplib::Request& aRequest, httplib::Response& aResponse);
   void List(const std::string& aKind,
             const std::string& aAfter,
             httplib::Response& aResponse);
@@ -57,6 +65,7 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+  std::map<std::string, std::chrono::steady_clock::time_point> putAt;
   std::deque<Event> events;
   uint64_t revision = 10;
   uint64_t forgotten = 0;
--- a/tests/support/spread_fleet.cpp
+++ b/tests/support/spread_fleet.cpp
@@ -281,10 +281,11 @@
       this->Deliver(aInstance, to, sending.beat);
     }
   }
-  std::optional<Address> peer = instance.spread->WantsView(this->Now());
-  if (peer && !instance.asksView) {
+  std::optional<spread::Wanted> wanted =
+    instance.spread->WantsView(this->Now());
+  if (wanted && !instance.asksView) {
     instance.asksView = true;
-    this->FetchView(aInstance, *peer);
+    this->FetchView(aInstance, *wanted);
   }
 }
 
@@ -315,29 +316,30 @@
 }
 
 void
-SpreadFleet::FetchView(size_t aInstance, Address aPeer)
+SpreadFleet::FetchView(size_t aInstance, spread::Wanted aWanted)
 {
   uint64_t life = this->instances[aInstance].life;
+  size_t from = this->byAddress.at(aWanted.peer);
   this->clock.After(5 * kMillisecond, [=, this] {
     SpreadInstance& instance = this->instances[aInstance];
     if (instance.life != life) {
       return;
     }
     instance.asksView = false;
-    const SpreadInstance& peer = this->instances[this->byAddress.at(aPeer)];
+    SpreadInstance& peer = this->instances[from];
     if (!this->Reaches(instance, peer) || !peer.spread->HasView()) {
       return;
     }
-    ++this->instances[this->byAddress.at(aPeer)].viewsOut;
     instance.view->PutConfig(peer.view->CopyConfig());
+    instance.spread->OnPeerConfig(instance.view->Version(),
+                                  peer.spread->Config().revision);
     uint64_t revision = peer.spread->Servers().revision;
-    if (revision > instance.spread->Servers().revision ||
-        !instance.view->HasServers()) {
-      instance.view->PutServers(peer.view->CopyServers(this->Now()),
-                                this->Now());
+    if (!aWanted.servers || revision <= instance.spread->Servers().revision) {
+      return;
     }
-    instance.spread->OnView(
-      instance.view->Version(), peer.spread->Config().revision, revision);
+    ++peer.viewsOut;
+    instance.view->PutServers(peer.view->CopyServers(this->Now()), this->Now());
+    instance.spread->OnPeerServers(revision);
   });
 }
 
--- a/tests/support/spread_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -106,7 +106,7 @@
   bool TakeAnswer(SpreadInstance& aInstance, bool aServers);
   void Exchange(size_t aInstance);
   void Deliver(size_t aFrom, Address aTo, const spread::Beat& aBeat);
-  void FetchView(size_t aInstance, Address aPeer);
+  void FetchView(size_t aInstance, spread::Wanted aWanted);
   void Observe();
 
   SpreadFleetOptions options;
