Write the order of readers once, and take out what spreading made dead

No behaviour changes. Found by reading the whole change again: - which of two readers goes on stood twice (Spread::IsBetter, the loop of BestReader): Rank::IsBetter serves both. hasConfig followed from the version. - nobody asks for a page's caller since digests went: Pages looks it up no more. - View::ServersRevision, View::Idle and three counts of the spreading fleet in the tests had no reader left. - the loop over PutServer stood four times: View::PutChanges. The packing of endpoints for peers was MakeInstanceId. Sync parsed the seeds twice.

--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -56,7 +56,6 @@
   this->NoteAnswer(aNow);
   this->news = this->news || aVersion > this->configVersion;
   this->configVersion = std::max(this->configVersion, aVersion);
-  this->hasConfig = this->hasConfig || aVersion > 0;
   this->config.Confirm(aRevision, aNow);
 }
 
@@ -99,7 +98,6 @@
 Spread::OnPeerConfig(int64_t aVersion, uint64_t aRevision)
 {
   this->configVersion = std::max(this->configVersion, aVersion);
-  this->hasConfig = this->hasConfig || aVersion > 0;
   this->config.revision = std::max(this->config.revision, aRevision);
   this->news = true;
 }
@@ -171,7 +169,7 @@
   bool oldConfig = aBeat.configVersion > this->configVersion;
   bool oldServers =
     !this->hasServers || aBeat.serversRevision > this->servers.revision;
-  if (!oldConfig && this->hasConfig) {
+  if (!oldConfig && this->configVersion > 0) {
     this->config.Confirm(aBeat.configRevision, aNow - aBeat.configAge);
   }
   if (!oldServers) {
@@ -224,29 +222,34 @@
 // One that the store answers goes first, then the larger, then the smaller
 // address; so all agree who reads.
 bool
-Spread::IsBetter(const Member& aMember, Address aAddress) const
+Rank::IsBetter(const Rank& aOther) const
 {
-  if (aMember.storeAnswers != this->storeAnswers) {
-    return aMember.storeAnswers;
+  if (this->storeAnswers != aOther.storeAnswers) {
+    return this->storeAnswers;
   }
-  if (aMember.cores != this->options.cores) {
-    return aMember.cores > this->options.cores;
+  if (this->cores != aOther.cores) {
+    return this->cores > aOther.cores;
   }
-  return aAddress < this->options.self;
+  return this->address < aOther.address;
 }
 
-const Member*
+Rank
+Spread::OwnRank() const
+{
+  return { this->storeAnswers, this->options.cores, this->options.self };
+}
+
+// Of this zone, without this instance.
+std::optional<Rank>
 Spread::BestReader(Micros aNow) const
 {
-  const Member* best = nullptr;
+  std::optional<Rank> best;
   for (const auto& [address, member] : this->members.All()) {
     if (!member.Reads(aNow) || !this->members.IsNear(member)) {
       continue;
     }
-    bool better =
-      best == nullptr || (member.storeAnswers && !best->storeAnswers) ||
-      (member.storeAnswers == best->storeAnswers && member.cores > best->cores);
-    best = better ? &member : best;
+    Rank rank{ member.storeAnswers, member.cores, address };
+    best = !best || rank.IsBetter(*best) ? rank : best;
   }
   return best;
 }
@@ -266,12 +269,8 @@
 bool
 Spread::HasBetter(Micros aNow) const
 {
-  const auto& all = this->members.All();
-  return std::any_of(all.begin(), all.end(), [&](const auto& aEntry) {
-    const Member& member = aEntry.second;
-    return member.Reads(aNow) && this->members.IsNear(member) &&
-           this->IsBetter(member, aEntry.first);
-  });
+  std::optional<Rank> best = this->BestReader(aNow);
+  return best && best->IsBetter(this->OwnRank());
 }
 
 void
@@ -288,9 +287,9 @@
 }
 
 ReadReason
-Spread::WhyRead(const Member* aBest, Micros aNow) const
+Spread::WhyRead(const std::optional<Rank>& aBest, Micros aNow) const
 {
-  if (aBest == nullptr) {
+  if (!aBest) {
     return ReadReason::NoReader;
   }
   if (this->Stale(aNow) && aNow >= this->nextTrialAt) {
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -71,6 +71,16 @@
   Beat beat;
 };
 
+// Decides which of two readers goes on.
+struct Rank
+{
+  bool storeAnswers = false;
+  double cores = 0;
+  Address address = 0;
+
+  bool IsBetter(const Rank& aOther) const;
+};
+
 // What a peer is to be asked for; of a new configuration alone the servers,
 // which are many more, need not come along.
 struct Wanted
@@ -127,7 +137,7 @@
 
   const Known& Config() const { return this->config; }
   const Known& Servers() const { return this->servers; }
-  bool HasView() const { return this->hasConfig && this->hasServers; }
+  bool HasView() const { return this->configVersion > 0 && this->hasServers; }
   bool Stale(Micros aNow) const;
   // When the store was last back, as far as known.
   Micros StoreBackAt() const { return this->storeBackAt; }
@@ -135,16 +145,16 @@
 
 private:
   void NoteAnswer(Micros aNow);
-  const Member* BestReader(Micros aNow) const;
+  Rank OwnRank() const;
+  std::optional<Rank> BestReader(Micros aNow) const;
   bool HasBetter(Micros aNow) const;
   bool IsBehind() const;
   Micros TakeOverDelay(ReadReason aReason);
-  bool IsBetter(const Member& aMember, Address aAddress) const;
   void DecideFollowing(Micros aNow);
   void DecideReading(Micros aNow);
   void StartReading(ReadReason aWhy, Micros aNow);
   void StopReading(Micros aNow);
-  ReadReason WhyRead(const Member* aBest, Micros aNow) const;
+  ReadReason WhyRead(const std::optional<Rank>& aBest, Micros aNow) const;
   void NoteBehind(Address aFrom, const Beat& aBeat, Micros aNow);
   Beat MakeBeat(Micros aNow);
   void SendToAll(std::vector<Sending>& aSendings, Micros aNow);
@@ -159,7 +169,6 @@
   Known config;
   Known servers;
   int64_t configVersion = 0;
-  bool hasConfig = false;
   bool hasServers = false;
   bool reads = false;
   bool storeAnswers = false;
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -101,8 +101,8 @@
   absl::flat_hash_set<std::string> listed;
   for (const ServerChange& change : aList) {
     listed.insert(change.name);
-    this->PutServer(change, aNow);
   }
+  this->PutChanges(aList, aNow);
   for (const auto& [name, place] : this->byName) {
     if (!listed.contains(name)) {
       this->MarkMissing(this->servers[place], aNow);
@@ -111,10 +111,17 @@
   this->hasServers = true;
 }
 
+void
+View::PutChanges(std::span<const ServerChange> aChanges, Micros aNow)
+{
+  for (const ServerChange& change : aChanges) {
+    this->PutServer(change, aNow);
+  }
+}
+
 bool
 View::PutServer(const ServerChange& aChange, Micros aNow)
 {
-  this->serversRevision = std::max(this->serversRevision, aChange.revision);
   auto known = this->byName.find(aChange.name);
   if (known != this->byName.end() &&
       this->servers[known->second].revision > aChange.revision) {
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -86,7 +86,9 @@
 
   // A whole list of the registry; what is not in it is missing.
   void PutServers(std::span<const ServerChange> aList, Micros aNow);
-  // One change after the list. True where something changed.
+  // Changes after the list.
+  void PutChanges(std::span<const ServerChange> aChanges, Micros aNow);
+  // One of them. True where something changed.
   bool PutServer(const ServerChange& aChange, Micros aNow);
 
   // The store answers again after it did not; entries may have lapsed.
@@ -98,13 +100,10 @@
   bool Ready() const { return this->hasServers && this->config.version > 0; }
   bool HasServers() const { return this->hasServers; }
   int64_t Version() const { return this->config.version; }
-  Micros Idle() const { return this->config.idle; }
 
-  // For other instances: the configuration in force, the readable servers,
-  // and the revision of the newest change of a server known here.
+  // For other instances: the configuration in force and the readable servers.
   Config CopyConfig() const;
   std::vector<ServerChange> CopyServers(Micros aNow) const;
-  uint64_t ServersRevision() const { return this->serversRevision; }
 
   const Route* FindRoute(Endpoint aTarget) const;
   // Did a configuration before the one in force have the route?
@@ -140,7 +139,6 @@
   absl::flat_hash_map<Tag, ServerIndex> byTag;
   absl::flat_hash_map<std::string, std::vector<ServerIndex>> byService;
   uint64_t processes = 0;
-  uint64_t serversRevision = 0;
   bool hasServers = false;
   Micros storeBackAt = -kForgetTime;
 };
--- a/src/tagged/follower.h
+++ b/src/tagged/follower.h
@@ -139,10 +139,11 @@
   // What is known may be old: asks anew on a new connection.
   void Restart() { this->client.Disconnect(); }
 
-  bool Lost() const { return this->lostAt != 0; }
   const FollowerCounts& Counts() const { return this->counts; }
 
 private:
+  bool Lost() const { return this->lostAt != 0; }
+
   void Call()
   {
     bool list = !this->listed;
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -78,10 +78,10 @@
     return made.status();
   }
   this->pages = *std::move(made);
-  this->pages->Put(P::kReadyPath, [this](Address /*aCaller*/) {
+  this->pages->Put(P::kReadyPath, [this] {
     return PageAnswer{ this->Ready() ? 200 : 503, "{}" };
   });
-  this->pages->Put("/metrics", [this](Address /*aCaller*/) {
+  this->pages->Put("/metrics", [this] {
     return PageAnswer{ 200, this->Metrics() };
   });
   return this->pages->Listen(EndpointOf(this->settings.ready.listen));
--- a/src/tagged/pages.cpp
+++ b/src/tagged/pages.cpp
@@ -50,15 +50,7 @@
     this->server.get(),
     aPath.c_str(),
     [](evhttp_request* aRequest, void* aCall) {
-      char* host = nullptr;
-      ev_uint16_t port = 0;
-      evhttp_connection_get_peer(
-        evhttp_request_get_connection(aRequest), &host, &port);
-      Address caller = 0;
-      if (host != nullptr) {
-        ParseAddress(host, caller);
-      }
-      PageAnswer answer = (*static_cast<Answer*>(aCall))(caller);
+      PageAnswer answer = (*static_cast<Answer*>(aCall))();
       evbuffer* body = evbuffer_new();
       evbuffer_add(body, answer.body.data(), answer.body.size());
       evhttp_send_reply(aRequest,
--- a/src/tagged/pages.h
+++ b/src/tagged/pages.h
@@ -20,8 +20,7 @@
 class Pages
 {
 public:
-  // Gets the caller's address.
-  using Answer = std::function<PageAnswer(Address)>;
+  using Answer = std::function<PageAnswer()>;
 
   static absl::StatusOr<std::unique_ptr<Pages>> Make(event_base* aBase);
 
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -51,14 +51,15 @@
 int64_t
 ToNumber(Endpoint aEndpoint)
 {
-  return (int64_t{ aEndpoint.address } << 16) | aEndpoint.port;
+  return static_cast<int64_t>(
+    MakeInstanceId(aEndpoint.address, aEndpoint.port));
 }
 
 Endpoint
 ToEndpoint(int64_t aNumber)
 {
-  return { static_cast<Address>(aNumber >> 16),
-           static_cast<uint16_t>(aNumber) };
+  auto instance = static_cast<InstanceId>(aNumber);
+  return { InstanceAddress(instance), InstancePort(instance) };
 }
 
 msg::Route
--- a/src/tagged/peers.cpp
+++ b/src/tagged/peers.cpp
@@ -35,12 +35,10 @@
   }
   peers->pages = *std::move(pages);
   Peers* made = peers.get();
-  peers->pages->Put(kViewPath, [made](Address /*aCaller*/) {
-    return made->AnswerView(true, made->whole);
-  });
-  peers->pages->Put(kConfigPath, [made](Address /*aCaller*/) {
-    return made->AnswerView(false, made->configOnly);
-  });
+  peers->pages->Put(kViewPath,
+                    [made] { return made->AnswerView(true, made->whole); });
+  peers->pages->Put(
+    kConfigPath, [made] { return made->AnswerView(false, made->configOnly); });
   if (absl::Status status = peers->pages->Listen(aSelf); !status.ok()) {
     return status;
   }
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -38,12 +38,10 @@
 bool
 IsEager(const TaggedSettings& aSettings)
 {
-  const std::vector<std::string>& seeds = aSettings.peers.seeds;
+  spread::SpreadOptions options = OptionsOf(aSettings);
+  const std::vector<Address>& seeds = options.seeds;
   return seeds.empty() ||
-         std::any_of(seeds.begin(), seeds.end(), [&](const std::string& aSeed) {
-           return FormatAddress(EndpointOf(aSeed).address) ==
-                  aSettings.instance.address;
-         });
+         std::find(seeds.begin(), seeds.end(), options.self) != seeds.end();
 }
 
 std::string_view
@@ -197,9 +195,7 @@
   if (aList) {
     this->view.PutServers(aChanges, now);
   } else {
-    for (const steer::ServerChange& change : aChanges) {
-      this->view.PutServer(change, now);
-    }
+    this->view.PutChanges(aChanges, now);
   }
   this->events.onView();
   this->LogServers(aChanges, "store");
@@ -242,9 +238,7 @@
   std::vector<steer::ServerChange> fresh =
     this->spread.OnBeat(aFrom, aBeat, now);
   this->view.NoteStoreBack(this->spread.StoreBackAt());
-  for (const steer::ServerChange& change : fresh) {
-    this->view.PutServer(change, now);
-  }
+  this->view.PutChanges(fresh, now);
   if (!fresh.empty()) {
     this->events.onView();
     this->LogServers(fresh, FormatAddress(aFrom));
--- a/tests/support/spread_fleet.cpp
+++ b/tests/support/spread_fleet.cpp
@@ -274,9 +274,6 @@
   SpreadInstance& instance = this->instances[aInstance];
   for (const spread::Sending& sending :
        instance.spread->TakeSendings(this->Now())) {
-    instance.beatsOut += sending.to.size();
-    instance.changesOut +=
-      sending.to.size() * sending.beat.recent.changes.size();
     for (Address to : sending.to) {
       this->Deliver(aInstance, to, sending.beat);
     }
@@ -307,10 +304,10 @@
     if (!this->Reaches(this->instances[aFrom], instance)) {
       return;
     }
-    for (const steer::ServerChange& change : instance.spread->OnBeat(
-           this->instances[aFrom].address, aBeat, this->Now())) {
-      instance.view->PutServer(change, this->Now());
-    }
+    instance.view->PutChanges(
+      instance.spread->OnBeat(
+        this->instances[aFrom].address, aBeat, this->Now()),
+      this->Now());
     this->Exchange(to);
   });
 }
@@ -326,7 +323,7 @@
       return;
     }
     instance.asksView = false;
-    SpreadInstance& peer = this->instances[from];
+    const SpreadInstance& peer = this->instances[from];
     if (!this->Reaches(instance, peer) || !peer.spread->HasView()) {
       return;
     }
@@ -337,7 +334,6 @@
     if (!aWanted.servers || revision <= instance.spread->Servers().revision) {
       return;
     }
-    ++peer.viewsOut;
     instance.view->PutServers(peer.view->CopyServers(this->Now()), this->Now());
     instance.spread->OnPeerServers(revision);
   });
@@ -370,9 +366,6 @@
       if (calm) {
         this->slowest = std::max(this->slowest, took);
       }
-      if (inForce) {
-        this->delays.push_back(took);
-      }
       return inForce;
     });
   }
--- a/tests/support/spread_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -49,9 +49,6 @@
   bool reading = false;
   bool asksView = false;
   uint64_t watches = 0; // the latest of each kind counts
-  uint64_t beatsOut = 0;
-  uint64_t viewsOut = 0;
-  uint64_t changesOut = 0;
 };
 
 class SpreadFleet
@@ -79,7 +76,6 @@
   // The longest time from a change's acceptance to its being in force, over
   // instances that were calm and over all changes; seen every tick.
   Micros Slowest() const { return this->slowest; }
-  std::vector<Micros>& Delays() { return this->delays; }
 
   SpreadStore store;
   // Accepted now; measured from here.
@@ -115,7 +111,6 @@
   std::map<Address, size_t> byAddress;
   std::set<size_t> cutZones;
   std::vector<Awaited> awaited;
-  std::vector<Micros> delays;
   Micros slowest = 0;
   std::mt19937 random;
 };
