Share the stand-ins' server, the soak's sockets and the waits of the tests

No check, bound or expectation changes. What stood more than once: - start and stop of a stand-in over HTTP (ObjectStore, PlatformStandin): HttpStandin. - reading and sending datagrams in four places of the soak: Port; its clock was tagged::SteadyNow, its EndpointOf that of tagged/settings.h; the key of a flow and the client of the store are made in one place each. - Eventually and WaitFor, and two readers of a metric: tests/support/wait.h. Eventually is bounded by 10 s of clock now; it was 500 looks 20 ms apart.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,6 +1,7 @@
 #include "soak/callers.h"
 
 #include "soak/server.h"
+#include "tagged/loop.h"
 
 #include <algorithm>
 #include <sstream>
@@ -24,12 +25,10 @@
 
 }
 
-Callers::Callers(const CallerOptions& aOptions,
-                 Ledger& aLedger,
-                 tagged::UdpSocket aSocket)
+Callers::Callers(const CallerOptions& aOptions, Ledger& aLedger, Port aPort)
   : options(aOptions)
   , ledger(aLedger)
-  , socket(std::move(aSocket))
+  , port(std::move(aPort))
   , random(aOptions.seed)
 {
 }
@@ -37,27 +36,24 @@
 absl::StatusOr<std::unique_ptr<Callers>>
 Callers::Make(const CallerOptions& aOptions, Ledger& aLedger)
 {
-  absl::StatusOr<tagged::UdpSocket> socket =
-    tagged::UdpSocket::Bind({ aOptions.address, aOptions.fabric.port });
-  if (!socket.ok()) {
-    return socket.status();
+  absl::StatusOr<Port> port =
+    Port::Bind({ aOptions.address, aOptions.fabric.port });
+  if (!port.ok()) {
+    return port.status();
   }
   return std::unique_ptr<Callers>(
-    new Callers(aOptions, aLedger, *std::move(socket)));
+    new Callers(aOptions, aLedger, *std::move(port)));
 }
 
 void
 Callers::Step()
 {
-  size_t count = this->received.Receive(this->socket.Descriptor());
-  for (size_t i = 0; i < count; ++i) {
-    std::optional<Packet> packet =
-      Decode(this->received.At(i).subspan(tagged::kHeadroom));
-    if (packet) {
+  this->port.Receive([this](std::span<uint8_t> aBytes, Endpoint /*aFrom*/) {
+    if (std::optional<Packet> packet = Decode(aBytes)) {
       this->OnPacket(*packet);
     }
-  }
-  Micros now = Now();
+  });
+  Micros now = tagged::SteadyNow();
   for (auto flow = this->flows.begin(); flow != this->flows.end();) {
     auto next = std::next(flow);
     if (flow->second.nextAt <= now) {
@@ -101,7 +97,7 @@
   aFlow.request = "GET /" + aFlow.service +
                   " HTTP/1.1\r\nAttempt-Id: " + aFlow.id + "\r\n\r\n";
   aFlow.answer.clear();
-  aFlow.startedAt = Now();
+  aFlow.startedAt = tagged::SteadyNow();
   --aFlow.requestsLeft;
   this->ledger.OnSent(aFlow.id, aFlow.service);
   ++this->counts.sent;
@@ -118,7 +114,7 @@
 Callers::OnReset(Flows::iterator aFlow, const Packet& aPacket)
 {
   const Flow& flow = aFlow->second;
-  Micros now = Now();
+  Micros now = tagged::SteadyNow();
   if (!flow.open) {
     this->ledger.OnRefused(flow.id, now);
     this->End(aFlow, this->counts.refused);
@@ -142,7 +138,7 @@
     return;
   }
   if (!IsWhole(aPacket)) {
-    this->ledger.OnChanged("caller", Now());
+    this->ledger.OnChanged("caller", tagged::SteadyNow());
     return;
   }
   Flow& flow = known->second;
@@ -189,7 +185,7 @@
   size_t bytes = 0;
   words >> id >> service >> server >> end >> bytes;
   std::string body = aFlow.answer.substr(head + 1);
-  Micros now = Now();
+  Micros now = tagged::SteadyNow();
   if (id != aFlow.id) {
     this->ledger.OnBadAnswer(aFlow.id, "the answer to " + id, now);
     return false;
@@ -223,7 +219,7 @@
 Callers::OnTime(Flows::iterator aFlow)
 {
   Flow& flow = aFlow->second;
-  Micros now = Now();
+  Micros now = tagged::SteadyNow();
   bool late = now - flow.startedAt > kDeadline;
   if (flow.closing) {
     if (++flow.copies > 3) {
@@ -277,14 +273,7 @@
   aPacket.from = { this->options.address, aPort };
   aPacket.to = aFlow.target;
   aPacket.echo = aFlow.echo;
-  std::vector<uint8_t> bytes = Encode(aPacket);
-  sockaddr_in to = tagged::ToSocketAddress(this->options.fabric);
-  sendto(this->socket.Descriptor(),
-         bytes.data(),
-         bytes.size(),
-         0,
-         reinterpret_cast<const sockaddr*>(&to),
-         sizeof to);
+  this->port.Send(Encode(aPacket), this->options.fabric);
 }
 
 }
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -4,7 +4,7 @@
 
 #include "soak/ledger.h"
 #include "soak/packet.h"
-#include "tagged/udp.h"
+#include "soak/port.h"
 
 #include <map>
 #include <random>
@@ -65,9 +65,7 @@
   };
   using Flows = std::map<uint16_t, Flow>;
 
-  Callers(const CallerOptions& aOptions,
-          Ledger& aLedger,
-          tagged::UdpSocket aSocket);
+  Callers(const CallerOptions& aOptions, Ledger& aLedger, Port aPort);
   void Open();
   void StartRequest(Flow& aFlow);
   void OnPacket(const Packet& aPacket);
@@ -80,8 +78,7 @@
 
   CallerOptions options;
   Ledger& ledger;
-  tagged::UdpSocket socket;
-  tagged::ReceiveBatch received;
+  Port port;
   Flows flows; // by the caller's port
   uint16_t nextPort = 1024;
   uint64_t nextId = 1;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -3,6 +3,7 @@
 #include "soak/server.h"
 #include "soak/soak.h"
 #include "support/object_store.h"
+#include "tagged/settings.h"
 
 #include <cxxopts.hpp>
 #include <iostream>
@@ -16,14 +17,6 @@
 constexpr std::chrono::milliseconds kLease{ 3600 };
 constexpr std::chrono::milliseconds kLeaseCheck{ 50 };
 
-Endpoint
-EndpointOf(const std::string& aText)
-{
-  Endpoint endpoint;
-  ParseEndpoint(aText, endpoint);
-  return endpoint;
-}
-
 // Words: address and port.
 int
 RunStore(const std::vector<std::string>& aWords)
--- a/tests/soak/packet.cpp
+++ b/tests/soak/packet.cpp
@@ -3,7 +3,6 @@
 #include "base/bytes.h"
 
 #include <algorithm>
-#include <ctime>
 
 namespace gentianspindle::soak {
 
@@ -101,12 +100,4 @@
   return aPacket.rst && aPacket.sum == 0 && aPacket.data.empty();
 }
 
-Micros
-Now()
-{
-  timespec now{};
-  clock_gettime(CLOCK_MONOTONIC, &now);
-  return now.tv_sec * kSecond + now.tv_nsec / 1000;
-}
-
 }
--- a/tests/soak/packet.h
+++ b/tests/soak/packet.h
@@ -47,8 +47,4 @@
 bool
 IsForeignReset(const Packet& aPacket);
 
-// Microseconds of the clock that all processes of a machine share.
-Micros
-Now();
-
 }
--- /dev/null
+++ b/tests/soak/port.h
@@ -0,0 +1,58 @@
+// A UDP socket of the soak.
+#pragma once
+
+#include "tagged/udp.h"
+
+#include <memory>
+
+namespace gentianspindle::soak {
+
+class Port
+{
+public:
+  static absl::StatusOr<Port> Bind(Endpoint aAt)
+  {
+    absl::StatusOr<tagged::UdpSocket> socket = tagged::UdpSocket::Bind(aAt);
+    if (!socket.ok()) {
+      return socket.status();
+    }
+    return Port(*std::move(socket));
+  }
+
+  // Calls aTake(bytes, sender) for each datagram that has come.
+  template<typename F>
+  void Receive(F aTake)
+  {
+    size_t count = this->received->Receive(this->socket.Descriptor());
+    for (size_t i = 0; i < count; ++i) {
+      aTake(this->received->At(i).subspan(tagged::kHeadroom),
+            this->received->From(i));
+    }
+  }
+
+  void Send(std::span<const uint8_t> aBytes, Endpoint aTo) const
+  {
+    sockaddr_in to = tagged::ToSocketAddress(aTo);
+    sendto(this->socket.Descriptor(),
+           aBytes.data(),
+           aBytes.size(),
+           0,
+           reinterpret_cast<const sockaddr*>(&to),
+           sizeof to);
+  }
+
+  int Descriptor() const { return this->socket.Descriptor(); }
+
+private:
+  explicit Port(tagged::UdpSocket aSocket)
+    : socket(std::move(aSocket))
+  {
+  }
+
+  tagged::UdpSocket socket;
+  // It points into itself, so it stays where it is.
+  std::unique_ptr<tagged::ReceiveBatch> received =
+    std::make_unique<tagged::ReceiveBatch>(true);
+};
+
+}
--- a/tests/soak/prober.cpp
+++ b/tests/soak/prober.cpp
@@ -1,5 +1,7 @@
 #include "soak/prober.h"
 
+#include "tagged/loop.h"
+
 namespace gentianspindle::soak {
 
 namespace {
@@ -51,37 +53,34 @@
 Prober::Prober(Endpoint aSelf,
                std::vector<Endpoint> aInstances,
                Ledger& aLedger,
-               tagged::UdpSocket aSocket)
+               Port aPort)
   : self(aSelf)
   , instances(std::move(aInstances))
   , ledger(aLedger)
-  , socket(std::move(aSocket))
+  , port(std::move(aPort))
 {
 }
 
 absl::StatusOr<std::unique_ptr<Prober>>
 Prober::Make(Endpoint aSelf, std::vector<Endpoint> aInstances, Ledger& aLedger)
 {
-  absl::StatusOr<tagged::UdpSocket> socket = tagged::UdpSocket::Bind(aSelf);
-  if (!socket.ok()) {
-    return socket.status();
+  absl::StatusOr<Port> port = Port::Bind(aSelf);
+  if (!port.ok()) {
+    return port.status();
   }
   return std::unique_ptr<Prober>(
-    new Prober(aSelf, std::move(aInstances), aLedger, *std::move(socket)));
+    new Prober(aSelf, std::move(aInstances), aLedger, *std::move(port)));
 }
 
 void
 Prober::Step(int64_t aNewestVersion)
 {
-  size_t count = this->received.Receive(this->socket.Descriptor());
-  for (size_t i = 0; i < count; ++i) {
-    std::optional<Packet> packet =
-      Decode(this->received.At(i).subspan(tagged::kHeadroom));
-    if (packet) {
+  this->port.Receive([this](std::span<uint8_t> aBytes, Endpoint /*aFrom*/) {
+    if (std::optional<Packet> packet = Decode(aBytes)) {
       this->OnPacket(*packet);
     }
-  }
-  Micros now = Now();
+  });
+  Micros now = tagged::SteadyNow();
   if (now < this->askAt) {
     return;
   }
@@ -98,7 +97,9 @@
   if (this->questions.size() > kMostQuestions) {
     this->questions.clear();
   }
-  this->questions[this->nextPort] = { aInstance, aVersion, Now() };
+  this->questions[this->nextPort] = { aInstance,
+                                      aVersion,
+                                      tagged::SteadyNow() };
   Packet packet{ .seq = this->nextPort, .syn = true };
   packet.from = { this->self.address, this->nextPort };
   packet.to = RouteOf(aVersion);
@@ -138,14 +139,7 @@
 void
 Prober::Send(size_t aInstance, const Packet& aPacket)
 {
-  std::vector<uint8_t> bytes = Encode(aPacket);
-  sockaddr_in to = tagged::ToSocketAddress(this->instances[aInstance]);
-  sendto(this->socket.Descriptor(),
-         bytes.data(),
-         bytes.size(),
-         0,
-         reinterpret_cast<const sockaddr*>(&to),
-         sizeof to);
+  this->port.Send(Encode(aPacket), this->instances[aInstance]);
 }
 
 }
--- a/tests/soak/prober.h
+++ b/tests/soak/prober.h
@@ -4,7 +4,7 @@
 
 #include "soak/ledger.h"
 #include "soak/packet.h"
-#include "tagged/udp.h"
+#include "soak/port.h"
 
 #include <map>
 #include <nlohmann/json.hpp>
@@ -34,7 +34,7 @@
   Prober(Endpoint aSelf,
          std::vector<Endpoint> aInstances,
          Ledger& aLedger,
-         tagged::UdpSocket aSocket);
+         Port aPort);
   void Ask(size_t aInstance, int64_t aVersion);
   void OnPacket(const Packet& aPacket);
   void Send(size_t aInstance, const Packet& aPacket);
@@ -42,8 +42,7 @@
   Endpoint self;
   std::vector<Endpoint> instances;
   Ledger& ledger;
-  tagged::UdpSocket socket;
-  tagged::ReceiveBatch received;
+  Port port;
   std::map<uint16_t, Question> questions; // by port
   uint16_t nextPort = 1024;
   Micros askAt = 0;
--- a/tests/soak/relay.cpp
+++ b/tests/soak/relay.cpp
@@ -1,7 +1,9 @@
 #include "soak/relay.h"
 
+#include "soak/http.h"
 #include "soak/packet.h"
-#include "tagged/udp.h"
+#include "soak/port.h"
+#include "tagged/loop.h"
 
 #include "absl/hash/hash.h"
 
@@ -148,7 +150,7 @@
 {
   int misses = 0;
   while (true) {
-    httplib::Client client(FormatAddress(aReady.address), aReady.port);
+    httplib::Client client = ClientOf(aReady);
     client.set_connection_timeout(0, 200'000);
     client.set_read_timeout(0, 200'000);
     auto answer = client.Get("/-/readiness");
@@ -164,22 +166,21 @@
 public:
   Fabric(const RelayOptions& aOptions,
          std::vector<std::unique_ptr<Harm>>& aHarms,
-         tagged::UdpSocket aSocket)
+         Port aPort)
     : options(aOptions)
     , harms(aHarms)
-    , socket(std::move(aSocket))
+    , port(std::move(aPort))
   {
   }
 
   void Run()
   {
     while (true) {
-      pollfd ready{ this->socket.Descriptor(), POLLIN, 0 };
+      pollfd ready{ this->port.Descriptor(), POLLIN, 0 };
       poll(&ready, 1, 5);
-      size_t count = this->received.Receive(this->socket.Descriptor());
-      for (size_t i = 0; i < count; ++i) {
-        this->OnPacket(this->received.At(i).subspan(tagged::kHeadroom));
-      }
+      this->port.Receive([this](std::span<uint8_t> aBytes, Endpoint /*aFrom*/) {
+        this->OnPacket(aBytes);
+      });
       this->SendLate();
     }
   }
@@ -228,36 +229,26 @@
     int delay = harm.delayMs;
     if (delay > 0) {
       Micros late = static_cast<Micros>(this->random() % delay) * kMillisecond;
-      this->late.push(
-        { Now() + late, instance, { aBytes.begin(), aBytes.end() } });
+      this->late.push({ tagged::SteadyNow() + late,
+                        instance,
+                        { aBytes.begin(), aBytes.end() } });
       return;
     }
-    this->Send(instance, aBytes);
+    this->port.Send(aBytes, this->options.packets[instance]);
   }
 
   void SendLate()
   {
-    while (!this->late.empty() && this->late.top().at <= Now()) {
-      this->Send(this->late.top().instance, this->late.top().bytes);
+    while (!this->late.empty() && this->late.top().at <= tagged::SteadyNow()) {
+      const Late& next = this->late.top();
+      this->port.Send(next.bytes, this->options.packets[next.instance]);
       this->late.pop();
     }
   }
 
-  void Send(size_t aInstance, std::span<const uint8_t> aBytes)
-  {
-    sockaddr_in to = tagged::ToSocketAddress(this->options.packets[aInstance]);
-    sendto(this->socket.Descriptor(),
-           aBytes.data(),
-           aBytes.size(),
-           0,
-           reinterpret_cast<const sockaddr*>(&to),
-           sizeof to);
-  }
-
   const RelayOptions& options;
   std::vector<std::unique_ptr<Harm>>& harms;
-  tagged::UdpSocket socket;
-  tagged::ReceiveBatch received;
+  Port port;
   std::priority_queue<Late> late;
   std::mt19937 random{ 1 };
 };
@@ -298,10 +289,9 @@
 int
 RunRelay(const RelayOptions& aOptions)
 {
-  absl::StatusOr<tagged::UdpSocket> socket =
-    tagged::UdpSocket::Bind(aOptions.fabric);
-  if (!socket.ok()) {
-    std::cerr << "soak relay: " << socket.status() << std::endl;
+  absl::StatusOr<Port> port = Port::Bind(aOptions.fabric);
+  if (!port.ok()) {
+    std::cerr << "soak relay: " << port.status() << std::endl;
     return 1;
   }
   std::vector<std::unique_ptr<Harm>> harms;
@@ -312,7 +302,7 @@
       .detach();
     std::thread(RunReadiness, aOptions.ready[i], std::ref(harm)).detach();
   }
-  Fabric fabric(aOptions, harms, *std::move(socket));
+  Fabric fabric(aOptions, harms, *std::move(port));
   std::thread([&fabric] { fabric.Run(); }).detach();
   std::string line;
   while (std::getline(std::cin, line)) {
--- a/tests/soak/server.cpp
+++ b/tests/soak/server.cpp
@@ -1,9 +1,10 @@
 #include "soak/server.h"
 
+#include "soak/http.h"
 #include "soak/ledger.h"
 #include "soak/packet.h"
-
-#include "tagged/udp.h"
+#include "soak/port.h"
+#include "tagged/loop.h"
 
 #include <csignal>
 #include <fstream>
@@ -33,6 +34,16 @@
 
 volatile std::sig_atomic_t stopping = 0;
 
+// Both ends.
+using FlowKey = std::pair<InstanceId, InstanceId>;
+
+FlowKey
+KeyOf(const Packet& aPacket)
+{
+  return { MakeInstanceId(aPacket.from.address, aPacket.from.port),
+           MakeInstanceId(aPacket.to.address, aPacket.to.port) };
+}
+
 struct Flow
 {
   uint32_t callerStart = 0; // of the opening packet
@@ -54,9 +65,9 @@
 class Server
 {
 public:
-  Server(const ServerOptions& aOptions, tagged::UdpSocket aSocket)
+  Server(const ServerOptions& aOptions, Port aPort)
     : options(aOptions)
-    , socket(std::move(aSocket))
+    , port(std::move(aPort))
     , record(aOptions.record, std::ios::app)
     , random(std::hash<std::string>{}(aOptions.id))
   {
@@ -77,12 +88,11 @@
   void Send(const Flow& aFlow, Packet aPacket);
 
   ServerOptions options;
-  tagged::UdpSocket socket;
+  Port port;
   std::ofstream record;
   std::mutex recordMutex; // the heartbeat writes too
   std::mt19937 random;
-  tagged::ReceiveBatch received{ true };
-  std::map<std::pair<uint64_t, uint64_t>, Flow> flows;
+  std::map<FlowKey, Flow> flows;
   std::atomic<Micros> drainsAt = 0; // acknowledged by the store; 0: not yet
 };
 
@@ -109,19 +119,18 @@
   while (true) {
     std::this_thread::sleep_for(kHeartbeatLook);
     bool drains = stopping != 0;
-    if (Now() < nextAt && drains == told) {
+    if (tagged::SteadyNow() < nextAt && drains == told) {
       continue;
     }
-    httplib::Client client(FormatAddress(this->options.store.address),
-                           this->options.store.port);
+    httplib::Client client = ClientOf(this->options.store);
     client.set_read_timeout(0, 300'000);
     auto answer =
       client.Put(path, this->Spec(drains).dump(), "application/json");
     bool taken = answer && answer->status == 200;
-    nextAt = Now() + (taken ? kHeartbeat : kHeartbeatRetry);
+    nextAt = tagged::SteadyNow() + (taken ? kHeartbeat : kHeartbeatRetry);
     told = taken ? drains : told;
     if (taken && drains && this->drainsAt == 0) {
-      this->drainsAt = Now();
+      this->drainsAt = tagged::SteadyNow();
       this->Write({ { "event", "draining" } });
     }
   }
@@ -131,7 +140,7 @@
 Server::Write(const nlohmann::json& aLine)
 {
   nlohmann::json line = aLine;
-  line["at"] = Now();
+  line["at"] = tagged::SteadyNow();
   line["server"] = this->options.id;
   std::lock_guard lock(this->recordMutex);
   this->record << line.dump() << std::endl;
@@ -142,18 +151,15 @@
 {
   std::thread([this] { this->Heartbeat(); }).detach();
   while (this->drainsAt == 0 ||
-         Now() - this->drainsAt < kDrainTime + kAfterDrain) {
-    pollfd ready{ this->socket.Descriptor(), POLLIN, 0 };
+         tagged::SteadyNow() - this->drainsAt < kDrainTime + kAfterDrain) {
+    pollfd ready{ this->port.Descriptor(), POLLIN, 0 };
     poll(&ready, 1, 5);
-    size_t count = this->received.Receive(this->socket.Descriptor());
-    for (size_t i = 0; i < count; ++i) {
-      this->OnDatagram(this->received.At(i).subspan(tagged::kHeadroom),
-                       this->received.From(i));
-    }
+    this->port.Receive([this](std::span<uint8_t> aBytes, Endpoint aFrom) {
+      this->OnDatagram(aBytes, aFrom);
+    });
     this->SendDue();
   }
-  httplib::Client client(FormatAddress(this->options.store.address),
-                         this->options.store.port);
+  httplib::Client client = ClientOf(this->options.store);
   client.Delete("/-/objects/servers/" + this->options.id);
   this->Write({ { "event", "gone" } });
 }
@@ -178,9 +184,7 @@
   if (!mine) {
     return;
   }
-  auto key = std::pair{ MakeInstanceId(packet->from.address, packet->from.port),
-                        MakeInstanceId(packet->to.address, packet->to.port) };
-  auto known = this->flows.find(key);
+  auto known = this->flows.find(KeyOf(*packet));
   Flow* flow = known == this->flows.end() ? nullptr : &known->second;
   if (packet->syn) {
     this->OnSyn(*packet, flow, aFrom);
@@ -205,16 +209,13 @@
 Server::OnSyn(const Packet& aPacket, Flow* aFlow, Endpoint aFrom)
 {
   if (aFlow == nullptr || aFlow->callerStart != aPacket.seq) {
-    auto key =
-      std::pair{ MakeInstanceId(aPacket.from.address, aPacket.from.port),
-                 MakeInstanceId(aPacket.to.address, aPacket.to.port) };
     uint32_t start = this->random();
-    aFlow = &(this->flows[key] = { .callerStart = aPacket.seq,
-                                   .callerNext = aPacket.seq + 1,
-                                   .sent = start + 1,
-                                   .acked = start + 1,
-                                   .caller = aPacket.from,
-                                   .target = aPacket.to });
+    aFlow = &(this->flows[KeyOf(aPacket)] = { .callerStart = aPacket.seq,
+                                              .callerNext = aPacket.seq + 1,
+                                              .sent = start + 1,
+                                              .acked = start + 1,
+                                              .caller = aPacket.from,
+                                              .target = aPacket.to });
     this->Write(
       { { "event", "open" }, { "by", FormatAddress(aFrom.address) } });
   }
@@ -272,14 +273,15 @@
   aFlow.answer = id + " " + this->options.service + " " + this->options.id +
                  " " + (aFlow.closes ? "close" : "keep") + " " +
                  std::to_string(body.size()) + "\n" + body;
-  aFlow.answerAt = Now() + static_cast<Micros>(this->random() % kMostWork);
+  aFlow.answerAt =
+    tagged::SteadyNow() + static_cast<Micros>(this->random() % kMostWork);
   aFlow.repeatAt = aFlow.answerAt;
 }
 
 void
 Server::SendDue()
 {
-  Micros now = Now();
+  Micros now = tagged::SteadyNow();
   for (auto& [key, flow] : this->flows) {
     bool due = !flow.answer.empty() && flow.repeatAt <= now &&
                flow.repeats < kMostRepeats;
@@ -311,15 +313,8 @@
   aPacket.from = aFlow.target;
   aPacket.to = aFlow.caller;
   aPacket.echo = aFlow.echo;
-  std::vector<uint8_t> bytes = Encode(aPacket);
-  sockaddr_in to =
-    tagged::ToSocketAddress({ aFlow.caller.address, this->options.callerPort });
-  sendto(this->socket.Descriptor(),
-         bytes.data(),
-         bytes.size(),
-         0,
-         reinterpret_cast<const sockaddr*>(&to),
-         sizeof to);
+  this->port.Send(Encode(aPacket),
+                  { aFlow.caller.address, this->options.callerPort });
 }
 
 }
@@ -339,13 +334,12 @@
 RunServer(const ServerOptions& aOptions)
 {
   std::signal(SIGTERM, [](int) { stopping = 1; });
-  absl::StatusOr<tagged::UdpSocket> socket =
-    tagged::UdpSocket::Bind(aOptions.at);
-  if (!socket.ok()) {
-    std::cerr << "soak server: " << socket.status() << std::endl;
+  absl::StatusOr<Port> port = Port::Bind(aOptions.at);
+  if (!port.ok()) {
+    std::cerr << "soak server: " << port.status() << std::endl;
     return 1;
   }
-  Server server(aOptions, *std::move(socket));
+  Server server(aOptions, *std::move(port));
   server.Run();
   // The heartbeat's thread ends with the process.
   std::quick_exit(0);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,4 +1,6 @@
 #include "soak/soak.h"
+#include "soak/http.h"
+#include "tagged/loop.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/substitute.h"
@@ -169,12 +171,11 @@
   this->StartStore();
   this->StartRelay();
   // The store's answers show that it is up.
-  Micros end = Now() + kReadyTime;
+  Micros end = tagged::SteadyNow() + kReadyTime;
   bool up = false;
-  while (!up && Now() < end) {
+  while (!up && tagged::SteadyNow() < end) {
     usleep(20'000);
-    httplib::Client client(FormatAddress(this->storeAt.address),
-                           this->storeAt.port);
+    httplib::Client client = ClientOf(this->storeAt);
     up = static_cast<bool>(client.Get("/-/objects/config"));
   }
   this->ChangeConfig();
@@ -214,13 +215,12 @@
 bool
 Soak::WaitReady()
 {
-  Micros end = Now() + kReadyTime;
+  Micros end = tagged::SteadyNow() + kReadyTime;
   size_t ready = 0;
-  while (ready < this->instances.size() && Now() < end) {
+  while (ready < this->instances.size() && tagged::SteadyNow() < end) {
     ready = 0;
     for (size_t i = 0; i < this->instances.size(); ++i) {
-      httplib::Client client(FormatAddress(this->instances[i].address),
-                             kReadyPort);
+      httplib::Client client = ClientOf(this->At(i, kReadyPort));
       auto answer = client.Get("/-/readiness");
       ready += answer && answer->status == 200 ? 1 : 0;
     }
@@ -232,23 +232,24 @@
 void
 Soak::Later(Micros aAfter, std::function<void()> aRun)
 {
-  this->due.push_back({ Now() + aAfter, std::move(aRun) });
+  this->due.push_back({ tagged::SteadyNow() + aAfter, std::move(aRun) });
 }
 
 void
 Soak::Trouble(const Step& aStep, std::optional<size_t> aInstance)
 {
-  this->ledger.Trouble().Begin(Cause::Unplanned, aInstance, Now());
+  this->ledger.Trouble().Begin(
+    Cause::Unplanned, aInstance, tagged::SteadyNow());
   this->Later(aStep.lasts, [this, aInstance] {
-    this->ledger.Trouble().End(Cause::Unplanned, aInstance, Now());
+    this->ledger.Trouble().End(
+      Cause::Unplanned, aInstance, tagged::SteadyNow());
   });
 }
 
 void
 Soak::StoreFault(const std::string& aName, int aValue) const
 {
-  httplib::Client client(FormatAddress(this->storeAt.address),
-                         this->storeAt.port);
+  httplib::Client client = ClientOf(this->storeAt);
   client.Post("/fault/" + aName + "/" + std::to_string(aValue));
 }
 
@@ -256,14 +257,13 @@
 Soak::ChangeConfig()
 {
   int64_t next = this->version + 1;
-  httplib::Client client(FormatAddress(this->storeAt.address),
-                         this->storeAt.port);
+  httplib::Client client = ClientOf(this->storeAt);
   auto answer = client.Put("/-/objects/config/main",
                            MakeConfigSpec(next, this->targets).dump(),
                            "application/json");
   if (answer && answer->status == 200) {
     this->version = next;
-    this->ledger.OnAccepted(next, Now());
+    this->ledger.OnAccepted(next, tagged::SteadyNow());
   }
 }
 
@@ -274,10 +274,11 @@
   if (!instance.process.Runs() || instance.stopping) {
     return;
   }
-  this->ledger.Trouble().Begin(Cause::Unplanned, aInstance, Now());
+  this->ledger.Trouble().Begin(
+    Cause::Unplanned, aInstance, tagged::SteadyNow());
   instance.killed = true;
   instance.process.Signal(SIGKILL);
-  instance.startAt = Now() + aAway;
+  instance.startAt = tagged::SteadyNow() + aAway;
 }
 
 void
@@ -288,7 +289,8 @@
   if (aStep.act == Act::KillInstance) {
     this->Kill(aStep.target, aStep.lasts / 2);
   } else if (aStep.act == Act::StopInstance && runs) {
-    this->ledger.Trouble().Begin(Cause::Planned, aStep.target, Now());
+    this->ledger.Trouble().Begin(
+      Cause::Planned, aStep.target, tagged::SteadyNow());
     instance.stopping = true;
     instance.process.Signal(SIGTERM);
     // A planned stop is judged by how it ends; a second signal changes
@@ -374,15 +376,16 @@
     return;
   }
   Troubles& troubles = this->ledger.Trouble();
-  troubles.Begin(Cause::OfServer, std::nullopt, Now());
+  troubles.Begin(Cause::OfServer, std::nullopt, tagged::SteadyNow());
   Micros lasts = std::max(aStep.lasts, kServerAway);
   this->Later(lasts, [this] {
-    this->ledger.Trouble().End(Cause::OfServer, std::nullopt, Now());
+    this->ledger.Trouble().End(
+      Cause::OfServer, std::nullopt, tagged::SteadyNow());
   });
   if (aStep.act == Act::KillServer) {
     server.leaving = true;
     server.process.Signal(SIGKILL);
-    this->ledger.OnGone(server.id, Now() + lasts);
+    this->ledger.OnGone(server.id, tagged::SteadyNow() + lasts);
   } else {
     server.process.Signal(SIGSTOP);
     this->Later(aStep.lasts, [this, target = aStep.target] {
@@ -395,8 +398,8 @@
 Soak::Play(const Step& aStep)
 {
   std::ofstream(this->options.folder / "played.txt", std::ios::app)
-    << (Now() - this->startedAt) / kMillisecond << " ms, steady " << Now()
-    << ": " << Describe(aStep) << "\n";
+    << (tagged::SteadyNow() - this->startedAt) / kMillisecond << " ms, steady "
+    << tagged::SteadyNow() << ": " << Describe(aStep) << "\n";
   switch (aStep.act) {
     case Act::StopInstance:
     case Act::KillInstance:
@@ -431,7 +434,7 @@
 void
 Soak::FollowInstances()
 {
-  Micros now = Now();
+  Micros now = tagged::SteadyNow();
   for (size_t i = 0; i < this->instances.size(); ++i) {
     Instance& instance = this->instances[i];
     if (instance.process.Runs() && instance.process.HasEnded()) {
@@ -452,7 +455,7 @@
 void
 Soak::FollowServers()
 {
-  Micros now = Now();
+  Micros now = tagged::SteadyNow();
   for (size_t i = 0; i < this->servers.size(); ++i) {
     Server& server = this->servers[i];
     this->ReadRecord(server);
@@ -509,7 +512,7 @@
 {
   this->callers->Step();
   this->prober->Step(this->version);
-  Micros now = Now();
+  Micros now = tagged::SteadyNow();
   for (size_t i = 0; i < this->due.size();) {
     if (this->due[i].at > now) {
       ++i;
@@ -531,8 +534,8 @@
 Soak::StopAll()
 {
   this->callers->Finish();
-  Micros end = Now() + kFinishTime;
-  while (!this->callers->Idle() && Now() < end) {
+  Micros end = tagged::SteadyNow() + kFinishTime;
+  while (!this->callers->Idle() && tagged::SteadyNow() < end) {
     this->Turn();
   }
   this->over = true;
@@ -540,17 +543,17 @@
     instance.process.Signal(SIGCONT);
     instance.process.Signal(SIGTERM);
   }
-  end = Now() + kGrace + kSecond;
+  end = tagged::SteadyNow() + kGrace + kSecond;
   auto runs = [](const Instance& aInstance) {
     return aInstance.process.Runs();
   };
   while (std::any_of(this->instances.begin(), this->instances.end(), runs) &&
-         Now() < end) {
+         tagged::SteadyNow() < end) {
     this->Turn();
   }
   for (size_t i = 0; i < this->instances.size(); ++i) {
     if (this->instances[i].process.Runs()) {
-      this->ledger.OnExit(i, true, -1, Now()); // still there
+      this->ledger.OnExit(i, true, -1, tagged::SteadyNow()); // still there
     }
   }
   this->FollowServers();
@@ -603,10 +606,11 @@
                                       .length = this->options.length,
                                       .instances = this->options.instances,
                                       .servers = this->options.servers });
-  this->startedAt = Now();
+  this->startedAt = tagged::SteadyNow();
   size_t next = 0;
-  while (Now() - this->startedAt < this->options.length) {
-    while (next < plan.size() && Now() - this->startedAt >= plan[next].at) {
+  while (tagged::SteadyNow() - this->startedAt < this->options.length) {
+    while (next < plan.size() &&
+           tagged::SteadyNow() - this->startedAt >= plan[next].at) {
       this->Play(plan[next++]);
     }
     this->Turn();
--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -136,14 +136,7 @@
   httplib::Client client(this->address, this->metricsPort);
   client.set_connection_timeout(0, 200'000);
   auto page = client.Get("/metrics");
-  if (!page) {
-    return -1;
-  }
-  std::string line = "\n" + aName + " ";
-  size_t at = page->body.find(line);
-  return at == std::string::npos
-           ? -1
-           : std::stod(page->body.substr(at + line.size()));
+  return page ? MetricOf(page->body, aName) : -1;
 }
 
 }
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/table.h"
+#include "support/wait.h"
 
 #include <string>
 #include <sys/types.h>
@@ -51,26 +52,4 @@
   uint16_t metricsPort;
 };
 
-// Waits until aReady holds; false after aSeconds.
-template<typename F>
-bool
-WaitFor(F aReady, int aSeconds = 30);
-
-}
-
-#include <chrono>
-#include <thread>
-
-template<typename F>
-bool
-gentianspindle::WaitFor(F aReady, int aSeconds)
-{
-  auto end = std::chrono::steady_clock::now() + std::chrono::seconds(aSeconds);
-  while (std::chrono::steady_clock::now() < end) {
-    if (aReady()) {
-      return true;
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-  return false;
 }
--- a/tests/support/object_store.cpp
+++ b/tests/support/object_store.cpp
@@ -10,11 +10,8 @@
 }
 
 ObjectStore::ObjectStore()
+  : HttpStandin(kThreads)
 {
-  this->server.set_tcp_nodelay(true);
-  this->server.new_task_queue = [] {
-    return new httplib::ThreadPool(kThreads);
-  };
   this->server.Get(
     "/-/objects/(\\w+)",
     [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
@@ -24,30 +21,7 @@
 
 ObjectStore::~ObjectStore()
 {
-  {
-    std::lock_guard lock(this->mutex);
-    this->stopping = true;
-  }
-  this->changed.notify_all();
-  this->server.stop();
-  if (this->thread.joinable()) {
-    this->thread.join();
-  }
-}
-
-int
-ObjectStore::Start(int aPort, const char* aHost)
-{
-  if (aPort == 0) {
-    this->port = this->server.bind_to_any_port(aHost);
-  } else {
-    this->port = this->server.bind_to_port(aHost, aPort) ? aPort : -1;
-  }
-  this->thread = std::thread([this] { this->server.listen_after_bind(); });
-  while (!this->server.is_running()) {
-    std::this_thread::yield();
-  }
-  return this->port;
+  this->Stop();
 }
 
 void
--- a/tests/support/object_store.h
+++ b/tests/support/object_store.h
@@ -2,27 +2,23 @@
 // faults.
 #pragma once
 
+#include "support/http_standin.h"
+
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <deque>
-#include <httplib.h>
 #include <map>
-#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <thread>
 
 namespace gentianspindle {
 
-class ObjectStore
+class ObjectStore : public HttpStandin
 {
 public:
   ObjectStore();
   ~ObjectStore();
 
-  // Listens at a free port where aPort is 0; returns the port.
-  int Start(int aPort = 0, const char* aHost = "127.0.0.1");
   // Also takes PUT and DELETE of objects, and POST /fault/NAME/VALUE.
   void ServeWrites();
   void Put(const std::string& aKind,
@@ -59,17 +55,11 @@
              int aWaitMs,
              httplib::Response& aResponse);
 
-  httplib::Server server;
-  int port = 0;
-  std::thread thread;
-  std::mutex mutex;
-  std::condition_variable changed;
   std::map<std::string, std::map<std::string, nlohmann::json>> objects;
   std::map<std::string, std::chrono::steady_clock::time_point> putAt;
   std::deque<Event> events;
   uint64_t revision = 10;
   uint64_t forgotten = 0;
-  bool stopping = false;
 };
 
 }
--- a/tests/support/platform_standin.cpp
+++ b/tests/support/platform_standin.cpp
@@ -17,11 +17,8 @@
 }
 
 PlatformStandin::PlatformStandin()
+  : HttpStandin(kThreads)
 {
-  this->server.set_tcp_nodelay(true);
-  this->server.new_task_queue = [] {
-    return new httplib::ThreadPool(kThreads);
-  };
   this->server.Get(
     "/v1/objects/(.+)",
     [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
@@ -36,32 +33,7 @@
 
 PlatformStandin::~PlatformStandin()
 {
-  {
-    std::lock_guard lock(this->mutex);
-    this->stopping = true;
-  }
-  this->changed.notify_all();
-  this->server.stop();
-  if (this->thread.joinable()) {
-    this->thread.join();
-  }
-}
-
-int
-PlatformStandin::Start(int aPort)
-{
-  if (aPort == 0) {
-    this->port = this->server.bind_to_any_port("127.0.0.1");
-  } else {
-    this->port = this->server.bind_to_port("127.0.0.1", aPort) ? aPort : -1;
-  }
-  if (this->port > 0) {
-    this->thread = std::thread([this] { this->server.listen_after_bind(); });
-    while (!this->server.is_running()) {
-      std::this_thread::yield();
-    }
-  }
-  return this->port;
+  this->Stop();
 }
 
 std::string
--- a/tests/support/platform_standin.h
+++ b/tests/support/platform_standin.h
@@ -1,24 +1,20 @@
 // Stand-in for the platform's object API over HTTP, with its faults.
 #pragma once
 
+#include "support/http_standin.h"
+
 #include <atomic>
-#include <condition_variable>
-#include <httplib.h>
 #include <map>
-#include <mutex>
 #include <string>
-#include <thread>
 
 namespace gentianspindle {
 
-class PlatformStandin
+class PlatformStandin : public HttpStandin
 {
 public:
   PlatformStandin();
   ~PlatformStandin();
 
-  // Listens at 127.0.0.1; aPort 0 picks a free port.
-  int Start(int aPort = 0);
   std::string Url() const;
 
   // Faults.
@@ -37,13 +33,7 @@
   void OnGet(const httplib::Request& aRequest, httplib::Response& aResponse);
   void OnPut(const httplib::Request& aRequest, httplib::Response& aResponse);
 
-  httplib::Server server;
-  int port = 0;
-  std::thread thread;
-  std::mutex mutex;
-  std::condition_variable changed;
   std::map<std::string, Value> values;
-  bool stopping = false;
 };
 
 }
--- /dev/null
+++ b/tests/support/wait.h
@@ -0,0 +1,36 @@
+// What tests with real processes share.
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace gentianspindle {
+
+// Waits until aReady holds; false after aSeconds.
+template<typename F>
+bool
+WaitFor(F aReady, int aSeconds = 30)
+{
+  auto end = std::chrono::steady_clock::now() + std::chrono::seconds(aSeconds);
+  while (std::chrono::steady_clock::now() < end) {
+    if (aReady()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return false;
+}
+
+// Value of a metric without labels on a metrics page; -1 where it has none.
+inline double
+MetricOf(const std::string& aPage, const std::string& aName)
+{
+  std::string page = "\n" + aPage;
+  std::string line = "\n" + aName + " ";
+  size_t at = page.find(line);
+  return at == std::string::npos ? -1
+                                 : std::stod(page.substr(at + line.size()));
+}
+
+}
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -1,6 +1,7 @@
 // The daemon of the tagged transport as a process, before a stand-in store.
 #include "platform/wire.h"
 #include "support/object_store.h"
+#include "support/wait.h"
 #include "tagged/udp.h"
 
 #include <catch2/catch.hpp>
@@ -210,11 +211,7 @@
 
   double Metric(const std::string& aName) const
   {
-    std::string text = "\n" + this->Metrics();
-    size_t at = text.find("\n" + aName + " ");
-    return at == std::string::npos
-             ? -1
-             : std::stod(text.substr(at + aName.size() + 2));
+    return MetricOf(this->Metrics(), aName);
   }
 
   void Send(const std::vector<uint8_t>& aBytes, const Peer& aFrom) const
@@ -249,13 +246,7 @@
 bool
 Eventually(F aHolds)
 {
-  for (int i = 0; i < 500; ++i) {
-    if (aHolds()) {
-      return true;
-    }
-    usleep(20'000);
-  }
-  return false;
+  return WaitFor(aHolds, 10);
 }
 
 struct Site
