Let an odd entry of the store cost only itself

Cause: a response was parsed as one JSON document. A number too large, an integer of 400 digits or a lone surrogate anywhere in it made the parser refuse all entries, so the reader never followed the list again; 2,000,000 nested brackets overflowed the parser's stack and ended the process, again at each start. Read of an odd route: the configuration was lost. The name that starts the next page of a list went into the path as it was, so one with a space or an ampersand broke paging, and a page without readable names ended the list early.

Ruled out: the parser's iterative mode (no overflow, but 4 MB of brackets take some 100 MB, more than an instance has, and the other faults stay); parsing numbers as strings (leaves the surrogate).

An unreadable entry keeps its name, so open flows of its server go on. Names above 256 bytes are refused: peers' messages bound their texts, and one long name would make a whole view unreadable for all followers. Lists that do not advance or end are an error of the call. Each version of an unreadable entry is counted (unreadable_entries_total) and logged (entry_unreadable, in place of config_unreadable); events before the log is open are kept for it.

Tests of the tagged daemon bind addresses and ports that no other process uses.

--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -92,6 +92,8 @@
   bool removed = false;
   // Empty if it cannot be read; not used if it was removed.
   std::optional<Config> config;
+  // Names of the routes that config lacks, as they cannot be read.
+  std::vector<std::string> unreadableRoutes;
 };
 
 // Routes and servers, looked up by endpoint, tag and service.
--- a/src/tagged/list_watcher.h
+++ b/src/tagged/list_watcher.h
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 
 namespace gentianspindle::tagged {
@@ -28,6 +29,9 @@
 // and pauses before each further one.
 constexpr uint32_t kPagesBeforePause = 4;
 constexpr Micros kPagePause = 400 * kMillisecond;
+// A list with more objects than this counts as unreadable, to bound the memory
+// that a store whose pages do not end can take.
+constexpr size_t kMaxListedObjects = 65'536;
 // Backoff of retries: the upper limit of the delay grows by this factor between
 // these bounds. The delay is random, from half of the limit to all of it, so
 // the shortest one is half of kMinRetryDelay.
@@ -57,6 +61,7 @@
 {
   uint64_t lists = 0;
   uint64_t watches = 0;
+  uint64_t unnamed = 0; // objects without a readable name, in all responses
   std::array<uint64_t, static_cast<size_t>(StoreFailure::Count)> failures{};
 };
 
@@ -215,6 +220,12 @@
       this->Retry(StoreFailure::Unreadable, page.status().ToString());
       return;
     }
+    if (aList && !this->Advances(*page)) {
+      this->ResetList();
+      this->Retry(StoreFailure::Unreadable, "read list: pages do not end");
+      return;
+    }
+    this->counts.unnamed += page->unnamed;
     this->OnValidResponse();
     this->firstWatchPending = false;
     if (aList) {
@@ -224,6 +235,16 @@
     }
   }
 
+  // Returns whether the list can end: a page that others follow has to bring a
+  // new name, after which the next one starts.
+  bool Advances(const Page<C>& aPage) const
+  {
+    size_t collectedCount = this->collected.size() + aPage.changes.size();
+    return !aPage.more ||
+           (!aPage.lastName.empty() && aPage.lastName != this->lastName &&
+            collectedCount <= kMaxListedObjects);
+  }
+
   void OnListPage(Page<C> aPage)
   {
     if (this->lastName.empty()) {
@@ -231,11 +252,11 @@
       // made while later pages are read come again with the watch.
       this->revision = aPage.revision;
     }
-    for (C& change : aPage.changes) {
-      this->lastName = change.name;
-      this->collected.push_back(std::move(change));
-    }
-    if (aPage.more && !aPage.changes.empty()) {
+    this->lastName = std::move(aPage.lastName);
+    std::move(aPage.changes.begin(),
+              aPage.changes.end(),
+              std::back_inserter(this->collected));
+    if (aPage.more) {
       ++this->pagesRead;
       bool pause = !this->options.eager && this->pagesRead >= kPagesBeforePause;
       this->requestTimer.Start(pause ? kPagePause : 0);
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -112,6 +112,11 @@
                 "reason",
                 kStoreFailureNames,
                 Sum(aSource.servers, aSource.config));
+  aWriter.Table("unreadable_entries_total",
+                "Entries of the store that cannot be read, once a version",
+                "kind",
+                kEntryKindNames,
+                aSource.unreadable);
 }
 
 }
--- a/src/tagged/metrics.h
+++ b/src/tagged/metrics.h
@@ -5,6 +5,7 @@
 #include "tagged/list_watcher.h"
 #include "tagged/log.h"
 #include "tagged/peers.h"
+#include "tagged/unreadable_entries.h"
 
 #include <array>
 #include <prometheus/client_metric.h>
@@ -48,6 +49,7 @@
   const Histogram& response;
   const ListWatcherCounts& servers;
   const ListWatcherCounts& config;
+  EntryCounts unreadable{};
   PeerCounts peers;
   LogCounts log;
   Micros viewAge = 0;
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -24,6 +24,8 @@
 // Period of the checks whether the settings file has changed, as it may change
 // without a signal.
 constexpr Micros kSettingsCheckPeriod = 1 * kSecond;
+// Number of lines that are kept until the log is open; further ones are lost.
+constexpr size_t kMaxEarlyLines = 100;
 // A planned stop takes at least this time, unless the grace period ends sooner:
 // the fabric needs two readiness checks, half a second apart, to stop sending
 // packets here.
@@ -84,10 +86,13 @@
     return this->steer.CurrentView().Ready() && !this->stopping;
   }
   std::string Metrics() const;
+  // Logs aLine, or keeps it until the log is open.
   void Write(const LogLine& aLine)
   {
     if (this->log) {
       this->log->Write(aLine);
+    } else if (this->earlyLines.size() < kMaxEarlyLines) {
+      this->earlyLines.push_back(aLine);
     }
   }
 
@@ -111,6 +116,7 @@
   std::unique_ptr<Sync> sync;
   std::unique_ptr<HttpServer> httpServer;
   std::unique_ptr<Log> log;
+  std::vector<LogLine> earlyLines; // of events before the log was opened
   std::vector<EventPtr> signals;
   Timer tickTimer;
   Micros startedAt = SteadyNow();
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -24,7 +24,7 @@
 
 // Opens the socket for packets first: callers' packets wait in its buffer until
 // the view is complete. The log and the metrics port are opened only by the
-// first tick; events before it are not logged.
+// first tick; it also logs the events before it.
 template<Platform P>
 absl::StatusOr<std::unique_ptr<Node<P>>>
 Node<P>::Make(event_base* aBase,
@@ -127,6 +127,10 @@
     .Number("view_after_us",
             this->firstViewAt == 0 ? -1 : this->firstViewAt - this->startedAt);
   this->Write(line);
+  for (const LogLine& early : this->earlyLines) {
+    this->Write(early);
+  }
+  this->earlyLines.clear();
   Endpoint listen = EndpointOf(this->settings.ready.listen);
   listen.port = static_cast<uint16_t>(this->settings.metrics.port);
   if (absl::Status status = this->httpServer->Listen(listen); !status.ok()) {
@@ -455,6 +459,7 @@
                         .response = this->response,
                         .servers = this->sync->ServersCounts(),
                         .config = this->sync->ConfigCounts(),
+                        .unreadable = this->sync->UnreadableCounts(),
                         .peers = this->sync->Counts(),
                         .log = this->log ? this->log->Counts() : LogCounts{},
                         .viewAge = this->sync->ViewAge(SteadyNow()),
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -11,6 +11,8 @@
 
 // Up to this many changes that come together are logged one by one.
 constexpr size_t kMaxServerLines = 50;
+// Names of unreadable entries are cut to this length in the log.
+constexpr size_t kMaxLoggedNameBytes = 64;
 
 uint32_t
 RandomSeed(const TaggedSettings& aSettings)
@@ -209,6 +211,11 @@
   }
   this->events.onView();
   this->LogServers(aChanges, "store");
+  for (const steer::ServerChange& change : aChanges) {
+    if (!change.removed && !change.entry) {
+      this->ReportUnreadable(EntryKind::Server, change.name, change.revision);
+    }
+  }
   this->ExchangeWithPeers(now);
 }
 
@@ -218,15 +225,15 @@
                       bool /*aList*/)
 {
   for (const steer::ConfigChange& change : aChanges) {
-    // A removed configuration is logged as unreadable, too. In both cases the
-    // one in force stays.
+    // A removed configuration counts as unreadable, too. In both cases the one
+    // in force stays.
     if (change.removed || !change.config) {
-      LogLine line("config_unreadable");
-      line.Text("name", change.name)
-        .Number("revision", static_cast<int64_t>(change.revision));
-      this->events.log(line);
+      this->ReportUnreadable(EntryKind::Config, change.name, change.revision);
       continue;
     }
+    for (const std::string& route : change.unreadableRoutes) {
+      this->ReportUnreadable(EntryKind::Route, route, change.revision);
+    }
     int64_t formerVersion = this->view.Version();
     if (this->view.PutConfig(*change.config)) {
       this->events.onView();
@@ -415,6 +422,30 @@
   }
 }
 
+EntryCounts
+Sync::UnreadableCounts() const
+{
+  EntryCounts counts = this->unreadable.Counts();
+  counts[static_cast<size_t>(EntryKind::Unnamed)] =
+    this->servers.Counts().unnamed + this->config.Counts().unnamed;
+  return counts;
+}
+
+void
+Sync::ReportUnreadable(EntryKind aKind,
+                       std::string_view aName,
+                       uint64_t aRevision)
+{
+  if (!this->unreadable.Record(aKind, aName, aRevision)) {
+    return;
+  }
+  LogLine line("entry_unreadable");
+  line.Text("kind", kEntryKindNames[static_cast<size_t>(aKind)])
+    .Text("name", aName.substr(0, kMaxLoggedNameBytes))
+    .Number("revision", static_cast<int64_t>(aRevision));
+  this->events.log(line);
+}
+
 // Logs each change, or only their number if there are more than
 // kMaxServerLines, as usual after a list.
 void
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -7,6 +7,7 @@
 #include "tagged/log.h"
 #include "tagged/peers.h"
 #include "tagged/settings.h"
+#include "tagged/unreadable_entries.h"
 
 namespace gentianspindle::tagged {
 
@@ -72,6 +73,8 @@
   {
     return this->config.Counts();
   }
+  // Counts of entries of the store that cannot be read.
+  EntryCounts UnreadableCounts() const;
   // Counts of the messages to and from peers.
   PeerCounts Counts() const
   {
@@ -106,11 +109,15 @@
   void ExchangeWithPeers(Micros aNow);
   void LogServers(std::span<const steer::ServerChange> aChanges,
                   std::string_view aSource);
+  void ReportUnreadable(EntryKind aKind,
+                        std::string_view aName,
+                        uint64_t aRevision);
 
   steer::View& view;
   SyncEvents events;
   std::string store; // address of the store, for the log
   spread::Replicator spread;
+  UnreadableEntries unreadable;
   ListWatcher<steer::ServerChange> servers;
   ListWatcher<steer::ConfigChange> config;
   std::unique_ptr<Peers> peers;
--- a/src/tagged/transport.h
+++ b/src/tagged/transport.h
@@ -26,7 +26,11 @@
 struct Page
 {
   std::vector<C> changes;
-  bool more = false; // of a list: another page follows, after the last name
+  // Number of objects that are left out, as their names can't be read or are
+  // too long.
+  uint32_t unnamed = 0;
+  bool more = false;    // of a list: another page follows, after lastName
+  std::string lastName; // the last name on the page that can be read
   // Of the store. The next watch continues from that of the last watch response
   // or, after a list, from that of the list's first page.
   uint64_t revision = 0;
--- a/tests/support/object_store.cpp
+++ b/tests/support/object_store.cpp
@@ -49,6 +49,34 @@
   this->changed.notify_all();
 }
 
+void
+ObjectStore::PutText(const std::string& aKind,
+                     const std::string& aName,
+                     const std::string& aSpec)
+{
+  std::string key;
+  {
+    std::lock_guard lock(this->mutex);
+    key = "spec-text-" + std::to_string(this->specTexts.size()) + "-";
+    this->specTexts[key] = aSpec;
+  }
+  this->Put(aKind, aName, key);
+}
+
+std::string
+ObjectStore::Dump(const nlohmann::json& aBody) const
+{
+  std::string text = aBody.dump();
+  for (const auto& [key, spec] : this->specTexts) {
+    std::string quoted = '"' + key + '"';
+    for (size_t at = text.find(quoted); at != std::string::npos;
+         at = text.find(quoted, at + spec.size())) {
+      text.replace(at, quoted.size(), spec);
+    }
+  }
+  return text;
+}
+
 void
 ObjectStore::Remove(const std::string& aKind, const std::string& aName)
 {
@@ -198,7 +226,7 @@
   nlohmann::json body{ { "items", items },
                        { "more", next != kind.end() },
                        { "as_of", this->revision } };
-  aResponse.set_content(body.dump(), "application/json");
+  aResponse.set_content(this->Dump(body), "application/json");
 }
 
 void
@@ -223,7 +251,7 @@
     return;
   }
   nlohmann::json body{ { "events", found }, { "as_of", this->revision } };
-  aResponse.set_content(body.dump(), "application/json");
+  aResponse.set_content(this->Dump(body), "application/json");
 }
 
 }
--- a/tests/support/object_store.h
+++ b/tests/support/object_store.h
@@ -29,6 +29,10 @@
   void Put(const std::string& aKind,
            const std::string& aName,
            const nlohmann::json& aSpec);
+  // Stores an object whose spec is this text, which need not be valid JSON.
+  void PutText(const std::string& aKind,
+               const std::string& aName,
+               const std::string& aSpec);
   void Remove(const std::string& aKind, const std::string& aName);
   // Removes the objects that were not put for aLeaseTime, as if their leases
   // had expired.
@@ -69,6 +73,12 @@
              httplib::Response& aResponse);
 
   std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+  // Returns the text of a body, with the specs of PutText in their places.
+  std::string Dump(const nlohmann::json& aBody) const;
+
+  // Specs of PutText. The objects have the keys, which are unique, in their
+  // place.
+  std::map<std::string, std::string> specTexts;
   std::map<std::string, std::chrono::steady_clock::time_point> putAt;
   std::deque<Event> events;
   uint64_t revision = 10;
--- a/tests/tagged/docs_test.cpp
+++ b/tests/tagged/docs_test.cpp
@@ -44,6 +44,9 @@
   for (std::string_view name : tagged::kViewRequestFailureNames) {
     CheckPageNames(page, std::string(name));
   }
+  for (std::string_view name : tagged::kEntryKindNames) {
+    CheckPageNames(page, std::string(name));
+  }
   for (std::string_view name : spread::kReadReasonNames) {
     // ReadReason::None has no name.
     if (!name.empty()) {
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -2,6 +2,7 @@
 // store. The tests guard against faults that show only in the whole daemon:
 // lost packets or views during store outages, reloads and planned stops.
 #include "platform/wire.h"
+#include "support/loopback.h"
 #include "support/object_store.h"
 #include "support/wait.h"
 #include "tagged/udp.h"
@@ -57,14 +58,6 @@
   }
 };
 
-// Returns a port of 127.0.0.1 that was free for UDP just now. The daemon also
-// listens at such ports for TCP, for which they may be in use.
-uint16_t
-FreePort()
-{
-  return BoundSocket::Make().endpoint.port;
-}
-
 // Builds a packet without data from port aPort of 127.0.0.1 to kTarget: an
 // opening packet, or one with the ACK flag, 64. platform/wire.cpp has the
 // offsets.
@@ -120,7 +113,7 @@
 struct DaemonOptions
 {
   int storePort = 0;
-  Address address = kLoopback;
+  Address address = LoopbackAddress();
   uint16_t peersPort = 0;
   std::vector<Address> seeds;
 };
@@ -132,9 +125,9 @@
   DaemonOptions options;
   pid_t pid = -1;
   int output = -1;
-  Endpoint packets{ 0, FreePort() };
-  uint16_t readyPort = FreePort();
-  uint16_t metricsPort = FreePort();
+  Endpoint packets{ 0, NextPort() };
+  uint16_t readyPort = NextPort();
+  uint16_t metricsPort = NextPort();
   std::filesystem::path folder;
 
   explicit Daemon(int aStorePort)
@@ -423,15 +416,15 @@
   "peer")
 {
   Fixture fixture;
-  uint16_t port = FreePort();
-  constexpr Address kFirstAddress = kLoopback + 1;
-  constexpr Address kSecondAddress = kLoopback + 2;
+  uint16_t port = NextPort();
+  const Address firstAddress = LoopbackAddress(1);
+  const Address secondAddress = LoopbackAddress(2);
   Daemon first(
-    { fixture.port, kFirstAddress, port, { kFirstAddress, kSecondAddress } });
+    { fixture.port, firstAddress, port, { firstAddress, secondAddress } });
   REQUIRE(Eventually([&] { return first.ReadinessStatus() == 200; }));
   fixture.store.status = 503;
   Daemon second(
-    { fixture.port, kSecondAddress, port, { kFirstAddress, kSecondAddress } });
+    { fixture.port, secondAddress, port, { firstAddress, secondAddress } });
   CHECK(Eventually([&] { return second.ReadinessStatus() == 200; }));
   // The metrics port is opened later than the packet path and readiness.
   CHECK(Eventually(
@@ -445,13 +438,13 @@
   "over when it is killed")
 {
   Fixture fixture;
-  uint16_t port = FreePort();
-  constexpr Address kFirstAddress = kLoopback + 1;
-  constexpr Address kSecondAddress = kLoopback + 2;
+  uint16_t port = NextPort();
+  const Address firstAddress = LoopbackAddress(1);
+  const Address secondAddress = LoopbackAddress(2);
   Daemon first(
-    { fixture.port, kFirstAddress, port, { kFirstAddress, kSecondAddress } });
+    { fixture.port, firstAddress, port, { firstAddress, secondAddress } });
   Daemon second(
-    { fixture.port, kSecondAddress, port, { kFirstAddress, kSecondAddress } });
+    { fixture.port, secondAddress, port, { firstAddress, secondAddress } });
   auto countReaders = [&] {
     return first.Metric("gentianspindle_reads_store") +
            second.Metric("gentianspindle_reads_store");
@@ -476,6 +469,86 @@
     [&] { return other.Metric("gentianspindle_config_version") == 9; }));
 }
 
+TEST_CASE("An odd entry of the store costs only itself, and the daemon goes on")
+{
+  std::string nested(2'000'000, '[');
+  nested.append(2'000'000, ']');
+  std::string objects;
+  for (size_t i = 0; i < 2'000'000; ++i) {
+    objects += "{\"a\":";
+  }
+  std::string odd = GENERATE_COPY(values<std::string>({
+    R"("service":"web","address":"127.0.0.1:70000")",
+    R"("service":"web","address":"127.0.0.1:0")",
+    R"("service":"web","address":"127.0.0.1:-1")",
+    "\"service\":\"\xff\xfe\"",
+    R"("service":1e999)",
+    R"("slots":)" + std::string(400, '9'),
+    R"("service":"\ud800")",
+    R"("other":)" + nested,
+    R"("other":)" + objects + "0" + std::string(2'000'000, '}'),
+  }));
+  INFO(odd.substr(0, 60));
+  Fixture fixture;
+  fixture.store.PutText("servers", "i-76", "{" + odd + "}");
+  Daemon daemon(fixture.port);
+  fcntl(daemon.output, F_SETFL, O_NONBLOCK);
+  // The list of the start has the odd entry before the good one, a watch has it
+  // again at another revision.
+  REQUIRE(Eventually([&] { return daemon.ReadinessStatus() == 200; }));
+  fixture.store.PutText("servers", "i-74", "{" + odd + "}");
+  fixture.store.Put("config", "main", ConfigSpec(9));
+  CHECK(Eventually([&] {
+    return daemon.Metric("gentianspindle_config_version") == 9 &&
+           daemon.Metric(
+             "gentianspindle_unreadable_entries_total{kind=\"server\"}") == 2;
+  }));
+  std::string logText;
+  CHECK(Eventually([&] {
+    logText += daemon.ReadOutput();
+    return logText.find(R"("kind":"server","name":"i-74")") !=
+             std::string::npos &&
+           logText.find(R"("kind":"server","name":"i-76")") !=
+             std::string::npos;
+  }));
+  daemon.Send(MakePacket(7000, true), fixture.fabricSocket);
+  CHECK(fixture.serverSocket.Receive().size() == 40);
+  fixture.store.Put("servers",
+                    "i-75bc4be3cd",
+                    ServerSpec(fixture.serverSocket.endpoint, "draining"));
+  CHECK(Eventually([&] {
+    daemon.Send(MakePacket(7100, true), fixture.fabricSocket);
+    return fixture.serverSocket.Receive(20).empty();
+  }));
+  // The process is the one that was started.
+  CHECK(waitpid(daemon.pid, nullptr, WNOHANG) == 0);
+}
+
+TEST_CASE("A configuration with an odd route loses that route, and one that "
+          "cannot be read leaves the version in force")
+{
+  Fixture fixture;
+  Daemon daemon(fixture.port);
+  REQUIRE(Eventually([&] { return daemon.ReadinessStatus() == 200; }));
+  std::string good = ConfigSpec(20)["routes"][0].dump();
+  fixture.store.PutText("config",
+                        "main",
+                        R"({"version":20,"routes":[{"name":"odd","x":1e999},)" +
+                          good + "]}");
+  CHECK(Eventually(
+    [&] { return daemon.Metric("gentianspindle_config_version") == 20; }));
+  fixture.store.PutText("config", "main", R"({"version":1e999,"routes":[]})");
+  CHECK(Eventually([&] {
+    return daemon.Metric(
+             "gentianspindle_unreadable_entries_total{kind=\"config\"}") == 1;
+  }));
+  CHECK(daemon.Metric(
+          "gentianspindle_unreadable_entries_total{kind=\"route\"}") == 1);
+  CHECK(daemon.Metric("gentianspindle_config_version") == 20);
+  daemon.Send(MakePacket(7000, true), fixture.fabricSocket);
+  CHECK(fixture.serverSocket.Receive().size() == 40);
+}
+
 TEST_CASE(
   "An instance that the store turns away receives changes from its peers")
 {
@@ -485,13 +558,13 @@
   other.Put("config", "main", ConfigSpec(3));
   other.Put(
     "servers", "i-75bc4be3cd", ServerSpec(fixture.serverSocket.endpoint));
-  uint16_t port = FreePort();
-  constexpr Address kFirstAddress = kLoopback + 1;
-  constexpr Address kSecondAddress = kLoopback + 2;
+  uint16_t port = NextPort();
+  const Address firstAddress = LoopbackAddress(1);
+  const Address secondAddress = LoopbackAddress(2);
   Daemon first(
-    { fixture.port, kFirstAddress, port, { kFirstAddress, kSecondAddress } });
+    { fixture.port, firstAddress, port, { firstAddress, secondAddress } });
   Daemon second(
-    { otherPort, kSecondAddress, port, { kFirstAddress, kSecondAddress } });
+    { otherPort, secondAddress, port, { firstAddress, secondAddress } });
   REQUIRE(Eventually([&] {
     return first.ReadinessStatus() == 200 && second.ReadinessStatus() == 200;
   }));
--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -36,6 +36,73 @@
   return R"({"items":[)" + aItems + R"(],"more":false,"as_of":530})";
 }
 
+std::string
+MakeEvents(const std::vector<std::string>& aObjects)
+{
+  std::string events;
+  for (const std::string& object : aObjects) {
+    absl::StrAppend(&events, events.empty() ? "" : ",", R"({"object":)");
+    absl::StrAppend(&events, object, R"(,"tombstone":false})");
+  }
+  return R"({"events":[)" + events + R"(],"as_of":530})";
+}
+
+// Returns aDepth copies of aOpen, then as many of aClose.
+std::string
+Nested(size_t aDepth, std::string_view aOpen, std::string_view aClose)
+{
+  std::string text;
+  for (size_t i = 0; i < aDepth; ++i) {
+    text += aOpen;
+  }
+  text += aOpen == "[" ? "" : "0";
+  for (size_t i = 0; i < aDepth; ++i) {
+    text += aClose;
+  }
+  return text;
+}
+
+// Returns values that are no valid name, number or list.
+std::vector<std::string>
+MakeOddValues()
+{
+  return { "1e999",
+           std::string(400, '9'),
+           R"("\ud800")",
+           R"("\x")",
+           "nonsense",
+           Nested(2'000'000, "[", "]"),
+           Nested(2'000'000, "{\"a\":", "}"),
+           Nested(33, "[", "]"),
+           '"' + std::string(100'000, 'x') + '"' };
+}
+
+// Returns the specs of servers that cannot be read: with an odd value as a
+// member that is read, and with one beside the members that are read.
+std::vector<std::string>
+MakeOddSpecs()
+{
+  std::vector<std::string> specs;
+  std::string valid = MakeServerSpec("ready");
+  for (const std::string& value : MakeOddValues()) {
+    specs.push_back(R"({"service":)" + value + "," + valid.substr(1));
+  }
+  // A long text that is not read is no fault.
+  std::vector<std::string> values = MakeOddValues();
+  values.pop_back();
+  for (const std::string& value : values) {
+    specs.push_back(R"({"other":)" + value + "," + valid.substr(1));
+  }
+  for (const char* port : { "70000", "0", "-1", "99999999999999999999" }) {
+    specs.push_back(absl::StrCat(R"({"address":"10.128.0.9:)", port, R"(",)") +
+                    valid.substr(1));
+  }
+  for (const char* slots : { "0", "-1", "3000000000", "1.5", "1e30" }) {
+    specs.push_back(absl::StrCat(R"({"slots":)", slots, ",") + valid.substr(1));
+  }
+  return specs;
+}
+
 }
 
 TEST_CASE("A list with a server is parsed into its entry and revisions")
@@ -133,4 +200,106 @@
   CHECK_FALSE(page->changes[0].config);
 }
 
+TEST_CASE("An odd entry costs only itself, in lists and in watches, and keeps "
+          "its name")
+{
+  std::string first = MakeObject("i-1", MakeServerSpec("ready"));
+  std::string last = MakeObject("i-3", MakeServerSpec("ready"));
+  for (const std::string& spec : MakeOddSpecs()) {
+    std::string odd = MakeObject("i-2", spec);
+    auto list = ObjectFormat::ParseServersList(
+      MakeList(absl::StrCat(first, ",", odd, ",", last)));
+    auto watch =
+      ObjectFormat::ParseServersWatch(MakeEvents({ first, odd, last }));
+    for (const auto* page : { &list, &watch }) {
+      INFO(spec.substr(0, 100));
+      REQUIRE(page->ok());
+      REQUIRE((*page)->changes.size() == 3);
+      CHECK((*page)->changes[0].entry);
+      CHECK((*page)->changes[1].name == "i-2");
+      CHECK_FALSE((*page)->changes[1].entry);
+      CHECK((*page)->changes[2].entry);
+    }
+  }
+}
+
+TEST_CASE("Objects without a readable name are counted and left out")
+{
+  std::string valid = MakeObject("i-1", MakeServerSpec("ready"));
+  for (const std::string& odd : {
+         std::string("17"),
+         MakeObject("\\ud800", MakeServerSpec("ready")),
+         MakeObject("", MakeServerSpec("ready")),
+         Nested(2'000'000, "[", "]"),
+         Nested(2'000'000, "{\"meta\":", "}"),
+       }) {
+    auto page =
+      ObjectFormat::ParseServersList(MakeList(absl::StrCat(valid, ",", odd)));
+    INFO(odd.substr(0, 100));
+    REQUIRE(page.ok());
+    CHECK(page->changes.size() == 1);
+    CHECK(page->unnamed == 1);
+    CHECK(page->lastName == "i-1");
+  }
+}
+
+TEST_CASE("An object with a long name is left out, and the next page starts "
+          "after it")
+{
+  std::string longName(100'000, 'x');
+  auto page = ObjectFormat::ParseServersList(
+    MakeList(MakeObject(longName, MakeServerSpec("ready"))));
+  REQUIRE(page.ok());
+  CHECK(page->changes.empty());
+  CHECK(page->unnamed == 1);
+  CHECK(page->lastName == longName);
+}
+
+TEST_CASE("The name after which a page starts is escaped in the path")
+{
+  CHECK(ObjectFormat::ServersListPath("i-1") == "/-/objects/servers?after=i-1");
+  CHECK(ObjectFormat::ServersListPath("a b&c=\n#%") ==
+        "/-/objects/servers?after=a%20b%26c%3D%0A%23%25");
+}
+
+TEST_CASE("An odd route costs only itself")
+{
+  std::string good = R"({"name":"a","host":"198.18.0.1",)"
+                     R"("path_prefix":"/8080/","service":"s"})";
+  for (const std::string& value : MakeOddValues()) {
+    std::string odd = R"({"name":"odd","host":"198.18.0.1",)"
+                      R"("path_prefix":"/8081/","service":)" +
+                      value + "}";
+    std::string spec = R"({"version":7,"routes":[)" + good + "," + odd + "," +
+                       good + R"(],"limits":{"idle_timeout_ms":15000}})";
+    auto page =
+      ObjectFormat::ParseConfigList(MakeList(MakeObject("main", spec)));
+    INFO(value.substr(0, 100));
+    REQUIRE(page.ok());
+    REQUIRE(page->changes[0].config);
+    CHECK(page->changes[0].config->routes.size() == 2);
+    CHECK(page->changes[0].config->idle == 15 * kSecond);
+    CHECK(page->changes[0].unreadableRoutes ==
+          std::vector<std::string>{ "odd" });
+  }
+}
+
+TEST_CASE("A configuration whose version is odd is unreadable")
+{
+  for (const std::string& value : MakeOddValues()) {
+    auto page = ObjectFormat::ParseConfigList(MakeList(
+      MakeObject("main", R"({"version":)" + value + R"(,"routes":[]})")));
+    REQUIRE(page.ok());
+    CHECK_FALSE(page->changes[0].config);
+  }
+}
+
+TEST_CASE("A body that is cut off is an error at each length")
+{
+  std::string body = MakeList(MakeObject("i-1", MakeServerSpec("ready")));
+  for (size_t i = 0; i < body.size(); ++i) {
+    CHECK_FALSE(ObjectFormat::ParseServersList(body.substr(0, i)).ok());
+  }
+}
+
 }
