Bound what a message, a response or a settings file can take

- Thrift takes the elements of a list of structs to have no bytes, so a heartbeat of 5 bytes that claims 2^20 changes took some 250 MB before it was refused; an instance has 80.
BoundedProtocol refuses a count above the bytes that are left, for both transports.
- toml++ recurses for each part of a dotted key: a key of 130,000 parts (260 KB) overflowed the stack (with AddressSanitizer from some 30,000).
Settings above 64 KiB are refused before parsing.
- Responses of the store and of peers had no bound of heads and bodies.
- A peer's view left unreadable servers out, and the receiver reset their flows after 3 s.
The view names them now (field 7, which older instances skip).
- sendmmsg stops at a datagram that the kernel refuses, and the rest of the batch was dropped; the rest is tried now, unless the socket's buffer is full.

Ruled out: Thrift's container limit alone (a bound that lets views through lets a datagram take megabytes); a scan of TOML for dots (strings and multi-line texts need a parser).

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -43,6 +43,8 @@
                          // 0: the copy has no servers
   5: list<Server> servers
   6: i64 configRevision // store revision up to which all changes are known
+  7: list<Server> unreadable // listed servers whose entries cannot be read;
+                             // only name and revision are valid
 }
 
 // A change of one server's entry in the store.
--- a/src/base/settings_reader.cpp
+++ b/src/base/settings_reader.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <fstream>
-#include <sstream>
 #define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
@@ -16,6 +15,23 @@
 
 namespace {
 
+// The parser recurses for each part of a dotted key; so many bytes are too few
+// to overflow its stack.
+constexpr size_t kMaxSettingsBytes = 64 * 1024;
+
+absl::Status
+CheckSize(size_t aBytes, std::string_view aFileName)
+{
+  if (aBytes <= kMaxSettingsBytes) {
+    return absl::OkStatus();
+  }
+  return absl::InvalidArgumentError(absl::StrCat("read settings: ",
+                                                 ToAbsl(aFileName),
+                                                 " has more than ",
+                                                 kMaxSettingsBytes,
+                                                 " bytes"));
+}
+
 // Collects the faults of one settings file, each as a line with file, line
 // number, name and reason.
 struct FaultList
@@ -218,6 +234,9 @@
 absl::StatusOr<SettingsFile>
 SettingsFile::Parse(std::string_view aText, std::string_view aFileName)
 {
+  if (absl::Status status = CheckSize(aText.size(), aFileName); !status.ok()) {
+    return status;
+  }
   toml::parse_result parsed = toml::parse(aText, aFileName);
   if (!parsed) {
     return absl::InvalidArgumentError(
@@ -274,9 +293,17 @@
     return absl::NotFoundError(
       absl::StrCat("read settings: cannot open file ", aPath));
   }
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
+  std::string text(kMaxSettingsBytes + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<size_t>(file.gcount()));
+  if (text.size() > kMaxSettingsBytes) {
+    return absl::InvalidArgumentError(absl::StrCat("read settings: ",
+                                                   aPath,
+                                                   " has more than ",
+                                                   kMaxSettingsBytes,
+                                                   " bytes"));
+  }
+  return text;
 }
 
 }
--- a/src/spread/beat.h
+++ b/src/spread/beat.h
@@ -12,6 +12,20 @@
 
 namespace gentianspindle::spread {
 
+// Heartbeats carry a number of cores in whole thousandths, rounded down. An
+// instance compares its own cores in the same form, so that all agree.
+inline int32_t
+ToMillicores(double aCores)
+{
+  return static_cast<int32_t>(aCores * 1000);
+}
+
+inline double
+FromMillicores(int32_t aMillicores)
+{
+  return aMillicores / 1000.0;
+}
+
 // An instance that reads the store.
 struct ReaderAddress
 {
@@ -33,7 +47,6 @@
 struct Heartbeat
 {
   std::string zone; // of the sender
-  // In a received heartbeat rounded down to thousandths.
   double cores = 0;
   bool reads = false;        // the sender is a reader: it asks the store itself
   bool storeAnswers = false; // the store answers the sender
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -61,6 +61,10 @@
   std::vector<ServerChange> copy;
   for (const auto& [name, index] : this->byName) {
     const Server& server = this->servers[index];
+    if (server.registryState == RegistryState::Unreadable) {
+      copy.push_back({ name, server.revision, false, {} });
+      continue;
+    }
     if (server.registryState != RegistryState::Listed) {
       continue;
     }
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -124,8 +124,8 @@
   bool HasServers() const { return this->hasServers; }
   int64_t Version() const { return this->config.version; }
 
-  // Copies of the configuration in force and of the listed, readable servers,
-  // for other instances.
+  // Copies of the configuration in force and of the listed servers, for other
+  // instances. Unreadable servers have no entry there.
   Config CopyConfig() const;
   std::vector<ServerChange> CopyServers(Micros aNow) const;
 
--- a/src/tagged/gen/peers_types.cpp
+++ b/src/tagged/gen/peers_types.cpp
@@ -637,6 +637,10 @@
 void ViewCopy::__set_configRevision(const int64_t val) {
   this->configRevision = val;
 }
+
+void ViewCopy::__set_unreadable(const std::vector<Server> & val) {
+  this->unreadable = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewCopy& obj)
 {
   obj.printTo(out);
@@ -737,6 +741,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unreadable.clear();
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->unreadable.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
+            {
+              xfer += this->unreadable[_i26].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unreadable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -761,10 +785,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<Route> ::const_iterator _iter22;
-    for (_iter22 = this->routes.begin(); _iter22 != this->routes.end(); ++_iter22)
+    std::vector<Route> ::const_iterator _iter27;
+    for (_iter27 = this->routes.begin(); _iter27 != this->routes.end(); ++_iter27)
     {
-      xfer += (*_iter22).write(oprot);
+      xfer += (*_iter27).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -781,10 +805,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter23;
-    for (_iter23 = this->servers.begin(); _iter23 != this->servers.end(); ++_iter23)
+    std::vector<Server> ::const_iterator _iter28;
+    for (_iter28 = this->servers.begin(); _iter28 != this->servers.end(); ++_iter28)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter28).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -794,6 +818,18 @@
   xfer += oprot->writeI64(this->configRevision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unreadable", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unreadable.size()));
+    std::vector<Server> ::const_iterator _iter29;
+    for (_iter29 = this->unreadable.begin(); _iter29 != this->unreadable.end(); ++_iter29)
+    {
+      xfer += (*_iter29).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -807,26 +843,29 @@
   swap(a.serversRevision, b.serversRevision);
   swap(a.servers, b.servers);
   swap(a.configRevision, b.configRevision);
+  swap(a.unreadable, b.unreadable);
   swap(a.__isset, b.__isset);
 }
 
-ViewCopy::ViewCopy(const ViewCopy& other24) {
-  configVersion = other24.configVersion;
-  routes = other24.routes;
-  idle = other24.idle;
-  serversRevision = other24.serversRevision;
-  servers = other24.servers;
-  configRevision = other24.configRevision;
-  __isset = other24.__isset;
-}
-ViewCopy& ViewCopy::operator=(const ViewCopy& other25) {
-  configVersion = other25.configVersion;
-  routes = other25.routes;
-  idle = other25.idle;
-  serversRevision = other25.serversRevision;
-  servers = other25.servers;
-  configRevision = other25.configRevision;
-  __isset = other25.__isset;
+ViewCopy::ViewCopy(const ViewCopy& other30) {
+  configVersion = other30.configVersion;
+  routes = other30.routes;
+  idle = other30.idle;
+  serversRevision = other30.serversRevision;
+  servers = other30.servers;
+  configRevision = other30.configRevision;
+  unreadable = other30.unreadable;
+  __isset = other30.__isset;
+}
+ViewCopy& ViewCopy::operator=(const ViewCopy& other31) {
+  configVersion = other31.configVersion;
+  routes = other31.routes;
+  idle = other31.idle;
+  serversRevision = other31.serversRevision;
+  servers = other31.servers;
+  configRevision = other31.configRevision;
+  unreadable = other31.unreadable;
+  __isset = other31.__isset;
   return *this;
 }
 void ViewCopy::printTo(std::ostream& out) const {
@@ -838,6 +877,7 @@
   out << ", " << "serversRevision=" << to_string(serversRevision);
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "configRevision=" << to_string(configRevision);
+  out << ", " << "unreadable=" << to_string(unreadable);
   out << ")";
 }
 
@@ -934,15 +974,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Change::Change(const Change& other26) {
-  server = other26.server;
-  kind = other26.kind;
-  __isset = other26.__isset;
+Change::Change(const Change& other32) {
+  server = other32.server;
+  kind = other32.kind;
+  __isset = other32.__isset;
 }
-Change& Change::operator=(const Change& other27) {
-  server = other27.server;
-  kind = other27.kind;
-  __isset = other27.__isset;
+Change& Change::operator=(const Change& other33) {
+  server = other33.server;
+  kind = other33.kind;
+  __isset = other33.__isset;
   return *this;
 }
 void Change::printTo(std::ostream& out) const {
@@ -1046,15 +1086,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Reader::Reader(const Reader& other28) {
-  address = other28.address;
-  zone = other28.zone;
-  __isset = other28.__isset;
+Reader::Reader(const Reader& other34) {
+  address = other34.address;
+  zone = other34.zone;
+  __isset = other34.__isset;
 }
-Reader& Reader::operator=(const Reader& other29) {
-  address = other29.address;
-  zone = other29.zone;
-  __isset = other29.__isset;
+Reader& Reader::operator=(const Reader& other35) {
+  address = other35.address;
+  zone = other35.zone;
+  __isset = other35.__isset;
   return *this;
 }
 void Reader::printTo(std::ostream& out) const {
@@ -1289,14 +1329,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->changes.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->changes.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->changes[_i34].read(iprot);
+              xfer += this->changes[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1309,14 +1349,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->members.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->members.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += iprot->readI32(this->members[_i39]);
+              xfer += iprot->readI32(this->members[_i45]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1329,14 +1369,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readers.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->readers.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->readers.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->readers[_i44].read(iprot);
+              xfer += this->readers[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1437,10 +1477,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Change> ::const_iterator _iter45;
-    for (_iter45 = this->changes.begin(); _iter45 != this->changes.end(); ++_iter45)
+    std::vector<Change> ::const_iterator _iter51;
+    for (_iter51 = this->changes.begin(); _iter51 != this->changes.end(); ++_iter51)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1449,10 +1489,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter46;
-    for (_iter46 = this->members.begin(); _iter46 != this->members.end(); ++_iter46)
+    std::vector<int32_t> ::const_iterator _iter52;
+    for (_iter52 = this->members.begin(); _iter52 != this->members.end(); ++_iter52)
     {
-      xfer += oprot->writeI32((*_iter46));
+      xfer += oprot->writeI32((*_iter52));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1461,10 +1501,10 @@
   xfer += oprot->writeFieldBegin("readers", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readers.size()));
-    std::vector<Reader> ::const_iterator _iter47;
-    for (_iter47 = this->readers.begin(); _iter47 != this->readers.end(); ++_iter47)
+    std::vector<Reader> ::const_iterator _iter53;
+    for (_iter53 = this->readers.begin(); _iter53 != this->readers.end(); ++_iter53)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1507,49 +1547,49 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other48) {
-  zone = other48.zone;
-  share = other48.share;
-  reads = other48.reads;
-  storeAnswers = other48.storeAnswers;
-  hasView = other48.hasView;
-  wantsAnswer = other48.wantsAnswer;
-  configVersion = other48.configVersion;
-  configRevision = other48.configRevision;
-  configAge = other48.configAge;
-  serversRevision = other48.serversRevision;
-  serversAge = other48.serversAge;
-  storeBackAge = other48.storeBackAge;
-  changesFrom = other48.changesFrom;
-  changesTo = other48.changesTo;
-  changes = other48.changes;
-  members = other48.members;
-  readers = other48.readers;
-  zoneSize = other48.zoneSize;
-  fleetSize = other48.fleetSize;
-  __isset = other48.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other49) {
-  zone = other49.zone;
-  share = other49.share;
-  reads = other49.reads;
-  storeAnswers = other49.storeAnswers;
-  hasView = other49.hasView;
-  wantsAnswer = other49.wantsAnswer;
-  configVersion = other49.configVersion;
-  configRevision = other49.configRevision;
-  configAge = other49.configAge;
-  serversRevision = other49.serversRevision;
-  serversAge = other49.serversAge;
-  storeBackAge = other49.storeBackAge;
-  changesFrom = other49.changesFrom;
-  changesTo = other49.changesTo;
-  changes = other49.changes;
-  members = other49.members;
-  readers = other49.readers;
-  zoneSize = other49.zoneSize;
-  fleetSize = other49.fleetSize;
-  __isset = other49.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other54) {
+  zone = other54.zone;
+  share = other54.share;
+  reads = other54.reads;
+  storeAnswers = other54.storeAnswers;
+  hasView = other54.hasView;
+  wantsAnswer = other54.wantsAnswer;
+  configVersion = other54.configVersion;
+  configRevision = other54.configRevision;
+  configAge = other54.configAge;
+  serversRevision = other54.serversRevision;
+  serversAge = other54.serversAge;
+  storeBackAge = other54.storeBackAge;
+  changesFrom = other54.changesFrom;
+  changesTo = other54.changesTo;
+  changes = other54.changes;
+  members = other54.members;
+  readers = other54.readers;
+  zoneSize = other54.zoneSize;
+  fleetSize = other54.fleetSize;
+  __isset = other54.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other55) {
+  zone = other55.zone;
+  share = other55.share;
+  reads = other55.reads;
+  storeAnswers = other55.storeAnswers;
+  hasView = other55.hasView;
+  wantsAnswer = other55.wantsAnswer;
+  configVersion = other55.configVersion;
+  configRevision = other55.configRevision;
+  configAge = other55.configAge;
+  serversRevision = other55.serversRevision;
+  serversAge = other55.serversAge;
+  storeBackAge = other55.storeBackAge;
+  changesFrom = other55.changesFrom;
+  changesTo = other55.changesTo;
+  changes = other55.changes;
+  members = other55.members;
+  readers = other55.readers;
+  zoneSize = other55.zoneSize;
+  fleetSize = other55.fleetSize;
+  __isset = other55.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
--- a/src/tagged/gen/peers_types.h
+++ b/src/tagged/gen/peers_types.h
@@ -269,13 +269,14 @@
 std::ostream& operator<<(std::ostream& out, const Server& obj);
 
 typedef struct _ViewCopy__isset {
-  _ViewCopy__isset() : configVersion(false), routes(false), idle(false), serversRevision(false), servers(false), configRevision(false) {}
+  _ViewCopy__isset() : configVersion(false), routes(false), idle(false), serversRevision(false), servers(false), configRevision(false), unreadable(false) {}
   bool configVersion :1;
   bool routes :1;
   bool idle :1;
   bool serversRevision :1;
   bool servers :1;
   bool configRevision :1;
+  bool unreadable :1;
 } _ViewCopy__isset;
 
 class ViewCopy : public virtual ::apache::thrift::TBase {
@@ -297,6 +298,7 @@
   int64_t serversRevision;
   std::vector<Server>  servers;
   int64_t configRevision;
+  std::vector<Server>  unreadable;
 
   _ViewCopy__isset __isset;
 
@@ -312,6 +314,8 @@
 
   void __set_configRevision(const int64_t val);
 
+  void __set_unreadable(const std::vector<Server> & val);
+
   bool operator == (const ViewCopy & rhs) const
   {
     if (!(configVersion == rhs.configVersion))
@@ -326,6 +330,8 @@
       return false;
     if (!(configRevision == rhs.configRevision))
       return false;
+    if (!(unreadable == rhs.unreadable))
+      return false;
     return true;
   }
   bool operator != (const ViewCopy &rhs) const {
--- a/src/tagged/http_client.cpp
+++ b/src/tagged/http_client.cpp
@@ -21,13 +21,17 @@
 constexpr int kKeepaliveIntervalS = 1;
 // On Linux kUserTimeoutMs overrides it.
 constexpr int kKeepaliveProbes = 2;
+constexpr ev_ssize_t kMaxHeaderBytes = 16 * 1024;
 
 }
 
-HttpClient::HttpClient(event_base* aBase, Endpoint aServer)
+HttpClient::HttpClient(event_base* aBase,
+                       Endpoint aServer,
+                       size_t aMaxBodyBytes)
   : base(aBase)
   , host(FormatAddress(aServer.address))
   , server(aServer)
+  , maxBodyBytes(aMaxBodyBytes)
   , timeout(aBase, [this] {
     this->broken = true;
     this->Finish(absl::DeadlineExceededError(
@@ -46,6 +50,12 @@
   if (!this->connection) {
     this->connection.reset(evhttp_connection_base_new(
       this->base, nullptr, this->host.c_str(), this->server.port));
+    if (this->connection) {
+      evhttp_connection_set_max_headers_size(this->connection.get(),
+                                             kMaxHeaderBytes);
+      evhttp_connection_set_max_body_size(
+        this->connection.get(), static_cast<ev_ssize_t>(this->maxBodyBytes));
+    }
   }
   return this->connection != nullptr;
 }
--- a/src/tagged/http_client.h
+++ b/src/tagged/http_client.h
@@ -26,7 +26,9 @@
   // the timeout, which also reports a request that could not be started.
   using ResponseCallback = std::function<void(absl::StatusOr<HttpResponse>)>;
 
-  HttpClient(event_base* aBase, Endpoint aServer);
+  // A response whose body is longer than aMaxBodyBytes counts as a failed
+  // connection.
+  HttpClient(event_base* aBase, Endpoint aServer, size_t aMaxBodyBytes);
 
   // Sends a request. Cancels a pending one without calling its callback.
   void Get(const std::string& aPath,
@@ -56,6 +58,7 @@
   event_base* base;
   std::string host;
   Endpoint server;
+  size_t maxBodyBytes;
   std::unique_ptr<evhttp_connection, FreeConnection> connection;
   bool broken = false; // the connection must not be used again
   bool busy = false;   // a request is pending
--- a/src/tagged/list_watcher.h
+++ b/src/tagged/list_watcher.h
@@ -32,6 +32,8 @@
 // A list with more objects than this counts as unreadable, to bound the memory
 // that a store whose pages do not end can take.
 constexpr size_t kMaxListedObjects = 65'536;
+// Bound of one response; a page of a list is far smaller.
+constexpr size_t kMaxStoreBodyBytes = 16 * 1024 * 1024;
 // Backoff of retries: the upper limit of the delay grows by this factor between
 // these bounds. The delay is random, from half of the limit to all of it, so
 // the shortest one is half of kMinRetryDelay.
@@ -115,7 +117,7 @@
               const ListWatcherOptions& aOptions,
               ListWatcherEvents<C> aEvents,
               uint32_t aSeed)
-    : client(aBase, aStore)
+    : client(aBase, aStore, kMaxStoreBodyBytes)
     , format(aFormat)
     , options(aOptions)
     , events(std::move(aEvents))
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -1,34 +1,27 @@
 #include "tagged/peer_codec.h"
 
+#include "base/bounded_protocol.h"
 #include "peers_types.h"
 
 #include "absl/strings/str_cat.h"
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 namespace gentianspindle::tagged {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
-using Protocol = TCompactProtocolT<TMemoryBuffer>;
 
 // Limits for each text and each list of a peer's message, to bound the memory
 // that this instance allocates for them.
 constexpr int32_t kMaxTextBytes = 4096;
-constexpr int32_t kMaxEntries = 1 << 20;
-// The number of cores is sent in whole thousandths, rounded down, in the field
-// share.
-constexpr double kThousandths = 1000;
+constexpr int32_t kMaxEntries = 1 << 16;
 
 template<typename M>
 std::string
 Encode(const M& aMessage)
 {
   auto buffer = std::make_shared<TMemoryBuffer>();
-  Protocol protocol(buffer);
+  BoundedProtocol protocol(buffer);
   aMessage.write(&protocol);
   return buffer->getBufferAsString();
 }
@@ -42,7 +35,7 @@
     auto buffer = std::make_shared<TMemoryBuffer>(
       reinterpret_cast<uint8_t*>(const_cast<char*>(aBytes.data())),
       static_cast<uint32_t>(aBytes.size()));
-    Protocol protocol(buffer, kMaxTextBytes, kMaxEntries);
+    BoundedProtocol protocol(buffer, kMaxTextBytes, kMaxEntries);
     message.read(&protocol);
   } catch (const std::exception& error) {
     return absl::DataLossError(
@@ -153,7 +146,8 @@
   copy.configRevision = static_cast<int64_t>(aView.configRevision);
   copy.serversRevision = static_cast<int64_t>(aView.serversRevision);
   for (const steer::ServerChange& change : aView.servers) {
-    copy.servers.push_back(ToMessage(change));
+    (change.entry ? copy.servers : copy.unreadable)
+      .push_back(ToMessage(change));
   }
   return Encode(copy);
 }
@@ -176,6 +170,10 @@
   for (const msg::Server& server : copy->servers) {
     view.servers.push_back(FromMessage(server));
   }
+  for (const msg::Server& server : copy->unreadable) {
+    view.servers.push_back(
+      { server.name, static_cast<uint64_t>(server.revision), false, {} });
+  }
   return view;
 }
 
@@ -256,7 +254,7 @@
 {
   msg::Heartbeat message;
   message.zone = aHeartbeat.zone;
-  message.share = static_cast<int32_t>(aHeartbeat.cores * kThousandths);
+  message.share = spread::ToMillicores(aHeartbeat.cores);
   message.reads = aHeartbeat.reads;
   message.storeAnswers = aHeartbeat.storeAnswers;
   message.hasView = aHeartbeat.hasView;
@@ -284,7 +282,7 @@
   }
   spread::Heartbeat heartbeat;
   heartbeat.zone = message->zone;
-  heartbeat.cores = message->share / kThousandths;
+  heartbeat.cores = spread::FromMillicores(message->share);
   heartbeat.reads = message->reads;
   heartbeat.storeAnswers = message->storeAnswers;
   heartbeat.hasView = message->hasView;
--- a/src/tagged/peers.cpp
+++ b/src/tagged/peers.cpp
@@ -7,6 +7,8 @@
 // Paths of a whole view and of a view without servers.
 constexpr char kViewPath[] = "/view";
 constexpr char kConfigPath[] = "/config";
+// Bound of a received view.
+constexpr size_t kMaxViewBytes = 4 * 1024 * 1024;
 
 }
 
@@ -150,7 +152,7 @@
   }
   this->requestedPeer = aPeer;
   this->client = std::make_unique<HttpClient>(
-    this->base, Endpoint{ aPeer, this->self.port });
+    this->base, Endpoint{ aPeer, this->self.port }, kMaxViewBytes);
   this->client->Get(aWithServers ? kViewPath : kConfigPath,
                     kViewTimeout,
                     [this](const absl::StatusOr<HttpResponse>& aResponse) {
--- a/src/tagged/udp.cpp
+++ b/src/tagged/udp.cpp
@@ -127,19 +127,27 @@
   return this->buffers[this->usedBuffers++ % kBatchSize];
 }
 
+// A datagram can be refused for itself, as for an address that cannot be
+// reached, so those after it are still tried. If the socket's buffer is full,
+// that holds for all.
 size_t
 SendBatch::Send(int aSocket)
 {
   size_t sent = 0;
-  while (sent < this->size) {
+  size_t next = 0;
+  while (next < this->size) {
     int count = sendmmsg(aSocket,
-                         this->messages.data() + sent,
-                         static_cast<unsigned>(this->size - sent),
+                         this->messages.data() + next,
+                         static_cast<unsigned>(this->size - next),
                          MSG_DONTWAIT);
-    if (count <= 0) {
+    if (count > 0) {
+      sent += static_cast<size_t>(count);
+      next += static_cast<size_t>(count);
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       break;
+    } else {
+      ++next;
     }
-    sent += static_cast<size_t>(count);
   }
   this->size = 0;
   this->usedBuffers = 0;
--- a/src/tagged/udp.h
+++ b/src/tagged/udp.h
@@ -76,7 +76,7 @@
   // builds itself. It is valid until Send, or until kBatchSize further calls.
   std::span<uint8_t> NextBuffer();
   // Sends and empties the batch; returns how many datagrams the socket
-  // accepted. The first one that it refuses and all after it are dropped.
+  // accepted. Those that it refuses are dropped.
   size_t Send(int aSocket);
   size_t Size() const { return this->size; }
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,17 +1,16 @@
 #include "wire/codec.h"
 
+#include "base/bounded_protocol.h"
+
 #include <memory>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace gentianspindle {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
 
 constexpr size_t kMacBytes = 16; // the HMAC is cut to this length
@@ -22,7 +21,7 @@
 struct Scratch
 {
   std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocolT<TMemoryBuffer> protocol{ buffer };
+  BoundedProtocol protocol{ buffer };
 };
 
 // Returns this thread's scratch for encoding, with an empty buffer.
--- a/tests/steer/view_test.cpp
+++ b/tests/steer/view_test.cpp
@@ -109,6 +109,17 @@
   CHECK(At(view, 1).AcceptsNewFlows());
 }
 
+TEST_CASE("A peer's view does not make a server gone whose entry is unreadable")
+{
+  View sender = MakeView();
+  sender.PutServer({ "i-1", 7, false, {} }, kStart);
+  View receiver = MakeView();
+  receiver.PutServers(sender.CopyServers(kStart), kStart);
+  receiver.Tick(kStart + 10 * kSecond);
+  CHECK(At(receiver, 1).registryState == RegistryState::Unreadable);
+  CHECK(At(receiver, 2).registryState == RegistryState::Listed);
+}
+
 TEST_CASE(
   "A server whose entry is unreadable gets no new flows but is not gone")
 {
--- /dev/null
+++ b/tests/tagged/peer_codec_test.cpp
@@ -0,0 +1,87 @@
+// Guards against messages of peers that take far more memory than their bytes,
+// or that lose what the sender knew.
+#include "support/tagged_view.h"
+#include "tagged/peer_codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace gentianspindle {
+
+namespace {
+
+// Returns the start of a compact Thrift struct: field aField, a list of structs
+// that claims 60,000 elements, which do not follow.
+std::string
+MakeLongList(uint8_t aField)
+{
+  return { static_cast<char>(aField << 4 | 9), '\xFC', '\xE0', '\xD4', '\x03' };
+}
+
+}
+
+TEST_CASE(
+  "A list that claims more elements than bytes follow is refused before "
+  "memory is taken for it")
+{
+  auto heartbeat = tagged::DecodeHeartbeat(MakeLongList(15));
+  REQUIRE_FALSE(heartbeat.ok());
+  CHECK(std::string(heartbeat.status().message()).find("size limit") !=
+        std::string::npos);
+  for (uint8_t field : { 2, 5, 7, 9 }) {
+    auto view = tagged::DecodePeerView(MakeLongList(field));
+    bool isKnownField = field != 9;
+    INFO(static_cast<int>(field));
+    CHECK_FALSE(view.ok());
+    if (isKnownField) {
+      CHECK(std::string(view.status().message()).find("size limit") !=
+            std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("Structs nested in unknown fields end the reading, not the process")
+{
+  // Field 14, a struct, in each other.
+  std::string bytes(1'000'000, '\xEC');
+  CHECK_FALSE(tagged::DecodeHeartbeat(bytes).ok());
+  CHECK_FALSE(tagged::DecodePeerView(bytes).ok());
+}
+
+TEST_CASE("A view names the servers whose entries cannot be read")
+{
+  tagged::PeerView view;
+  view.config = MakeConfig(5);
+  view.serversRevision = 90;
+  view.servers = { MakeServer(1), { "i-2", 80, false, {} } };
+  auto decoded = tagged::DecodePeerView(tagged::EncodePeerView(view));
+  REQUIRE(decoded.ok());
+  REQUIRE(decoded->servers.size() == 2);
+  CHECK(decoded->servers[0].entry);
+  CHECK(decoded->servers[1].name == "i-2");
+  CHECK(decoded->servers[1].revision == 80);
+  CHECK_FALSE(decoded->servers[1].entry);
+  CHECK_FALSE(decoded->servers[1].removed);
+}
+
+TEST_CASE("A bit that changed in a message of a peer crashes no decoder")
+{
+  spread::Heartbeat heartbeat;
+  heartbeat.zone = "a";
+  heartbeat.members = { 1, 2, 3 };
+  heartbeat.readers = { { 4, "b" } };
+  heartbeat.recent = { 1, 9, { MakeServer(1), MakeServer(2) } };
+  tagged::PeerView view;
+  view.config = MakeConfig(5);
+  view.servers = { MakeServer(1), { "i-2", 80, false, {} } };
+  for (const std::string& bytes :
+       { tagged::EncodeHeartbeat(heartbeat), tagged::EncodePeerView(view) }) {
+    for (size_t bit = 0; bit < bytes.size() * 8; ++bit) {
+      std::string changed = bytes;
+      changed[bit / 8] = static_cast<char>(changed[bit / 8] ^ 1 << bit % 8);
+      (void)tagged::DecodeHeartbeat(changed);
+      (void)tagged::DecodePeerView(changed);
+    }
+  }
+}
+
+}
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -1,6 +1,9 @@
 #include "tagged/settings.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
 
 namespace gentianspindle {
 
@@ -58,4 +61,47 @@
   }
 }
 
+TEST_CASE("Settings that are very deep, long or large in number are refused")
+{
+  std::string deep(20'000, '[');
+  std::string keys = "a";
+  for (int i = 0; i < 10'000; ++i) {
+    keys += ".a";
+  }
+  std::string longKeys;
+  for (int i = 0; i < 50; ++i) {
+    longKeys += keys + ".";
+  }
+  for (const std::string& extra : {
+         "other = " + deep + std::string(20'000, ']') + "\n",
+         "other = " + deep + "\n",
+         keys + " = 1\n",
+         longKeys + "a = 1\n",
+         "watch_ms = " + std::string(400, '9') + "\n",
+         std::string("watch_ms = 1e999\n"),
+         std::string("watch_ms = nan\n"),
+         std::string("watch_ms = 9223372036854775808\n"),
+         std::string("watch_ms = \"\\ud800\"\n"),
+         std::string("watch_ms = \"\xff\"\n"),
+       }) {
+    INFO(extra.substr(0, 60));
+    CHECK_FALSE(ParseTaggedSettings(kValidSettings + extra, "file").ok());
+  }
+  std::string noNumber = kValidSettings;
+  noNumber.replace(noNumber.find("zone ="), 0, "cores = nan\n");
+  CHECK_FALSE(ParseTaggedSettings(noNumber, "file").ok());
+}
+
+TEST_CASE("A settings file of megabytes is refused")
+{
+  std::string path = std::filesystem::temp_directory_path() /
+                     ("settings-" + std::to_string(getpid()) + ".toml");
+  std::ofstream(path) << kValidSettings << '#' << std::string(1 << 20, 'x');
+  auto settings = LoadTaggedSettings(path);
+  std::filesystem::remove(path);
+  REQUIRE_FALSE(settings.ok());
+  CHECK(std::string(settings.status().message()).find("more than") !=
+        std::string::npos);
+}
+
 }
