Count flows at the service they were placed for, and place held ones once

A server whose entry changes its service left the former service's count of open flows too high, as the end of a flow looked the limit up by the server; the flow's record now points to the limit. A held opening whose flow was placed meanwhile, by another instance or with another service here, was placed again, and `open` of the first server stayed one too high; it is dropped now, as the caller is being served.

--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -208,7 +208,10 @@
     }
     const Route* route = this->view.FindRoute(held->packet.flow.target);
     decision.reason = Reason::RouteRemoved;
-    if (route != nullptr) {
+    if (this->flows.contains(held->packet.flow)) {
+      // Placed meanwhile: by another instance, or with another service here.
+      decision = { .action = Action::Drop, .reason = Reason::HeldAgain };
+    } else if (route != nullptr) {
       decision = this->Place(held->packet, *route, aService, kNoServer, aNow);
     }
   }
@@ -279,7 +282,7 @@
                                 .lastPacketAt = aNow,
                                 .latencyTarget = aRoute.entry.latencyTarget,
                                 .placedHere = true,
-                                .counted = true };
+                                .limit = &admission.limit };
   this->handshakeTimers.push_back({ aPacket.flow, aNow });
   this->idleTimers.push_back({ aPacket.flow, aNow + kQuietTime });
   return { .action = Action::Forward,
@@ -404,7 +407,7 @@
     return;
   }
   FlowRecord& record = known->second;
-  this->ReleaseFromLimit(record);
+  ReleaseFromLimit(record);
   if (this->SameProcess(record)) {
     ServerHealth& health = this->health[record.server];
     --health.open;
@@ -414,15 +417,15 @@
   this->flows.erase(known);
 }
 
-// Stops counting the flow against its service's limit.
+// Stops counting the flow against its service's limit. That is not found by the
+// server, whose entry may have changed its service meanwhile.
 void
 FlowSteering::ReleaseFromLimit(FlowRecord& aRecord)
 {
-  ServiceAdmission* admission = this->AdmissionOf(aRecord.server);
-  if (aRecord.counted && admission != nullptr) {
-    admission->limit.OnEnd();
+  if (aRecord.limit != nullptr) {
+    aRecord.limit->OnEnd();
   }
-  aRecord.counted = false;
+  aRecord.limit = nullptr;
 }
 
 // Returns the floor of a service's limit: 3/4 of this instance's share of the
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -7,6 +7,7 @@
 #include "steer/placer.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/node_hash_map.h"
 
 #include <array>
 #include <deque>
@@ -115,7 +116,8 @@
   bool answered = false;    // the response to the first request was seen
   Micros latencyTarget = 0; // of the route; 0 if another instance placed it
   bool placedHere = false;  // this instance chose the server
-  bool counted = false;     // it counts against the service's limit
+  // Limit that the flow counts against; null: it counts no more.
+  ConcurrencyLimit* limit = nullptr;
 };
 
 // A packet that was held, and what to do with it now.
@@ -228,7 +230,7 @@
   void SyncWithView();
   bool SameProcess(const FlowRecord& aRecord) const;
   void ExpireFlows(Micros aNow);
-  void ReleaseFromLimit(FlowRecord& aRecord);
+  static void ReleaseFromLimit(FlowRecord& aRecord);
   void UpdateLimits(Micros aNow);
   double FlowLimitFloor(std::string_view aService) const;
   static std::string_view PickService(const Route& aRoute, const FlowId& aFlow);
@@ -249,6 +251,7 @@
     std::deque<FlowTimer> counted;
   };
   ServiceAdmission& AdmissionOf(std::string_view aService);
+  // Returns null if no flow of the server's service was ever placed here.
   ServiceAdmission* AdmissionOf(ServerIndex aServer);
   std::optional<ReleasedPacket> ReleaseFrom(const std::string& aService,
                                             ServiceAdmission& aAdmission,
@@ -262,7 +265,8 @@
   // View::ProcessCount at the last SyncWithView.
   uint64_t syncedProcessCount = 0;
   absl::flat_hash_map<FlowId, FlowRecord> flows;
-  absl::flat_hash_map<std::string, ServiceAdmission> admissions; // by service
+  // By service. Flow records point to limits in it, so none is erased.
+  absl::node_hash_map<std::string, ServiceAdmission> admissions;
   size_t heldCount = 0; // held packets of all services
   size_t instanceCount = 1;
   std::deque<FlowTimer> handshakeTimers; // by placement time
--- a/tests/steer/steer_test.cpp
+++ b/tests/steer/steer_test.cpp
@@ -327,6 +327,60 @@
   CHECK(fixture.steer.Release(fixture.now)->decision.action == Action::Forward);
 }
 
+TEST_CASE("A held flow that another instance placed meanwhile is not placed "
+          "again")
+{
+  SteeringFixture fixture;
+  uint16_t port = 7000;
+  for (int i = 0; i < 200; ++i) {
+    Decision opened = fixture.Open(++port);
+    fixture.SendData(port, opened.tag);
+    fixture.now += 300 * kMillisecond;
+    fixture.SendData(port, opened.tag, 2);
+    fixture.SendFin(port, opened.tag);
+    fixture.steer.Tick(fixture.now);
+  }
+  uint16_t held = 0;
+  for (int i = 0; held == 0 && i < 100; ++i) {
+    held = fixture.Open(++port).action == Action::Hold ? port : 0;
+  }
+  REQUIRE(held != 0);
+  fixture.SendData(held, TagOf(1));
+  ServerIndex server = fixture.IndexOf(1);
+  fixture.now += kCountedLatencyTargets * 100 * kMillisecond;
+  fixture.steer.Tick(fixture.now);
+  uint32_t openBefore = fixture.steer.HealthOf(server).open;
+  uint64_t allBefore = fixture.steer.Flows();
+  CHECK(fixture.steer.Release(fixture.now)->decision.action == Action::Drop);
+  CHECK(fixture.steer.HealthOf(server).open == openBefore);
+  CHECK(fixture.steer.Flows() == allBefore);
+  CHECK(
+    fixture.steer.FindFlow(SteeringFixture::MakePacket(held).flow)->server ==
+    server);
+}
+
+TEST_CASE("A flow stops counting against its service when its server moves to "
+          "another one")
+{
+  SteeringFixture fixture;
+  for (uint16_t port = 7000; port < 7030; ++port) {
+    fixture.Open(port);
+  }
+  REQUIRE(fixture.steer.LimitOf("web")->Open() == 30);
+  for (ServerId id : { 1, 2, 3 }) {
+    fixture.steer.CurrentView().PutServer(MakeServer(id, "archive", 2),
+                                          fixture.now);
+  }
+  for (uint16_t port = 7000; port < 7030; ++port) {
+    Packet packet = SteeringFixture::MakePacket(port);
+    packet.rst = true;
+    fixture.steer.OnPacket(packet, true, fixture.now);
+  }
+  fixture.now += kCountedLatencyTargets * 100 * kMillisecond;
+  fixture.steer.Tick(fixture.now);
+  CHECK(fixture.steer.LimitOf("web")->Open() == 0);
+}
+
 TEST_CASE("The concurrency limit never falls below three quarters of the "
           "instance's share of the slots")
 {
