Start slow start only at new servers, and keep reserved slots with their claims

Each change of a service restarted slow start at all of its servers: the old state was overwritten before it was compared. A server lost and regained with an open claim had `reserved` set to 0 while the claim lived on, whose end then wrapped it, and the server got no flows for good. Steps of a walk from 32 on shifted by more than an int has bits; steps from 16 on, which have no bit, count as not passed on.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -34,16 +34,20 @@
   bool first = this->version == 0;
   this->service = aService;
   this->version = aVersion;
+  std::vector<bool> served;
   for (ServerState& server : this->servers) {
+    served.push_back(server.TakesNew());
     server.removed = true;
     server.gone = true;
   }
   Knowledge knowledge = aIsNew || !first ? Knowledge::All : Knowledge::None;
   for (const ServerRow& row : aService.rows) {
     this->EnsureServer(row, knowledge);
-    ServerState& server = this->servers[this->serverIndexes.at(row.address)];
-    bool returns = server.removed || (server.row.draining && !row.draining);
-    if (returns && !first) {
+    ServerIndex index = this->serverIndexes.at(row.address);
+    ServerState& server = this->servers[index];
+    bool isNew = index >= served.size();
+    bool starts = !row.draining && (isNew || !served[index]);
+    if (starts && !first) {
       server.slowStartFrom = aNow;
     }
     server.row = row;
@@ -109,7 +113,6 @@
     this->ownedServerCount += has ? 1 : 0;
     if (has && !had) {
       server.ownedSince = aNow;
-      server.reserved = 0;
       server.formerOwner =
         server.owner == kNoInstance ? aOwnersWithoutSelf[i] : server.owner;
     }
--- a/src/core/server.h
+++ b/src/core/server.h
@@ -17,8 +17,8 @@
 // whether it is back.
 constexpr Micros kTrialPeriod = kSecond;
 // Slow start: a server gets all its slots after this time. It begins when an
-// unresponsive server makes progress, and for each server in the rows with each
-// Engine::SetService after the first.
+// unresponsive server makes progress, and when a table after the first one adds
+// a server or lets it take new flows again.
 constexpr Micros kSlowStartTime = 10 * kSecond;
 // A report that a server is down is ignored within this time after progress of
 // one of its flows.
@@ -51,7 +51,9 @@
   InstanceId formerOwner = kNoInstance;
   Micros ownedSince = 0;
   std::array<uint32_t, kFlowStates> counts{}; // flows by state
-  uint32_t reserved = 0; // slots reserved for claimed flows
+  // Slots reserved for claimed flows. It follows the claims, also while another
+  // instance owns the server.
+  uint32_t reserved = 0;
   // Held flows that may get a slot here; some may no longer be held.
   std::deque<FlowKey> claimable;
 
--- a/src/core/walk.cpp
+++ b/src/core/walk.cpp
@@ -12,6 +12,15 @@
 // at most kRankDepth + 2: one for each ranked server, one back to the arbiter
 // and one for the grant.
 constexpr uint8_t kMaxHops = 24;
+// Number of steps that Flow::passedSteps has a bit for.
+constexpr uint8_t kRecordedSteps = 16;
+
+// Returns the step's bit in Flow::passedSteps; 0 if it has none.
+uint16_t
+StepBit(uint8_t aStep)
+{
+  return aStep < kRecordedSteps ? static_cast<uint16_t>(1U << aStep) : 0;
+}
 
 }
 
@@ -312,20 +321,17 @@
 }
 
 // True where an opening packet of the flow was passed on at this step, here or
-// at a former owner. It tests the bit of the step itself; for steps above 15
-// that is not the bit that RecordPassOn sets, and from step 32 on the shift is
-// undefined.
+// at a former owner. Steps from kRecordedSteps on are not recorded.
 bool
 Engine::HasPassedOn(const PacketContext& aContext) const
 {
   FlowIndex known = this->flows.Find(aContext.Flow());
   return known != kNoFlow &&
-         (this->flows.At(known).passedSteps >> aContext.walk.step & 1U) != 0;
+         (this->flows.At(known).passedSteps & StepBit(aContext.walk.step)) != 0;
 }
 
-// Counts aReason and records that the packet is passed on at this step. Up to
-// step 15, later copies of it are then passed on as well. Bit 15 is set for all
-// steps from 15 on.
+// Counts aReason and records that the packet is passed on at this step; later
+// copies of it are then passed on as well.
 void
 Engine::RecordPassOn(PacketContext& aContext, Reason aReason)
 {
@@ -337,8 +343,7 @@
                          FlowState::Passed,
                          aContext.Now());
   }
-  this->flows.At(flow).passedSteps |=
-    static_cast<uint16_t>(1U << std::min<uint8_t>(aContext.walk.step, 15));
+  this->flows.At(flow).passedSteps |= StepBit(aContext.walk.step);
 }
 
 // Handles a new flow that no candidate server admitted. Its arbiter applies the
