--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -1,5 +1,6 @@
 #include "store/store.h"
 
+#include "base/bounded_protocol.h"
 #include "base/text.h"
 
 #include "absl/strings/escaping.h"
@@ -39,7 +40,7 @@
     reinterpret_cast<uint8_t*>(const_cast<char*>(aBytes.data())),
     static_cast<uint32_t>(aBytes.size()),
     TMemoryBuffer::OBSERVE);
-  TJSONProtocol protocol(buffer);
+  BoundedProtocol<TJSONProtocol> protocol(buffer);
   T message;
   try {
     message.read(&protocol);
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -21,7 +21,7 @@
 Encode(const M& aMessage)
 {
   auto buffer = std::make_shared<TMemoryBuffer>();
-  BoundedProtocol protocol(buffer);
+  BoundedCompactProtocol protocol(buffer);
   aMessage.write(&protocol);
   return buffer->getBufferAsString();
 }
@@ -35,7 +35,7 @@
     auto buffer = std::make_shared<TMemoryBuffer>(
       reinterpret_cast<uint8_t*>(const_cast<char*>(aBytes.data())),
       static_cast<uint32_t>(aBytes.size()));
-    BoundedProtocol protocol(buffer, kMaxTextBytes, kMaxEntries);
+    BoundedCompactProtocol protocol(buffer, kMaxTextBytes, kMaxEntries);
     message.read(&protocol);
   } catch (const std::exception& error) {
     return absl::DataLossError(
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -21,7 +21,7 @@
 struct Scratch
 {
   std::shared_ptr<TMemoryBuffer> buffer = std::make_shared<TMemoryBuffer>();
-  BoundedProtocol protocol{ buffer };
+  BoundedCompactProtocol protocol{ buffer };
 };
 
 // Returns this thread's scratch for encoding, with an empty buffer.
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -168,4 +168,16 @@
   CHECK_FALSE(DecodePart("{broken").ok());
 }
 
+TEST_CASE("A list of a part that claims more elements than bytes follow is "
+          "refused before memory is taken for it")
+{
+  std::string part = EncodePart(MakeTable(Panji()).services[0]);
+  size_t count = part.find("\"rec\",") + 6;
+  REQUIRE(count > 6);
+  part.replace(count, part.find(',', count) - count, "9000000");
+  absl::Status status = DecodePart(part).status();
+  REQUIRE_FALSE(status.ok());
+  CHECK(std::string(status.message()).find("size limit") != std::string::npos);
+}
+
 }
