--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/objects.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 #include <catch2/catch.hpp>
 
@@ -270,8 +271,9 @@
     std::string odd = R"({"name":"odd","host":"198.18.0.1",)"
                       R"("path_prefix":"/8081/","service":)" +
                       value + "}";
-    std::string spec = R"({"version":7,"routes":[)" + good + "," + odd + "," +
-                       good + R"(],"limits":{"idle_timeout_ms":15000}})";
+    std::string spec = absl::StrCat(R"({"version":7,"routes":[)",
+                                    absl::StrJoin({ good, odd, good }, ","),
+                                    R"(],"limits":{"idle_timeout_ms":15000}})");
     auto page =
       ObjectFormat::ParseConfigList(MakeList(MakeObject("main", spec)));
     INFO(value.substr(0, 100));
