Prefer quick servers again: without it callers were served worse

An instance that takes all servers of usual speed for equal tries more servers, and finds each slow or failing one by itself.

--- a/src/steer/evidence.h
+++ b/src/steer/evidence.h
@@ -21,8 +21,6 @@
 // Weight of the newest response time in the moving average, which covers about
 // the last ten responses.
 constexpr double kResponseWeight = 0.1;
-// More responses than the moving average covers say no more.
-constexpr uint32_t kMaxResponses = 10;
 
 // This instance's observations of one server process.
 struct ServerHealth
@@ -33,8 +31,6 @@
   Micros lastProgress = 0;   // when the server was last seen to answer
   Micros backoffUntil = 0;   // no new flows before this time
   double responseMicros = 0; // moving average; 0 if unknown
-  // Number of responses, up to kMaxResponses.
-  uint32_t responses = 0;
 
   // A caller's packet shows that the server answered; ends the backoff.
   void OnProgress(Micros aNow)
@@ -59,7 +55,6 @@
   // A request was answered after aDuration.
   void OnResponse(Micros aDuration)
   {
-    this->responses += this->responses < kMaxResponses ? 1 : 0;
     auto duration = static_cast<double>(aDuration);
     this->responseMicros =
       this->responseMicros == 0
--- a/src/steer/placer.cpp
+++ b/src/steer/placer.cpp
@@ -7,13 +7,9 @@
 
 namespace {
 
-// A server's response time is averaged with so many responses of mean time,
-// as a single long request does not make a slow server.
-constexpr double kPriorResponses = 1;
-// A server counts as slow from this multiple of the mean on. The times of equal
-// servers differ by chance: an instance with few flows would otherwise prefer
-// the few servers that happened to be quick, whatever the others send there.
-constexpr double kSlowResponse = 1.3;
+// A server's response time counts as at least this fraction of the mean, so
+// that a few quick responses do not draw all flows to one server.
+constexpr double kMinRelativeResponse = 0.7;
 // Scores that differ by less are equal; the choice between them is random.
 constexpr double kScoreTolerance = 1e-6;
 
@@ -33,20 +29,6 @@
   return count == 0 ? 0 : sum / count;
 }
 
-// Returns by which factor the server is slower than the mean; 1 if it does not
-// count as slow.
-double
-Slowdown(const ServerHealth& aHealth, double aMeanResponse)
-{
-  if (aMeanResponse <= 0 || aHealth.responses == 0) {
-    return 1;
-  }
-  double ratio = aHealth.responseMicros / aMeanResponse;
-  double weighted = (aHealth.responses * ratio + kPriorResponses) /
-                    (aHealth.responses + kPriorResponses);
-  return weighted < kSlowResponse ? 1 : weighted;
-}
-
 }
 
 // Estimates when one more request would end, in units of the mean response
@@ -63,7 +45,11 @@
 {
   double requestsPerSlot =
     (aHealth.open + 1.0) / std::max(1U, aServer.entry.slots);
-  double slowdown = Slowdown(aHealth, aMeanResponse);
+  double slowdown = 1;
+  if (aMeanResponse > 0 && aHealth.responseMicros > 0) {
+    slowdown =
+      std::max(kMinRelativeResponse, aHealth.responseMicros / aMeanResponse);
+  }
   if (aNow < aServer.warmupUntil) {
     slowdown = std::max(slowdown, this->options.warmupFactor);
   }
