--- a/src/spread/beat.h
+++ b/src/spread/beat.h
@@ -12,18 +12,20 @@
 
 namespace gentianspindle::spread {
 
+constexpr double kMillicoresPerCore = 1000;
+
 // Heartbeats carry a number of cores in whole thousandths, rounded down. An
 // instance compares its own cores in the same form, so that all agree.
 inline int32_t
 ToMillicores(double aCores)
 {
-  return static_cast<int32_t>(aCores * 1000);
+  return static_cast<int32_t>(aCores * kMillicoresPerCore);
 }
 
 inline double
 FromMillicores(int32_t aMillicores)
 {
-  return aMillicores / 1000.0;
+  return aMillicores / kMillicoresPerCore;
 }
 
 // An instance that reads the store.
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -16,6 +16,9 @@
 
 // Longest time between two heartbeats of a reader.
 constexpr Micros kHeartbeatPeriod = 400 * kMillisecond;
+// A reader queries a seed with every so many heartbeats, so that parts of a
+// fleet that do not know each other find each other.
+constexpr uint32_t kHeartbeatsPerSeedQuery = 5;
 // A reader sends updates at once, but with at least this time between two
 // heartbeats.
 constexpr Micros kMinHeartbeatGap = 50 * kMillisecond;
@@ -28,7 +31,8 @@
 // its servers for this time. While the zone has a reader, the view is confirmed
 // more often: a watch waits for one second by default, and a heartbeat follows.
 constexpr Micros kStaleTime = 1800 * kMillisecond;
-// With watches that wait longer, the time is their wait and this.
+// If watches wait for longer than that, the view becomes stale after their wait
+// and this margin.
 constexpr Micros kStaleMargin = 800 * kMillisecond;
 // Without a reader each follower of the zone waits for a random delay, so that
 // one takes over and the others hear of it. Its maximum is
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -8,15 +8,6 @@
 
 namespace gentianspindle::steer {
 
-namespace {
-
-// The record of a flow without packets for this time is erased, so that the
-// flow no longer counts as open at its server. Later packets still find the
-// server by their tag.
-constexpr Micros kQuietTime = 5 * kSecond;
-
-}
-
 const FlowRecord*
 FlowSteering::FindFlow(const FlowId& aFlow) const
 {
@@ -428,97 +419,4 @@
   aRecord.limit = nullptr;
 }
 
-// Returns the floor of a service's limit: 3/4 of this instance's share of the
-// slots that take new flows, and at least 1. With it a wrong estimate of the
-// queues cannot block the service.
-double
-FlowSteering::FlowLimitFloor(std::string_view aService) const
-{
-  constexpr double kFloorFraction = 0.75;
-  uint32_t slots = 0;
-  for (ServerIndex index : this->view.ServersOf(aService)) {
-    const Server& server = this->view.At(index);
-    slots += server.AcceptsNewFlows() ? server.entry.slots : 0;
-  }
-  auto instanceCount =
-    static_cast<double>(std::max<size_t>(1, this->instanceCount));
-  return std::max(1.0, kFloorFraction * slots / instanceCount);
-}
-
-// Sets the floors of the limits, and stops counting flows that were placed
-// kCountedLatencyTargets times their latency target ago.
-void
-FlowSteering::UpdateLimits(Micros aNow)
-{
-  for (auto& [service, admission] : this->admissions) {
-    admission.limit.SetFloor(this->FlowLimitFloor(service));
-    while (!admission.counted.empty() && admission.counted.front().at <= aNow) {
-      auto known = this->flows.find(admission.counted.front().flow);
-      // The timer may belong to an earlier flow with the same ends.
-      bool expired = known != this->flows.end() &&
-                     known->second.placedAt +
-                         kCountedLatencyTargets * known->second.latencyTarget <=
-                       aNow;
-      if (expired) {
-        this->ReleaseFromLimit(known->second);
-      }
-      admission.counted.pop_front();
-    }
-  }
-}
-
-void
-FlowSteering::Tick(Micros aNow)
-{
-  this->view.Tick(aNow);
-  this->SyncWithView();
-  while (!this->handshakeTimers.empty() &&
-         aNow - this->handshakeTimers.front().at >= kHandshakeTimeout) {
-    FlowTimer timer = this->handshakeTimers.front();
-    this->handshakeTimers.pop_front();
-    auto known = this->flows.find(timer.flow);
-    bool open = known != this->flows.end() && known->second.opening &&
-                known->second.placedAt == timer.at;
-    if (open) {
-      this->SuspectServer(known->second, aNow);
-    }
-  }
-  this->ExpireFlows(aNow);
-  this->UpdateLimits(aNow);
-}
-
-void
-FlowSteering::ExpireFlows(Micros aNow)
-{
-  while (!this->idleTimers.empty() && this->idleTimers.front().at <= aNow) {
-    FlowTimer timer = this->idleTimers.front();
-    this->idleTimers.pop_front();
-    auto known = this->flows.find(timer.flow);
-    if (known == this->flows.end()) {
-      continue;
-    }
-    Micros quietAt = known->second.lastPacketAt + kQuietTime;
-    if (quietAt <= aNow) {
-      this->Erase(timer.flow, Outcome::Expired);
-    } else {
-      this->idleTimers.push_back({ timer.flow, quietAt });
-    }
-  }
-}
-
-void
-FlowSteering::OnProcessPause(Micros aNow)
-{
-  for (FlowTimer& timer : this->handshakeTimers) {
-    auto known = this->flows.find(timer.flow);
-    if (known != this->flows.end()) {
-      known->second.suspected = true;
-    }
-  }
-  this->handshakeTimers.clear();
-  for (ServerHealth& health : this->health) {
-    health.backoffUntil = std::min(health.backoffUntil, aNow);
-  }
-}
-
 }
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -14,6 +14,11 @@
 
 namespace gentianspindle::steer {
 
+// The record of a flow without packets for this time is erased, so that the
+// flow no longer counts as open at its server. Later packets still find the
+// server by their tag.
+constexpr Micros kQuietTime = 5 * kSecond;
+
 // What to do with a packet.
 enum class Action : uint8_t
 {
@@ -40,7 +45,8 @@
   ServerGone,    // the flow's server is RegistryState::Gone
   NoTag,         // the packet has no tag and its flow no record
   Held,          // the service is at its limit of open flows
-  HeldAgain,     // retransmission of a held packet
+  HeldAgain,     // retransmission of a held packet, or a held packet whose
+                 // flow was placed meanwhile
   HoldFull,      // the service's hold queue is full
   HeldTooLong,   // the flow was held for kMaxHoldTime
   Count,
@@ -85,7 +91,7 @@
   Closed,     // the caller sent a FIN
   Reset,      // the caller sent a reset, or got one as the server was gone
   Unanswered, // the server did not answer the opening packet
-  // No packets for kQuietTime (in steer.cpp), a new flow with the same ends, or
+  // No packets for kQuietTime, a new flow with the same ends, or
   // the opening packet again after the server's process was replaced.
   Expired,
   Count,
@@ -265,13 +271,14 @@
   // View::ProcessCount at the last SyncWithView.
   uint64_t syncedProcessCount = 0;
   absl::flat_hash_map<FlowId, FlowRecord> flows;
-  // By service. Flow records point to limits in it, so none is erased.
+  // By service. Flow records point to the limits, so no service is erased, and
+  // the kind of map keeps their addresses.
   absl::node_hash_map<std::string, ServiceAdmission> admissions;
   size_t heldCount = 0; // held packets of all services
   size_t instanceCount = 1;
   std::deque<FlowTimer> handshakeTimers; // by placement time
-  // Idle checks, roughly by due time: a check may run late, by up to kQuietTime
-  // (in steer.cpp), the time without packets after which a record is erased.
+  // Idle checks, roughly by due time: a check may run late, by up to
+  // kQuietTime.
   std::deque<FlowTimer> idleTimers;
   FlowSteeringCounts counts;
   LatencySample sample;
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -1,97 +1,10 @@
 // Decisions of one engine, packet by packet.
-#include "core/engine.h"
-#include "support/examples.h"
+#include "support/engine_fixture.h"
 
 #include <catch2/catch.hpp>
 
 namespace gentianspindle {
 
-namespace {
-
-constexpr InstanceId kSelf = 1;
-constexpr InstanceId kPeer = 2;
-constexpr Micros kStart = 1000 * kSecond;
-
-// An engine of instance kSelf for the first service of the example table. The
-// instance owns all servers unless a test changes that.
-struct EngineFixture
-{
-  Service service = MakeTable(Panji()).services[0];
-  EngineOptions options;
-  Engine engine;
-  Micros now = kStart;
-
-  explicit EngineFixture(const EngineOptions& aOptions = {}, bool aIsNew = true)
-    : options(aOptions)
-    , engine(aOptions, kSelf)
-  {
-    this->engine.SetService(this->service, 1, aIsNew, this->now);
-    this->OwnAll(kSelf);
-  }
-
-  // Makes aOwner the owner of every server.
-  void OwnAll(InstanceId aOwner)
-  {
-    std::vector<InstanceId> owners(this->engine.Servers().size(), aOwner);
-    this->engine.SetOwners(owners, owners, {}, this->now);
-  }
-
-  // Hands a packet of the caller to the engine; with aWalk, one that a peer has
-  // relayed.
-  Outbox Send(FlowKey aFlow,
-              uint8_t aFlags,
-              uint32_t aSequence = 100,
-              uint32_t aAck = 0,
-              uint32_t aBytes = 0,
-              const Walk* aWalk = nullptr)
-  {
-    Segment segment;
-    segment.service = this->service.key;
-    segment.flow = aFlow;
-    segment.flags = aFlags;
-    segment.sequence = aSequence;
-    segment.acknowledged = aAck;
-    segment.payload = aBytes;
-    std::vector<uint8_t> packet(40, 1);
-    Outbox out;
-    Arrival arrival{ .now = this->now,
-                     .segment = &segment,
-                     .packet = packet,
-                     .relayed = aWalk != nullptr,
-                     .version = this->engine.Version(),
-                     .walk = aWalk != nullptr ? *aWalk : Walk{} };
-    this->engine.OnPacket(arrival, out);
-    return out;
-  }
-
-  // Lets aDelay pass and ticks the engine.
-  Outbox Tick(Micros aDelay)
-  {
-    this->now += aDelay;
-    Outbox out;
-    this->engine.OnTick(this->now, out);
-    return out;
-  }
-
-  // Fills all 28 slots, 2 at each of 14 servers, with flows that wait for their
-  // responses.
-  void FillSlots()
-  {
-    FlowKey flow = 1'000'000;
-    for (size_t admitted = 0; admitted < 28; ++flow) {
-      Outbox out = this->Send(flow, kTcpSyn);
-      if (out[0].action == Action::Forward) {
-        this->Send(flow, kTcpAck, 101, 1);
-        this->Send(flow, kTcpAck, 101, 1, 50);
-        ++admitted;
-      }
-    }
-    this->Tick(500 * kMillisecond); // held flows time out
-  }
-};
-
-}
-
 TEST_CASE("A new flow goes to its default server and stays there")
 {
   EngineFixture test;
@@ -460,50 +373,4 @@
   CHECK(test.Send(7, 0, 0, 0, 20)[0].server == server);
 }
 
-TEST_CASE(
-  "A change of the table starts slow start only at servers that are new "
-  "or take new flows again")
-{
-  EngineFixture test;
-  auto slots = [&] {
-    uint32_t sum = 0;
-    for (const ServerState& server : test.engine.Servers()) {
-      sum += server.Slots(test.now);
-    }
-    return sum;
-  };
-  uint32_t all = slots();
-  test.service.waitMs += 1;
-  test.now += kSecond;
-  test.engine.SetService(test.service, 2, false, test.now);
-  CHECK(slots() == all);
-  uint32_t slotsOfOne = test.service.rows[0].slots;
-  test.service.rows[0].draining = true;
-  test.engine.SetService(test.service, 3, false, test.now);
-  test.service.rows[0].draining = false;
-  test.engine.SetService(test.service, 4, false, test.now);
-  CHECK(slots() == all - slotsOfOne + 1);
-}
-
-TEST_CASE(
-  "A server that is lost and regained with an open claim takes new flows "
-  "once the claim has ended")
-{
-  EngineFixture test;
-  Outbox out;
-  // Peers hold flows, and the engine claims each for one of its servers.
-  for (FlowKey flow = 1; flow <= 20; ++flow) {
-    test.engine.OnNote({ NoteKind::Held, flow, 0, kPeer }, test.now, out);
-  }
-  REQUIRE(out.size() == 20);
-  test.OwnAll(kPeer);
-  test.OwnAll(kSelf);
-  for (FlowKey flow = 1; flow <= 20; ++flow) {
-    test.engine.OnNote({ NoteKind::Void, flow, 0, kPeer }, test.now, out);
-  }
-  for (const ServerState& server : test.engine.Servers()) {
-    CHECK(server.reserved == 0);
-  }
-}
-
 }
