--- a/src/base/json_text.cpp
+++ b/src/base/json_text.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr size_t kEnd = std::string_view::npos;
+constexpr size_t kNotFound = std::string_view::npos;
 
 // Reads a text from its start to its end. It counts brackets in place of
 // recursion, so its memory does not grow with the depth of a value.
@@ -39,7 +39,7 @@
     this->SkipSpace();
     size_t start = this->at;
     size_t end = this->EndOfString(start);
-    if (end == kEnd) {
+    if (end == kNotFound) {
       return std::nullopt;
     }
     this->at = end;
@@ -60,7 +60,7 @@
     size_t end = first == '"'                   ? this->EndOfString(start)
                  : first == '[' || first == '{' ? this->EndOfNested(value.depth)
                                                 : this->EndOfScalar();
-    if (end == kEnd || end == start) {
+    if (end == kNotFound || end == start) {
       return std::nullopt;
     }
     this->at = end;
@@ -72,27 +72,27 @@
   void SkipSpace()
   {
     size_t next = this->text.find_first_not_of(" \t\r\n", this->at);
-    this->at = next == kEnd ? this->text.size() : next;
+    this->at = next == kNotFound ? this->text.size() : next;
   }
 
   // Returns the index after the string that starts at aStart.
   size_t EndOfString(size_t aStart) const
   {
     if (aStart >= this->text.size() || this->text[aStart] != '"') {
-      return kEnd;
+      return kNotFound;
     }
     size_t i = this->text.find_first_of("\"\\", aStart + 1);
-    while (i != kEnd && this->text[i] == '\\') {
-      i = i + 2 > this->text.size() ? kEnd
+    while (i != kNotFound && this->text[i] == '\\') {
+      i = i + 2 > this->text.size() ? kNotFound
                                     : this->text.find_first_of("\"\\", i + 2);
     }
-    return i == kEnd ? kEnd : i + 1;
+    return i == kNotFound ? kNotFound : i + 1;
   }
 
   size_t EndOfScalar() const
   {
     size_t end = this->text.find_first_of(",:[]{}\" \t\r\n", this->at);
-    return end == kEnd ? this->text.size() : end;
+    return end == kNotFound ? this->text.size() : end;
   }
 
   size_t EndOfNested(size_t& aDepth) const
@@ -103,8 +103,8 @@
       char c = this->text[i];
       if (c == '"') {
         i = this->EndOfString(i);
-        if (i == kEnd) {
-          return kEnd;
+        if (i == kNotFound) {
+          return kNotFound;
         }
         continue;
       }
@@ -119,7 +119,7 @@
         return i;
       }
     }
-    return kEnd;
+    return kNotFound;
   }
 
   std::string_view text;
--- a/src/base/settings_reader.cpp
+++ b/src/base/settings_reader.cpp
@@ -296,12 +296,8 @@
   std::string text(kMaxSettingsBytes + 1, '\0');
   file.read(text.data(), static_cast<std::streamsize>(text.size()));
   text.resize(static_cast<size_t>(file.gcount()));
-  if (text.size() > kMaxSettingsBytes) {
-    return absl::InvalidArgumentError(absl::StrCat("read settings: ",
-                                                   aPath,
-                                                   " has more than ",
-                                                   kMaxSettingsBytes,
-                                                   " bytes"));
+  if (absl::Status status = CheckSize(text.size(), aPath); !status.ok()) {
+    return status;
   }
   return text;
 }
--- a/src/tagged/list_watcher.h
+++ b/src/tagged/list_watcher.h
@@ -32,7 +32,8 @@
 // A list with more objects than this counts as unreadable, to bound the memory
 // that a store whose pages do not end can take.
 constexpr size_t kMaxListedObjects = 65'536;
-// Bound of one response; a page of a list is far smaller.
+// A longer response of the store counts as a failed connection. A page of a
+// list is far smaller.
 constexpr size_t kMaxStoreBodyBytes = 16 * 1024 * 1024;
 // Backoff of retries: the upper limit of the delay grows by this factor between
 // these bounds. The delay is random, from half of the limit to all of it, so
--- a/src/tagged/peers.cpp
+++ b/src/tagged/peers.cpp
@@ -7,7 +7,7 @@
 // Paths of a whole view and of a view without servers.
 constexpr char kViewPath[] = "/view";
 constexpr char kConfigPath[] = "/config";
-// Bound of a received view.
+// A longer view of a peer is refused.
 constexpr size_t kMaxViewBytes = 4 * 1024 * 1024;
 
 }
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -113,6 +113,7 @@
   void ExchangeWithPeers(Micros aNow);
   void LogServers(std::span<const steer::ServerChange> aChanges,
                   std::string_view aSource);
+  // Counts and logs an entry that cannot be read, once a version.
   void ReportUnreadable(EntryKind aKind,
                         std::string_view aName,
                         uint64_t aRevision);
--- a/src/tagged/unreadable_entries.h
+++ b/src/tagged/unreadable_entries.h
@@ -25,6 +25,7 @@
 
 using EntryCounts = std::array<uint64_t, kEntryKindNames.size()>;
 
+// Remembers which version of each unreadable entry was counted.
 class UnreadableEntries
 {
 public:
@@ -47,8 +48,8 @@
   const EntryCounts& Counts() const { return this->counts; }
 
 private:
-  // Bounds the memory. When it is reached, entries are counted and logged once
-  // more.
+  // Number of entries whose versions are kept, to bound the memory. When it is
+  // reached, all are forgotten, and counted and logged once more.
   static constexpr size_t kMaxRemembered = 4096;
 
   absl::flat_hash_map<std::string, uint64_t> revisions;
--- a/tests/fuzz/translation_fuzz.cpp
+++ b/tests/fuzz/translation_fuzz.cpp
@@ -1,7 +1,7 @@
 // libFuzzer target: no input from the fabric, the store or a settings file
 // crashes the code that parses it, no packet has as many bytes of data as its
-// datagram has in all, and an odd entry leaves the others of its list readable.
-// The first byte of the input selects the parser.
+// datagram has in all, and a malformed entry leaves the others of its list
+// readable. The first byte of the input selects the parser.
 #include "base/json_text.h"
 #include "platform/objects.h"
 #include "platform/wire.h"
@@ -14,7 +14,7 @@
 // Puts aValue, if it ends where a value can end, into an entry between two good
 // ones, as the whole object, its spec, or a member of the spec.
 void
-CheckOddEntry(std::string_view aValue)
+CheckMalformedEntry(std::string_view aValue)
 {
   using gentianspindle::platform::ObjectFormat;
   std::string value(aValue);
@@ -26,13 +26,14 @@
     R"({"meta":{"name":"i-1","revision":4},"spec":{"service":"s",)"
     R"("address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready",)"
     R"("warmup_left_ms":0}})";
-  for (const std::string& odd :
+  for (const std::string& malformed :
        { value,
          R"({"meta":{"name":"i-2","revision":5},"spec":)" + value + "}",
          R"({"meta":{"name":"i-2"},"spec":{"service":"s","x":)" + value +
            "}}" }) {
-    auto page = ObjectFormat::ParseServersList(
-      R"({"items":[)" + good + "," + odd + "," + good + R"(],"as_of":9})");
+    auto page =
+      ObjectFormat::ParseServersList(R"({"items":[)" + good + "," + malformed +
+                                     "," + good + R"(],"as_of":9})");
     bool followed = page.ok() && page->changes.size() >= 2 &&
                     page->changes.front().entry && page->changes.back().entry;
     if (!followed) {
@@ -66,7 +67,7 @@
     case 1:
       (void)platform::ObjectFormat::ParseServersList(text);
       (void)platform::ObjectFormat::ParseServersWatch(text);
-      CheckOddEntry(text);
+      CheckMalformedEntry(text);
       break;
     case 2:
       (void)platform::ObjectFormat::ParseConfigList(text);
--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -7,6 +7,7 @@
 #include <httplib.h>
 #include <spawn.h>
 #include <sstream>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <system_error>
@@ -29,7 +30,7 @@
 constexpr uint16_t kFirstReturnPort = 21'000;
 
 // Reserves a network for this process, as long as it runs: a bound socket that
-// stays open keeps other test processes from it. Returns 0 if none is left.
+// stays open keeps other test processes from it. Throws if none is left.
 uint8_t
 ReserveNet()
 {
@@ -44,7 +45,7 @@
     }
     close(fd);
   }
-  return 0;
+  throw std::runtime_error("no free loopback network for a fleet");
 }
 
 }
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -27,6 +27,7 @@
   // Availability zone of each instance.
   std::vector<std::string> zones;
 
+  // Throws std::runtime_error if no network is free.
   static LocalFleet Make(const std::string& aPlatform,
                          const std::vector<std::string>& aZones);
   // Address of the instance with this index.
--- a/tests/support/tagged_load.cpp
+++ b/tests/support/tagged_load.cpp
@@ -67,7 +67,9 @@
     for (size_t i = 0; i < aOptions.instances; ++i) {
       FlowSteeringOptions steeringOptions;
       steeringOptions.placer.zone = this->Zone(i);
-      steeringOptions.placer.randomSeed = static_cast<uint32_t>(this->random());
+      // Not drawn from `random`, whose sequence the callers use.
+      steeringOptions.placer.randomSeed =
+        static_cast<uint32_t>(aOptions.seed * aOptions.instances + i + 1);
       steeringOptions.hold = aOptions.policy == TaggedPolicy::Product;
       this->instances.push_back(
         std::make_unique<FlowSteering>(steeringOptions));
--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -65,7 +65,7 @@
 
 // Returns values that are no valid name, number or list.
 std::vector<std::string>
-MakeOddValues()
+MakeMalformedValues()
 {
   return { "1e999",
            std::string(400, '9'),
@@ -78,18 +78,18 @@
            '"' + std::string(100'000, 'x') + '"' };
 }
 
-// Returns the specs of servers that cannot be read: with an odd value as a
-// member that is read, and with one beside the members that are read.
+// Returns the specs of servers that cannot be read: with a malformed value as
+// a member that is read, and with one beside the members that are read.
 std::vector<std::string>
-MakeOddSpecs()
+MakeMalformedSpecs()
 {
   std::vector<std::string> specs;
   std::string valid = MakeServerSpec("ready");
-  for (const std::string& value : MakeOddValues()) {
+  for (const std::string& value : MakeMalformedValues()) {
     specs.push_back(R"({"service":)" + value + "," + valid.substr(1));
   }
   // A long text that is not read is no fault.
-  std::vector<std::string> values = MakeOddValues();
+  std::vector<std::string> values = MakeMalformedValues();
   values.pop_back();
   for (const std::string& value : values) {
     specs.push_back(R"({"other":)" + value + "," + valid.substr(1));
@@ -201,17 +201,17 @@
   CHECK_FALSE(page->changes[0].config);
 }
 
-TEST_CASE("An odd entry costs only itself, in lists and in watches, and keeps "
-          "its name")
+TEST_CASE("A malformed entry keeps its name and leaves the others readable, in "
+          "lists and in watches")
 {
   std::string first = MakeObject("i-1", MakeServerSpec("ready"));
   std::string last = MakeObject("i-3", MakeServerSpec("ready"));
-  for (const std::string& spec : MakeOddSpecs()) {
-    std::string odd = MakeObject("i-2", spec);
+  for (const std::string& spec : MakeMalformedSpecs()) {
+    std::string malformed = MakeObject("i-2", spec);
     auto list = ObjectFormat::ParseServersList(
-      MakeList(absl::StrCat(first, ",", odd, ",", last)));
+      MakeList(absl::StrCat(first, ",", malformed, ",", last)));
     auto watch =
-      ObjectFormat::ParseServersWatch(MakeEvents({ first, odd, last }));
+      ObjectFormat::ParseServersWatch(MakeEvents({ first, malformed, last }));
     for (const auto* page : { &list, &watch }) {
       INFO(spec.substr(0, 100));
       REQUIRE(page->ok());
@@ -227,16 +227,16 @@
 TEST_CASE("Objects without a readable name are counted and left out")
 {
   std::string valid = MakeObject("i-1", MakeServerSpec("ready"));
-  for (const std::string& odd : {
+  for (const std::string& malformed : {
          std::string("17"),
          MakeObject("\\ud800", MakeServerSpec("ready")),
          MakeObject("", MakeServerSpec("ready")),
          Nested(2'000'000, "[", "]"),
          Nested(2'000'000, "{\"meta\":", "}"),
        }) {
-    auto page =
-      ObjectFormat::ParseServersList(MakeList(absl::StrCat(valid, ",", odd)));
-    INFO(odd.substr(0, 100));
+    auto page = ObjectFormat::ParseServersList(
+      MakeList(absl::StrCat(valid, ",", malformed)));
+    INFO(malformed.substr(0, 100));
     REQUIRE(page.ok());
     CHECK(page->changes.size() == 1);
     CHECK(page->unnamed == 1);
@@ -263,17 +263,18 @@
         "/-/objects/servers?after=a%20b%26c%3D%0A%23%25");
 }
 
-TEST_CASE("An odd route costs only itself")
+TEST_CASE("A malformed route leaves the others readable")
 {
   std::string good = R"({"name":"a","host":"198.18.0.1",)"
                      R"("path_prefix":"/8080/","service":"s"})";
-  for (const std::string& value : MakeOddValues()) {
-    std::string odd = R"({"name":"odd","host":"198.18.0.1",)"
-                      R"("path_prefix":"/8081/","service":)" +
-                      value + "}";
-    std::string spec = absl::StrCat(R"({"version":7,"routes":[)",
-                                    absl::StrJoin({ good, odd, good }, ","),
-                                    R"(],"limits":{"idle_timeout_ms":15000}})");
+  for (const std::string& value : MakeMalformedValues()) {
+    std::string malformed = R"({"name":"malformed","host":"198.18.0.1",)"
+                            R"("path_prefix":"/8081/","service":)" +
+                            value + "}";
+    std::string spec =
+      absl::StrCat(R"({"version":7,"routes":[)",
+                   absl::StrJoin({ good, malformed, good }, ","),
+                   R"(],"limits":{"idle_timeout_ms":15000}})");
     auto page =
       ObjectFormat::ParseConfigList(MakeList(MakeObject("main", spec)));
     INFO(value.substr(0, 100));
@@ -282,13 +283,13 @@
     CHECK(page->changes[0].config->routes.size() == 2);
     CHECK(page->changes[0].config->idle == 15 * kSecond);
     CHECK(page->changes[0].unreadableRoutes ==
-          std::vector<std::string>{ "odd" });
+          std::vector<std::string>{ "malformed" });
   }
 }
 
-TEST_CASE("A configuration whose version is odd is unreadable")
+TEST_CASE("A configuration whose version is malformed is unreadable")
 {
-  for (const std::string& value : MakeOddValues()) {
+  for (const std::string& value : MakeMalformedValues()) {
     auto page = ObjectFormat::ParseConfigList(MakeList(
       MakeObject("main", R"({"version":)" + value + R"(,"routes":[]})")));
     REQUIRE(page.ok());
