--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for program in freeze; do
+for program in freeze settings odd; do
   g++ -std=c++20 -O1 -Wall -Wextra -pthread \
     review/standin/rig.cpp review/standin/ends.cpp \
     "review/standin/$program.cpp" -o "target/review/$program"
--- a/review/standin/ends.cpp
+++ b/review/standin/ends.cpp
@@ -68,7 +68,7 @@
 Host::Receive()
 {
   ReceiveAll(this->fd, [this](const std::string& bytes, uint32_t from) {
-    if (bytes.size() < 8) {
+    if (bytes.size() < 8 || !this->listening) {
       return;
     }
     uint64_t intended = 0;
@@ -173,10 +173,13 @@
     std::string request =
       packet.data.substr(idAt, packet.data.find('\r', idAt) - idAt);
     this->world.record->Line("request " + request + " runs at " +
-                             this->Name());
+                             this->Name() + " of " + this->service);
     if (story != nullptr) {
       for (FlowStory::Request& one : story->requests) {
-        one.runs += one.id == request ? 1 : 0;
+        if (one.id == request) {
+          ++one.runs;
+          one.ranAt.insert(this->service);
+        }
       }
     }
     flow.unacked = "HTTP/1.1 200 OK\r\nServer-Seal: " + this->Name() +
@@ -249,6 +252,7 @@
   uint16_t port = this->nextPort++;
   FlowStory& story = this->world.stories.emplace_back();
   story.number = static_cast<int>(this->world.stories.size());
+  story.route = this->route;
   story.openingSentAt = Now();
   this->world.byEnds[{ { this->at.address, port }, this->route }] = &story;
   Flow flow;
@@ -289,7 +293,7 @@
   --flow.requestsLeft;
   std::string id = std::to_string(flow.story->number) + "-" +
                    std::to_string(flow.story->requests.size() + 1);
-  flow.story->requests.push_back({ id, Now() });
+  flow.story->requests.push_back({ .id = id, .sentAt = Now() });
   flow.request =
     "GET /stock HTTP/1.1\r\nHost: a\r\nAttempt-Id: " + id + "\r\n\r\n";
   flow.response.clear();
--- a/review/standin/ends.h
+++ b/review/standin/ends.h
@@ -10,6 +10,7 @@
 struct FlowStory
 {
   int number = 0;
+  Endpoint route;
   Ms openedAt = -1; // when a host got the end of the handshake
   int host = -1;    // that host
   // Packets of the client, other than opening ones, in the order in which they
@@ -28,7 +29,8 @@
   {
     std::string id;
     Ms sentAt, answeredAt = -1, gaveUpAt = -1;
-    int runs = 0;
+    int runs = 0; // how often it ran
+    std::set<std::string> ranAt = {}; // services whose hosts ran it
   };
   std::vector<Request> requests;
   Ms resetAt = -1; // the client got a reset on the open flow
@@ -51,6 +53,7 @@
   uint64_t id;
   Endpoint at;
   std::string service;
+  bool listening = true; // false: it has not started yet
   int fd;
 
 private:
