--- a/review/standin/freeze.cpp
+++ b/review/standin/freeze.cpp
@@ -11,7 +11,21 @@
 constexpr Ms kStableWindow = 5000; // stable_window_ms
 constexpr Ms kReorder = 2000;      // reorder_ms
 constexpr Ms kIdleTimeout = 15000; // idle_timeout_ms
-constexpr Ms kFreezeAt = 3000, kFreezeFor = 1000, kEnd = 30000;
+constexpr Ms kFreezeAt = 3000;
+
+// The two cases with a freeze.
+struct Variant
+{
+  Ms freezeFor;
+  Ms pauseFrom, pauseTo; // between the requests of a flow
+  Ms end;
+  // Only flows count that were open before the instance woke.
+  bool openBeforeWake;
+};
+// Too short for the routers to notice.
+constexpr Variant kShort{ 1000, 6000, 8000, 30000, false };
+// Long enough for the flows to be opened through another instance.
+constexpr Variant kLong{ 4000, 9000, 11000, 36000, true };
 
 // FLOW (b): for reorder_ms three or more packets of an open flow reach other
 // hosts and none its own. Only spans from aFrom on are looked at.
@@ -41,7 +55,7 @@
 }
 
 int
-Play(Record& record)
+Play(Record& record, const Variant& variant)
 {
   const char* trouble = std::getenv("TROUBLE");
   bool disrupt = trouble == nullptr || std::string(trouble) != "0";
@@ -95,10 +109,10 @@
   bool woken = false;
   Ms wakeAt = 0;
   ClientOptions options;
-  options.pauseFrom = 6000;
-  options.pauseTo = 8000;
+  options.pauseFrom = variant.pauseFrom;
+  options.pauseTo = variant.pauseTo;
   options.requests = 3;
-  world.Run(start + kEnd, [&] {
+  world.Run(start + variant.end, [&] {
     Ms at = Now() - start;
     if (at < 8000 && Now() >= nextFlow) {
       nextFlow += 50;
@@ -108,7 +122,7 @@
       frozen = true;
       fleet.Signal(fleet.instances[0], SIGSTOP);
     }
-    if (frozen && !woken && at >= kFreezeAt + kFreezeFor) {
+    if (frozen && !woken && at >= kFreezeAt + variant.freezeFor) {
       woken = true;
       wakeAt = Now();
       fleet.Signal(fleet.instances[0], SIGCONT);
@@ -129,15 +143,18 @@
       answered += request.answeredAt >= 0 ? 1 : 0;
       unanswered += request.gaveUpAt >= 0 ? 1 : 0;
     }
+    bool counts =
+      story.host >= 0 &&
+      (!disrupt || !variant.openBeforeWake || story.openedAt < wakeAt);
     // All machines are in touch stable_window_ms after the end of the freeze.
     const FlowStory::Arrival* strayed =
-      story.host < 0 ? nullptr
-                     : Strayed(story, disrupt ? wakeAt + kStableWindow : 0);
+      counts ? Strayed(story, disrupt ? wakeAt + kStableWindow : 0) : nullptr;
     if (strayed != nullptr) {
       ++broken;
       std::ostringstream line;
       line << "FLOW (b) broken: flow " << story.number << " is open at "
-           << world.hosts[story.host].Name() << ", but from "
+           << world.hosts[story.host].Name() << " since "
+           << static_cast<long>(story.openedAt) << " ms, but from "
            << static_cast<long>(strayed->at) << " ms on its packets reach "
            << world.hosts[strayed->host].Name() << " through "
            << strayed->through;
@@ -162,6 +179,7 @@
 int
 main(int, char** arguments)
 {
+  bool isLong = std::string(arguments[2]) == "long";
   // Ends without destructors, as threads of the store still run.
-  std::_Exit(Play(*new Record(arguments[1])));
+  std::_Exit(Play(*new Record(arguments[1]), isLong ? kLong : kShort));
 }
