--- a/review/standin/ends.cpp
+++ b/review/standin/ends.cpp
@@ -96,12 +96,11 @@
     if (story != nullptr && story->openingAt.count(this->number) == 0) {
       story->openingAt[this->number] = Now();
       story->openingThrough = through;
-      this->world.record->Line(
-        "flow " + std::to_string(story->number) + ": opening packet reaches " +
-        this->Name() + " through " + through);
+      this->world.record->Line("flow " + std::to_string(story->number) +
+                               ": opening packet reaches " + this->Name() +
+                               " through " + through);
     }
-    if (known == this->flows.end() ||
-        known->second.clientSeq != packet.seq) {
+    if (known == this->flows.end() || known->second.clientSeq != packet.seq) {
       Flow flow;
       flow.clientSeq = packet.seq;
       flow.clientNext = packet.seq + 1;
@@ -172,8 +171,8 @@
     size_t idAt = packet.data.find("Attempt-Id: ") + 12;
     std::string request =
       packet.data.substr(idAt, packet.data.find('\r', idAt) - idAt);
-    this->world.record->Line("request " + request + " runs at " +
-                             this->Name() + " of " + this->service);
+    this->world.record->Line("request " + request + " runs at " + this->Name() +
+                             " of " + this->service);
     if (story != nullptr) {
       for (FlowStory::Request& one : story->requests) {
         if (one.id == request) {
@@ -190,10 +189,8 @@
     flow.sendAt = Now() + kWork;
     flow.next += static_cast<uint32_t>(flow.unacked.size());
   }
-  this->Send(flow,
-             kAck,
-             flow.next - static_cast<uint32_t>(flow.unacked.size()),
-             "");
+  this->Send(
+    flow, kAck, flow.next - static_cast<uint32_t>(flow.unacked.size()), "");
 }
 
 void
@@ -273,8 +270,8 @@
 {
   Packet packet;
   packet.seq = flow.next;
-  packet.ack = flags & kSyn ? static_cast<uint32_t>(flow.synCopies)
-                            : flow.expected;
+  packet.ack =
+    flags & kSyn ? static_cast<uint32_t>(flow.synCopies) : flow.expected;
   packet.flags = flags;
   packet.from = { this->at.address, port };
   packet.to = this->route;
@@ -405,8 +402,8 @@
       if (flow.synCopies <= 2) {
         this->Send(port, flow, kSyn, "");
       }
-      flow.nextAt = flow.story->openingSentAt +
-                    (flow.synCopies == 1 ? 600 : 1400);
+      flow.nextAt =
+        flow.story->openingSentAt + (flow.synCopies == 1 ? 600 : 1400);
     } else if (flow.closing) {
       this->Send(port, flow, kFin | kAck, "");
       flow.nextAt = now + flow.wait;
--- a/review/standin/ends.h
+++ b/review/standin/ends.h
@@ -29,7 +29,7 @@
   {
     std::string id;
     Ms sentAt, answeredAt = -1, gaveUpAt = -1;
-    int runs = 0; // how often it ran
+    int runs = 0;                     // how often it ran
     std::set<std::string> ranAt = {}; // services whose hosts ran it
   };
   std::vector<Request> requests;
--- a/review/standin/freeze.cpp
+++ b/review/standin/freeze.cpp
@@ -77,7 +77,8 @@
     "main",
     "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"" +
       Text(route.address) +
-      "\",\"path_prefix\":\"/443/\",\"type\":\"idempotent\",\"timeout_ms\":4000,"
+      "\",\"path_prefix\":\"/443/"
+      "\",\"type\":\"idempotent\",\"timeout_ms\":4000,"
       "\"slo_ms\":500,\"priority\":1,\"service\":\"orders\",\"max_attempts\":2}"
       "],\"services\":[{\"name\":\"orders\",\"health_path\":\"/health\","
       "\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
@@ -143,9 +144,8 @@
       answered += request.answeredAt >= 0 ? 1 : 0;
       unanswered += request.gaveUpAt >= 0 ? 1 : 0;
     }
-    bool counts =
-      story.host >= 0 &&
-      (!disrupt || !variant.openBeforeWake || story.openedAt < wakeAt);
+    bool counts = story.host >= 0 && (!disrupt || !variant.openBeforeWake ||
+                                      story.openedAt < wakeAt);
     // All machines are in touch stable_window_ms after the end of the freeze.
     const FlowStory::Arrival* strayed =
       counts ? Strayed(story, disrupt ? wakeAt + kStableWindow : 0) : nullptr;
@@ -179,7 +179,6 @@
 int
 main(int, char** arguments)
 {
-  bool isLong = std::string(arguments[2]) == "long";
-  // Ends without destructors, as threads of the store still run.
-  std::_Exit(Play(*new Record(arguments[1]), isLong ? kLong : kShort));
+  const Variant& variant = std::string(arguments[2]) == "long" ? kLong : kShort;
+  RunCase(arguments[1], [&](Record& record) { return Play(record, variant); });
 }
--- a/review/standin/odd.cpp
+++ b/review/standin/odd.cpp
@@ -47,9 +47,8 @@
             "main",
             "{\"version\":7,\"routes\":[" +
               RouteText("r-1", stockRoute, "katalog") + "," +
-              RouteText("r-2", sheetRoute, "arsip-pola") +
-              "],\"services\":[" + ServiceText("katalog") + "," +
-              ServiceText("arsip-pola") +
+              RouteText("r-2", sheetRoute, "arsip-pola") + "],\"services\":[" +
+              ServiceText("katalog") + "," + ServiceText("arsip-pola") +
               "],\"limits\":{\"idle_timeout_ms\":15000}}");
   Fleet fleet(deployment, record);
   World world;
@@ -114,8 +113,7 @@
   int unanswered = 0;
   int wrong = 0;
   for (const FlowStory& story : world.stories) {
-    std::string allowed =
-      story.route == stockRoute ? "katalog" : "arsip-pola";
+    std::string allowed = story.route == stockRoute ? "katalog" : "arsip-pola";
     for (const FlowStory::Request& request : story.requests) {
       answered += request.answeredAt >= 0 ? 1 : 0;
       unanswered += request.gaveUpAt >= 0 ? 1 : 0;
@@ -144,6 +142,5 @@
 int
 main(int, char** arguments)
 {
-  // Ends without destructors, as threads of the store still run.
-  std::_Exit(Play(*new Record(arguments[1])));
+  RunCase(arguments[1], Play);
 }
--- a/review/standin/rig.cpp
+++ b/review/standin/rig.cpp
@@ -91,8 +91,7 @@
   object.spec = spec;
   object.revision = ++this->revision;
   object.created = isNew ? this->revision : object.created;
-  this->events.push_back(
-    { this->revision, kind, Render(name, object), false });
+  this->events.push_back({ this->revision, kind, Render(name, object), false });
   this->changed.notify_all();
   return this->revision;
 }
@@ -182,8 +181,8 @@
   bool first = true;
   for (const Event& event : this->events) {
     if (event.kind == kind && event.revision > since) {
-      out << (first ? "" : ",") << "{\"tombstone\":"
-          << (event.tombstone ? "true" : "false")
+      out << (first ? "" : ",")
+          << "{\"tombstone\":" << (event.tombstone ? "true" : "false")
           << ",\"object\":" << event.object << "}";
       first = false;
     }
@@ -215,8 +214,8 @@
                          std::to_string(body.size()) + "\r\n\r\n" + body;
     size_t sent = 0;
     while (sent < answer.size()) {
-      ssize_t count = send(
-        fd, answer.data() + sent, answer.size() - sent, MSG_NOSIGNAL);
+      ssize_t count =
+        send(fd, answer.data() + sent, answer.size() - sent, MSG_NOSIGNAL);
       if (count <= 0) {
         close(fd);
         return;
@@ -301,8 +300,7 @@
   packet.ack = Get(bytes, 4, 4);
   packet.flags = static_cast<uint8_t>(bytes[8]);
   packet.sum = Get(bytes, 12, 4);
-  packet.from = { Get(bytes, 18, 4),
-                  static_cast<uint16_t>(Get(bytes, 16, 2)) };
+  packet.from = { Get(bytes, 18, 4), static_cast<uint16_t>(Get(bytes, 16, 2)) };
   packet.to = { Get(bytes, 24, 4), static_cast<uint16_t>(Get(bytes, 22, 2)) };
   packet.echo = Get(bytes, 28, 4);
   packet.data = bytes.substr(32);
@@ -473,7 +471,8 @@
 Fleet::Ended(Instance& instance)
 {
   int status = 0;
-  if (instance.pid <= 0 || waitpid(instance.pid, &status, WNOHANG) != instance.pid) {
+  if (instance.pid <= 0 ||
+      waitpid(instance.pid, &status, WNOHANG) != instance.pid) {
     return std::nullopt;
   }
   instance.pid = 0;
@@ -491,8 +490,8 @@
     bool was = instance.InRotation();
     instance.misses = ready ? 0 : instance.misses + 1;
     if (was != instance.InRotation()) {
-      this->record.Line(instance.name + (ready ? " is in rotation"
-                                               : " is out of rotation"));
+      this->record.Line(instance.name +
+                        (ready ? " is in rotation" : " is out of rotation"));
     }
     while (Now() < next && !this->ending) {
       usleep(10000);
@@ -517,8 +516,8 @@
     if (instance.zone != zone || (!useAll && !instance.InRotation())) {
       continue;
     }
-    size_t score = std::hash<std::string>{}(instance.name + Text(from) + "-" +
-                                            Text(to));
+    size_t score =
+      std::hash<std::string>{}(instance.name + Text(from) + "-" + Text(to));
     if (best == nullptr || score > bestScore) {
       best = &instance;
       bestScore = score;
@@ -544,4 +543,17 @@
   return false;
 }
 
+void
+RunCase(const std::string& recordPath, const std::function<int(Record&)>& play)
+{
+  int code = kCannotRun;
+  try {
+    // Threads of the store may use it until the process ends.
+    code = play(*new Record(recordPath));
+  } catch (const CannotRunError& error) {
+    std::cerr << "cannot run: " << error.why << std::endl;
+  }
+  std::_Exit(code);
+}
+
 }
--- a/review/standin/rig.h
+++ b/review/standin/rig.h
@@ -53,11 +53,16 @@
 constexpr int kBroken = 1;
 constexpr int kCannotRun = 2;
 
+// Why a case can't be played. RunCase turns it into the exit code.
+struct CannotRunError
+{
+  std::string why;
+};
+
 [[noreturn]] inline void
 CannotRun(const std::string& why)
 {
-  std::cerr << "cannot run: " << why << std::endl;
-  std::exit(kCannotRun);
+  throw CannotRunError{ why };
 }
 
 // record.txt: one line an event, with the time in milliseconds.
@@ -279,6 +284,11 @@
   std::vector<std::thread> checks;
 };
 
+// Plays a case and ends the process with its exit code, without the destructors
+// of static objects, as threads of the store still run.
+[[noreturn]] void
+RunCase(const std::string& recordPath, const std::function<int(Record&)>& play);
+
 // GETs a path with a time limit, and returns the status; 0: no answer.
 int
 HttpStatus(Endpoint at, const std::string& path, Ms limit);
--- a/review/standin/settings.cpp
+++ b/review/standin/settings.cpp
@@ -129,8 +129,7 @@
   int after = 0;
   int servedAfter = 0;
   for (const FlowStory& story : world.stories) {
-    bool served =
-      !story.requests.empty() && story.requests[0].answeredAt >= 0;
+    bool served = !story.requests.empty() && story.requests[0].answeredAt >= 0;
     if (story.openingSentAt < start + kRollAt) {
       ++before;
       servedBefore += served ? 1 : 0;
@@ -144,7 +143,8 @@
   std::ostringstream summary;
   for (const Machine& machine : machines) {
     failing += machine.endsByItself >= 3 ? 1 : 0;
-    summary << machine.instance->name << ": exit codes" << machine.exits << "; ";
+    summary << machine.instance->name << ": exit codes" << machine.exits
+            << "; ";
   }
   summary << "served before the roll " << servedBefore << " of " << before
           << ", later than recovery_s after it " << servedAfter << " of "
@@ -162,6 +162,5 @@
 int
 main(int, char** arguments)
 {
-  // Ends without destructors, as threads of the store still run.
-  std::_Exit(Play(*new Record(arguments[1])));
+  RunCase(arguments[1], Play);
 }
