--- a/review/standin/settings.cpp
+++ b/review/standin/settings.cpp
@@ -5,7 +5,8 @@
 
 namespace {
 
-constexpr Ms kChangeAt = 3000, kRollAt = 5000, kRollGap = 3000, kEnd = 40000;
+constexpr Ms kChangeAt = 3000, kChangeGap = 1000, kRollAt = 6000,
+             kRollGap = 3000, kEnd = 40000;
 constexpr Ms kGrace = 6000;       // grace_s before the change, and longer
 constexpr Ms kRestartDelay = 500; // "after a short delay"
 constexpr Ms kRecovery = 12000;   // recovery_s of panji-lb
@@ -76,7 +77,7 @@
     machine.termAt = start + kRollAt + kRollGap * (machines.size() - 1.0);
   }
   Ms nextFlow = start;
-  bool changed = false;
+  size_t changed = 0; // instances whose settings file has changed
   Ms backAt = 0; // when the last machine was started again after its SIGTERM
   ClientOptions options;
   options.requests = 1;
@@ -87,14 +88,16 @@
       nextFlow += 50;
       world.clients[0].Open(options);
     }
-    if (disrupt && !changed && now >= start + kChangeAt) {
-      changed = true;
+    // One instance at a time, so that half of the machines get a signal.
+    bool isDue = changed < fleet.instances.size() &&
+                 now >= start + kChangeAt + kChangeGap * changed;
+    if (disrupt && isDue) {
+      Instance& instance = fleet.instances[changed++];
       fleet.deployment.graceS = "5.5";
-      record.Line("the settings files change: grace_s is 5.5 now");
-      for (Instance& instance : fleet.instances) {
-        fleet.WriteSettings(instance);
-        fleet.Signal(instance, SIGHUP);
-      }
+      record.Line("the settings file of " + instance.name +
+                  " changes: grace_s is 5.5 now");
+      fleet.WriteSettings(instance);
+      fleet.Signal(instance, SIGHUP);
     }
     for (Machine& machine : machines) {
       Instance& instance = *machine.instance;
