Send the copies of one opening packet to one server after a pause

Cause: FlowSteering::OnRetransmission took each copy of an opening packet as a sign that the server had been silent for 200 ms. The copies that a stopped process finds in its socket are handled microseconds apart: the log of such a flow has placed, and 13 and 61 us later placed_again, each with another server. All of these servers answer, and the caller returns the tag of the last answer.

Ruled out: changes of the view or of a server's process (same revisions and starts in all lines), and the other instance (not involved).

Change: the socket records the arrival of each packet (SO_TIMESTAMPNS), and steer::Packet has the time that an opening packet waited. A copy counts against a server only if it arrived kHandshakeTimeout after the packet before it was sent. FlowRecord::sentAt is later than placedAt if the process was stopped between the decision and the sending (OnSendDelay). Lines of opening packets have queued_ms, so that a late packet can be told from a silent server.

--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -212,11 +212,13 @@
   return ReleasedPacket{ held->packet, this->Count(decision) };
 }
 
-// The caller has seen no answer for 200 ms or more. A flow whose handshake was
-// answered stays at its server. If the server answered other flows since, it is
-// alive: the packet or its answer was lost, and a second server would answer a
-// second time. If it answered none, or takes no new flows, the flow gets
-// another server.
+// The caller had seen no answer when it sent this copy. A flow whose handshake
+// was answered stays at its server. If the server answered other flows since,
+// it is alive: the packet or its answer was lost, and a second server would
+// answer a second time. If the copy reached this instance before the server
+// could answer, it shows nothing; copies that waited in the socket together
+// were all sent before the first of them was forwarded. Else, or if the server
+// takes no new flows, the flow gets another server.
 Decision
 FlowSteering::OnRetransmission(const Packet& aPacket,
                                FlowRecord& aRecord,
@@ -225,14 +227,19 @@
 {
   const Server& server = this->view.At(aRecord.server);
   const ServerHealth& health = this->health[aRecord.server];
-  bool alive = !aRecord.opening || health.lastProgress > aRecord.placedAt;
-  if (alive && (server.AcceptsNewFlows() || !aRecord.opening)) {
+  Micros arrivedAt = aNow - aPacket.queueTime;
+  bool couldAnswer = arrivedAt - aRecord.sentAt >= kHandshakeTimeout;
+  bool alive = !aRecord.opening || health.lastProgress > aRecord.sentAt;
+  bool stays = alive || !couldAnswer;
+  if (stays && (server.AcceptsNewFlows() || !aRecord.opening)) {
     return { .action = Action::Forward,
              .reason = Reason::Repeated,
              .server = aRecord.server,
              .tag = server.tag };
   }
-  this->SuspectServer(aRecord, aNow);
+  if (couldAnswer) {
+    this->SuspectServer(aRecord, aNow);
+  }
   ServerIndex excluded = aRecord.server;
   this->Erase(aPacket.flow, Outcome::Unanswered);
   std::string_view service = PickService(aRoute, aPacket.flow);
@@ -270,6 +277,7 @@
                                 .generation = server.generation,
                                 .openingSeq = aPacket.seq,
                                 .placedAt = aNow,
+                                .sentAt = aNow,
                                 .lastPacketAt = aNow,
                                 .latencyTarget = aRoute.entry.latencyTarget,
                                 .placedHere = true,
@@ -384,7 +392,7 @@
   }
   aRecord.suspected = true;
   ServerHealth& health = this->health[aRecord.server];
-  if (health.lastProgress <= aRecord.placedAt) {
+  if (health.lastProgress <= aRecord.sentAt) {
     health.OnUnanswered(aNow);
     ++this->counts.suspected;
   }
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -113,6 +113,9 @@
   // When the server was chosen; if another instance chose it, when this one saw
   // the flow's first data.
   Micros placedAt = 0;
+  // When the opening packet was sent to the server: at placedAt, or later if
+  // the process was stopped in between.
+  Micros sentAt = 0;
   Micros requestAt = 0;    // when the first data was seen; 0: not yet
   Micros lastPacketAt = 0; // when a packet last updated the record
   bool opening = true;     // the handshake is not yet answered
@@ -185,6 +188,9 @@
   // 50 ms: only the next call notices a handshake that has been unanswered for
   // kHandshakeTimeout, 60 ms.
   void Tick(Micros aNow);
+  // The packets of the flows that were placed at aPlacedFrom or later were sent
+  // only at aSentAt, as the process was stopped meanwhile.
+  void OnSendDelay(Micros aPlacedFrom, Micros aSentAt);
   // This process was paused. Handshakes that were open meanwhile say nothing
   // about the servers, and servers in backoff may be tried again.
   void OnProcessPause(Micros aNow);
@@ -245,7 +251,7 @@
   struct FlowTimer
   {
     FlowId flow;
-    Micros at = 0; // due time; in handshakeTimers the time of placement
+    Micros at = 0; // due time; in handshakeTimers the time of sending
   };
   // Admission state of one service.
   struct ServiceAdmission
@@ -276,7 +282,7 @@
   absl::node_hash_map<std::string, ServiceAdmission> admissions;
   size_t heldCount = 0; // held packets of all services
   size_t instanceCount = 1;
-  std::deque<FlowTimer> handshakeTimers; // by placement time
+  std::deque<FlowTimer> handshakeTimers; // by the time of sending
   // Idle checks, roughly by due time: a check may run late, by up to
   // kQuietTime.
   std::deque<FlowTimer> idleTimers;
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -55,7 +55,7 @@
     this->handshakeTimers.pop_front();
     auto known = this->flows.find(timer.flow);
     bool open = known != this->flows.end() && known->second.opening &&
-                known->second.placedAt == timer.at;
+                known->second.sentAt == timer.at;
     if (open) {
       this->SuspectServer(known->second, aNow);
     }
@@ -83,6 +83,21 @@
   }
 }
 
+void
+FlowSteering::OnSendDelay(Micros aPlacedFrom, Micros aSentAt)
+{
+  for (auto timer = this->handshakeTimers.rbegin();
+       timer != this->handshakeTimers.rend() && timer->at >= aPlacedFrom;
+       ++timer) {
+    auto known = this->flows.find(timer->flow);
+    // The timer may belong to an earlier flow with the same ends.
+    if (known != this->flows.end() && known->second.sentAt == timer->at) {
+      known->second.sentAt = aSentAt;
+    }
+    timer->at = aSentAt;
+  }
+}
+
 void
 FlowSteering::OnProcessPause(Micros aNow)
 {
--- a/src/steer/types.h
+++ b/src/steer/types.h
@@ -102,6 +102,9 @@
   bool syn = false;
   bool fin = false;
   bool rst = false;
+  // Of an opening packet: how long it waited in the instance's socket, as it
+  // does while the process is paused. 0 for other packets.
+  Micros queueTime = 0;
 };
 
 // Index of a server in the view.
--- a/src/tagged/loop.cpp
+++ b/src/tagged/loop.cpp
@@ -1,7 +1,5 @@
 #include "tagged/loop.h"
 
-#include <ctime>
-
 namespace gentianspindle::tagged {
 
 namespace {
@@ -11,7 +9,7 @@
 {
   timespec now{};
   clock_gettime(aClock, &now);
-  return now.tv_sec * kSecond + now.tv_nsec / 1000;
+  return ToMicros(now);
 }
 
 }
@@ -28,6 +26,18 @@
   return ReadClock(CLOCK_BOOTTIME);
 }
 
+Micros
+TimeOfDay()
+{
+  return ReadClock(CLOCK_REALTIME);
+}
+
+Micros
+ToMicros(const timespec& aTime)
+{
+  return aTime.tv_sec * kSecond + aTime.tv_nsec / 1000;
+}
+
 Timer::Timer(event_base* aBase, std::function<void()> aCallback)
   : callback(std::move(aCallback))
 {
--- a/src/tagged/loop.h
+++ b/src/tagged/loop.h
@@ -4,6 +4,7 @@
 
 #include "base/time.h"
 
+#include <ctime>
 #include <event2/event.h>
 #include <functional>
 #include <memory>
@@ -29,6 +30,12 @@
 Micros
 BootNow();
 
+// Returns the time of day in microseconds since 1970. It may jump.
+Micros
+TimeOfDay();
+Micros
+ToMicros(const timespec& aTime);
+
 // Calls aCallback once after each Start, unless Stop comes before. A second
 // Start replaces the first.
 class Timer
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -21,6 +21,9 @@
 constexpr Micros kTickPeriod = 50 * kMillisecond;
 // A tick that is late by more than this means that the process was paused.
 constexpr Micros kPauseThreshold = 800 * kMillisecond;
+// If packets are sent later than this after their decision, their flows'
+// records get the time of the sending.
+constexpr Micros kMaxSendDelay = 10 * kMillisecond;
 // Period of the checks whether the settings file has changed, as it may change
 // without a signal.
 constexpr Micros kSettingsCheckPeriod = 1 * kSecond;
@@ -62,13 +65,17 @@
   void StartSignals();
 
   void OnReadable();
-  void OnDatagram(std::span<uint8_t> aBytes);
+  // Handles one datagram of receiveBatch.
+  void OnDatagram(size_t aIndex);
+  Micros QueueTime(size_t aIndex) const;
+  void RecordArrivals();
   void ExecuteDecision(const steer::Decision& aDecision,
                        const steer::Packet& aPacket,
                        std::span<uint8_t> aBytes);
   void ReleaseHeld();
   void Send(std::span<uint8_t> aBytes, Endpoint aTo);
   void SendAll();
+  void CheckSendDelay();
   void AddServerFields(LogLine& aLine, steer::ServerIndex aServer) const;
   void LogDecision(const steer::Decision& aDecision,
                    const steer::Packet& aPacket,
@@ -129,7 +136,10 @@
   Micros stopRequestedAt = 0;
   bool stopping = false;
   bool receiving = false; // packets are received from the socket
-  PortCounts port;        // counts of the socket for packets
+  // When the socket was last known to hold no packet, by BootNow.
+  Micros socketEmptyAt = BootNow();
+  bool socketDrained = false; // the last batch left no packet in the socket
+  PortCounts port;            // counts of the socket for packets
   Histogram handshake;
   Histogram response;
 };
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -39,6 +39,7 @@
   }
   std::unique_ptr<Node> node(
     new Node(aBase, aSettings, *std::move(socket), aSettingsPath));
+  node->RecordArrivals();
   Node* self = node.get();
   node->readable.reset(event_new(
     aBase,
@@ -56,6 +57,20 @@
   return node;
 }
 
+// Without the times of arrival QueueTime returns upper bounds, and more opening
+// packets than necessary count as late.
+template<Platform P>
+void
+Node<P>::RecordArrivals()
+{
+  absl::Status status = this->socket.RecordArrivals();
+  if (!status.ok()) {
+    LogLine line("arrivals_not_recorded");
+    line.Text("problem", status.ToString());
+    this->Write(line);
+  }
+}
+
 template<Platform P>
 void
 Node<P>::Run()
@@ -169,25 +184,44 @@
 {
   this->now = SteadyNow();
   this->lastPacketAt = this->now;
+  Micros polledAt = BootNow();
   size_t count = this->receiveBatch.Receive(this->socket.Descriptor());
   for (size_t i = 0; i < count; ++i) {
-    this->OnDatagram(this->receiveBatch.At(i));
+    this->OnDatagram(i);
   }
+  this->socketDrained = count < kBatchSize;
+  this->socketEmptyAt = this->socketDrained ? polledAt : this->socketEmptyAt;
   this->SendAll();
   this->ReleaseHeld();
+  this->CheckSendDelay();
+}
+
+// Returns how long a datagram waited in the socket. If its arrival was not
+// recorded, it may have come at any time since the socket was last known to be
+// empty.
+template<Platform P>
+Micros
+Node<P>::QueueTime(size_t aIndex) const
+{
+  std::optional<Micros> measured = this->receiveBatch.QueueTime(aIndex);
+  return measured ? *measured : BootNow() - this->socketEmptyAt;
 }
 
 template<Platform P>
 void
-Node<P>::OnDatagram(std::span<uint8_t> aBytes)
+Node<P>::OnDatagram(size_t aIndex)
 {
+  std::span<uint8_t> bytes = this->receiveBatch.At(aIndex);
   ++this->port.packetsIn;
-  this->port.bytesIn += aBytes.size() - kHeadroom;
-  std::optional<steer::Packet> packet = P::Decode(aBytes.subspan(kHeadroom));
+  this->port.bytesIn += bytes.size() - kHeadroom;
+  std::optional<steer::Packet> packet = P::Decode(bytes.subspan(kHeadroom));
   if (!packet) {
     ++this->port.badPackets;
     return;
   }
+  if (packet->syn) {
+    packet->queueTime = this->QueueTime(aIndex);
+  }
   steer::Decision decision = this->steer.OnPacket(
     *packet, this->sync->IsConfigFresh(this->now), this->now);
   const steer::LatencySample& sample = this->steer.LastSample();
@@ -196,8 +230,8 @@
   } else if (sample.response) {
     this->response.Add(sample.duration);
   }
-  this->LogDecision(decision, *packet, aBytes.subspan(kHeadroom));
-  this->ExecuteDecision(decision, *packet, aBytes);
+  this->LogDecision(decision, *packet, bytes.subspan(kHeadroom));
+  this->ExecuteDecision(decision, *packet, bytes);
 }
 
 template<Platform P>
@@ -261,6 +295,19 @@
   }
 }
 
+// A process that is stopped between its decisions and the sending forwards
+// opening packets later than their records say; their servers could not answer
+// meanwhile.
+template<Platform P>
+void
+Node<P>::CheckSendDelay()
+{
+  Micros sentAt = SteadyNow();
+  if (sentAt - this->now > kMaxSendDelay) {
+    this->steer.OnSendDelay(this->now, sentAt);
+  }
+}
+
 // Adds the server's entry, and its health as this instance sees it.
 template<Platform P>
 void
@@ -313,7 +360,8 @@
     this->AddServerFields(line, aDecision.server);
   }
   if (aPacket.syn) {
-    line.Real("score", aDecision.placement.score)
+    line.Number("queued_ms", aPacket.queueTime / kMillisecond)
+      .Real("score", aDecision.placement.score)
       .Real("next_score", aDecision.placement.nextScore)
       .Number("candidates", aDecision.placement.candidates)
       .Number("suspects", aDecision.placement.suspects);
@@ -348,6 +396,11 @@
   Micros boot = BootNow();
   Micros elapsed =
     std::max(at - this->lastTickAt, boot - this->lastTickBootTime);
+  // The event loop polls the socket between two ticks; if it had found packets,
+  // OnReadable would have set a later time.
+  if (this->socketDrained) {
+    this->socketEmptyAt = std::max(this->socketEmptyAt, this->lastTickBootTime);
+  }
   this->lastTickAt = at;
   this->lastTickBootTime = boot;
   if (elapsed > kTickPeriod + kPauseThreshold) {
@@ -358,6 +411,7 @@
   this->steer.SetInstanceCount(this->sync->FleetSize());
   this->steer.Tick(at);
   this->ReleaseHeld();
+  this->CheckSendDelay();
   if (!this->log) {
     this->StartLogAndMetrics();
   }
--- a/src/tagged/udp.cpp
+++ b/src/tagged/udp.cpp
@@ -1,5 +1,7 @@
 #include "tagged/udp.h"
 
+#include "tagged/loop.h"
+
 #include "absl/strings/str_cat.h"
 
 #include <cerrno>
@@ -52,6 +54,21 @@
   return udpSocket;
 }
 
+absl::Status
+UdpSocket::RecordArrivals() const
+{
+  int enabled = 1;
+  if (setsockopt(this->descriptor,
+                 SOL_SOCKET,
+                 SO_TIMESTAMPNS,
+                 &enabled,
+                 sizeof enabled) != 0) {
+    return absl::UnavailableError(
+      absl::StrCat("record arrivals of datagrams: ", strerror(errno)));
+  }
+  return absl::OkStatus();
+}
+
 UdpSocket::UdpSocket(UdpSocket&& aOther) noexcept
   : descriptor(aOther.descriptor)
 {
@@ -87,9 +104,14 @@
 size_t
 ReceiveBatch::Receive(int aSocket)
 {
-  for (size_t i = 0; this->recordSources && i < kBatchSize; ++i) {
-    this->messages[i].msg_hdr.msg_name = &this->addresses[i];
-    this->messages[i].msg_hdr.msg_namelen = sizeof this->addresses[i];
+  for (size_t i = 0; i < kBatchSize; ++i) {
+    msghdr& header = this->messages[i].msg_hdr;
+    header.msg_control = &this->arrivals[i];
+    header.msg_controllen = sizeof this->arrivals[i];
+    if (this->recordSources) {
+      header.msg_name = &this->addresses[i];
+      header.msg_namelen = sizeof this->addresses[i];
+    }
   }
   int count =
     recvmmsg(aSocket, this->messages.data(), kBatchSize, MSG_DONTWAIT, nullptr);
@@ -103,6 +125,22 @@
            kHeadroom + this->messages[aIndex].msg_len };
 }
 
+// The kernel records arrivals in the time of day.
+std::optional<Micros>
+ReceiveBatch::QueueTime(size_t aIndex) const
+{
+  const msghdr& header = this->messages[aIndex].msg_hdr;
+  const cmsghdr* control = CMSG_FIRSTHDR(&header);
+  if (control == nullptr || control->cmsg_level != SOL_SOCKET ||
+      control->cmsg_type != SCM_TIMESTAMPNS) {
+    return std::nullopt;
+  }
+  timespec arrival{};
+  std::memcpy(&arrival, CMSG_DATA(control), sizeof arrival);
+  Micros queueTime = TimeOfDay() - ToMicros(arrival);
+  return queueTime < 0 ? std::nullopt : std::optional(queueTime);
+}
+
 bool
 SendBatch::Add(std::span<uint8_t> aBytes, Endpoint aTo)
 {
--- a/src/tagged/udp.h
+++ b/src/tagged/udp.h
@@ -2,12 +2,15 @@
 #pragma once
 
 #include "base/address.h"
+#include "base/time.h"
 #include "tagged/transport.h"
 
 #include "absl/status/statusor.h"
 
 #include <array>
+#include <ctime>
 #include <netinet/in.h>
+#include <optional>
 #include <span>
 #include <sys/socket.h>
 #include <vector>
@@ -28,6 +31,8 @@
 {
 public:
   static absl::StatusOr<UdpSocket> Bind(Endpoint aListen);
+  // Lets the kernel record when each datagram arrives.
+  absl::Status RecordArrivals() const;
   UdpSocket(UdpSocket&& aOther) noexcept;
   UdpSocket(const UdpSocket&) = delete;
   UdpSocket& operator=(const UdpSocket&) = delete;
@@ -56,14 +61,24 @@
   Endpoint From(size_t aIndex) const;
   // Returns the headroom and the datagram.
   std::span<uint8_t> At(size_t aIndex);
+  // Returns how long a datagram has been in this process or the socket's
+  // buffer; nullopt if the kernel didn't record its arrival, or if the time of
+  // day was set back since.
+  std::optional<Micros> QueueTime(size_t aIndex) const;
 
 private:
   static constexpr size_t kStride = kHeadroom + kDatagramBufferBytes;
+  // Control message in which the kernel returns the time of arrival.
+  struct alignas(cmsghdr) ArrivalBuffer
+  {
+    std::array<uint8_t, CMSG_SPACE(sizeof(timespec))> bytes{};
+  };
   std::vector<uint8_t> bytes;
   bool recordSources;
   std::array<iovec, kBatchSize> parts{};
   std::array<mmsghdr, kBatchSize> messages{};
   std::array<sockaddr_in, kBatchSize> addresses{};
+  std::array<ArrivalBuffer, kBatchSize> arrivals{};
 };
 
 // Datagrams to be sent together. Their bytes must stay valid until Send.
--- a/tests/steer/steer_test.cpp
+++ b/tests/steer/steer_test.cpp
@@ -39,11 +39,13 @@
     return packet;
   }
 
-  // The caller on aPort sends its opening packet (SYN).
-  Decision Open(uint16_t aPort)
+  // The caller on aPort sends its opening packet (SYN), which then waits for
+  // aQueueTime in the instance's socket.
+  Decision Open(uint16_t aPort, Micros aQueueTime = 0)
   {
     Packet packet = MakePacket(aPort);
     packet.syn = true;
+    packet.queueTime = aQueueTime;
     return this->steer.OnPacket(packet, true, this->now);
   }
 
@@ -181,6 +183,53 @@
   CHECK(fixture.SendData(7000, repeated.tag).server == repeated.server);
 }
 
+// Guards against flows that are moved to another server later: copies that
+// waited in the socket of a paused process went to one server each, all of them
+// answered, and the caller took over the tag of a late answer.
+TEST_CASE("Copies of an opening packet that waited together go to one server")
+{
+  SteeringFixture fixture;
+  Decision first = fixture.Open(7000, 100 * kMillisecond);
+  // Many packets are handled between the copies, so that the second one comes
+  // up later than kHandshakeTimeout after the first.
+  fixture.now += 2 * kHandshakeTimeout;
+  for (Micros queueTime : { 200 * kMillisecond, 130 * kMillisecond }) {
+    Decision copy = fixture.Open(7000, queueTime);
+    CHECK(copy.action == Action::Forward);
+    CHECK(copy.reason == Reason::Repeated);
+    CHECK(copy.server == first.server);
+  }
+  CHECK(fixture.steer.HealthOf(first.server).unanswered == 0);
+}
+
+TEST_CASE("A copy that came when the server could have answered leaves it")
+{
+  SteeringFixture fixture;
+  Decision first = fixture.Open(7000);
+  fixture.now += kHandshakeTimeout + 10 * kMillisecond;
+  CHECK(fixture.Open(7000, 11 * kMillisecond).server == first.server);
+  CHECK(fixture.Open(7000, 10 * kMillisecond).reason == Reason::PlacedAgain);
+}
+
+// Guards against the same fault if the process is stopped after it has chosen
+// the server and before it sends the packet.
+TEST_CASE("Copies that came before a delayed opening packet was sent leave it "
+          "at its server")
+{
+  SteeringFixture fixture;
+  Micros placedAt = fixture.now;
+  Decision first = fixture.Open(7000);
+  fixture.now += kSecond;
+  fixture.steer.OnSendDelay(placedAt, fixture.now);
+  for (Micros queueTime : { 800 * kMillisecond, 400 * kMillisecond }) {
+    Decision copy = fixture.Open(7000, queueTime);
+    CHECK(copy.reason == Reason::Repeated);
+    CHECK(copy.server == first.server);
+  }
+  fixture.steer.Tick(fixture.now);
+  CHECK(fixture.steer.HealthOf(first.server).unanswered == 0);
+}
+
 TEST_CASE("An opening packet repeated after the handshake stays at its server")
 {
   SteeringFixture fixture;
--- a/tests/support/tagged_process.h
+++ b/tests/support/tagged_process.h
@@ -56,12 +56,14 @@
 };
 
 // Builds a packet without data from port aPort of 127.0.0.1 to kTarget: an
-// opening packet, or one with the ACK flag, 64. platform/wire.cpp has the
-// offsets.
+// opening packet, or one with the ACK flag, 64. aAck is the acknowledgement, or
+// how many copies of the opening packet were sent before. platform/wire.cpp has
+// the offsets.
 inline std::vector<uint8_t>
-MakePacket(uint16_t aPort, bool aSyn, steer::Tag aTag = 0)
+MakePacket(uint16_t aPort, bool aSyn, steer::Tag aTag = 0, uint8_t aAck = 0)
 {
   std::vector<uint8_t> bytes(32);
+  bytes[7] = aAck;
   bytes[8] = aSyn ? 1 : 64;
   auto put16 = [&](size_t aOffset, uint32_t aValue) {
     bytes[aOffset] = static_cast<uint8_t>(aValue >> 8);
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -94,6 +94,59 @@
   CHECK(daemon.WaitForExit() == 0);
 }
 
+namespace {
+
+// Sends opening packets from new ports until one reaches a server, and returns
+// how many packets from aPort the servers got before it. Packets are handled in
+// the order in which they were sent, so no more of them will come.
+std::vector<size_t>
+CountPackets(const Daemon& aDaemon,
+             const Fixture& aFixture,
+             std::span<const BoundSocket* const> aServers,
+             uint16_t aPort)
+{
+  std::vector<size_t> counts(aServers.size());
+  uint16_t probe = 20000;
+  bool arrived = Eventually([&] {
+    aDaemon.Send(MakePacket(++probe, true), aFixture.fabricSocket);
+    bool probeArrived = false;
+    for (size_t i = 0; i < aServers.size(); ++i) {
+      for (auto bytes = aServers[i]->Receive(20); bytes.size() == 40;
+           bytes = aServers[i]->Receive(20)) {
+        uint16_t port = static_cast<uint16_t>(bytes[24] << 8 | bytes[25]);
+        counts[i] += port == aPort ? 1 : 0;
+        probeArrived = probeArrived || port != aPort;
+      }
+    }
+    return probeArrived;
+  });
+  CHECK(arrived);
+  return counts;
+}
+
+}
+
+// Guards against a paused process that sends the copies of one opening packet
+// to several servers.
+TEST_CASE("Copies of an opening packet that waited while the process was "
+          "stopped reach one server")
+{
+  Fixture fixture;
+  BoundSocket other = BoundSocket::Make();
+  fixture.store.Put("servers", "i-75bc4be3ce", ServerSpec(other.endpoint));
+  Daemon daemon(fixture.port);
+  REQUIRE(Eventually([&] { return daemon.ReadinessStatus() == 200; }));
+  kill(daemon.pid, SIGSTOP);
+  for (uint8_t copy : { 0, 1, 2 }) {
+    daemon.Send(MakePacket(7000, true, 0, copy), fixture.fabricSocket);
+  }
+  kill(daemon.pid, SIGCONT);
+  std::array<const BoundSocket*, 2> servers{ &fixture.serverSocket, &other };
+  std::vector<size_t> counts =
+    CountPackets(daemon, fixture, servers, uint16_t{ 7000 });
+  CHECK((counts[0] == 0 || counts[1] == 0));
+}
+
 TEST_CASE(
   "Settings are reloaded with and without a signal, and bad ones change "
   "nothing")
