Bound waits in the socket more tightly where arrivals are not recorded

Cause: where the kernel returns no time of arrival, a packet counts as having waited since the socket was last known to be empty. The first packet of a process counted from the start of the process, however long ago (9.9 s seen), and packets on an idle socket from the tick before the last.

Change: the loop polls the socket when a tick is due, so that the due time bounds the wait, also before the first packet. The metric gentianspindle_arrivals_unknown_total shows that waits are only bounds.

tagged_test passes.

--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -154,6 +154,9 @@
   counter("bad_packets_total",
           "Datagrams dropped because they are not valid packets",
           aSource.port.badPackets);
+  counter("arrivals_unknown_total",
+          "Opening packets whose arrival the kernel did not record",
+          aSource.port.arrivalsUnknown);
   counter("send_failed_total",
           "Packets that could not be sent",
           aSource.port.sendFailed);
--- a/src/tagged/metrics.h
+++ b/src/tagged/metrics.h
@@ -38,6 +38,8 @@
   uint64_t bytesIn = 0;    // of packetsIn
   uint64_t badPackets = 0; // datagrams that are not packets
   uint64_t sendFailed = 0;
+  // Opening packets for whose arrival there is only a lower bound.
+  uint64_t arrivalsUnknown = 0;
 };
 
 // All values that the metrics are made of.
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -67,7 +67,7 @@
   void OnReadable();
   // Handles one datagram of receiveBatch.
   void OnDatagram(size_t aIndex);
-  Micros QueueTime(size_t aIndex) const;
+  Micros QueueTime(size_t aIndex);
   void RecordArrivals();
   void ExecuteDecision(const steer::Decision& aDecision,
                        const steer::Packet& aPacket,
@@ -83,6 +83,7 @@
 
   void OnView();
   void OnTick();
+  void BoundQueueTime();
   void OnProcessPause(Micros aDuration);
   void OnStop();
   void CheckStop();
@@ -138,8 +139,10 @@
   bool receiving = false; // packets are received from the socket
   // When the socket was last known to hold no packet, by BootNow.
   Micros socketEmptyAt = BootNow();
-  bool socketDrained = false; // the last batch left no packet in the socket
-  PortCounts port;            // counts of the socket for packets
+  bool lastBatchFull = false; // it may have left packets in the socket
+  bool polledSinceTick =
+    false;         // the event loop polls the socket since the tick
+  PortCounts port; // counts of the socket for packets
   Histogram handshake;
   Histogram response;
 };
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -189,8 +189,8 @@
   for (size_t i = 0; i < count; ++i) {
     this->OnDatagram(i);
   }
-  this->socketDrained = count < kBatchSize;
-  this->socketEmptyAt = this->socketDrained ? polledAt : this->socketEmptyAt;
+  this->lastBatchFull = count == kBatchSize;
+  this->socketEmptyAt = this->lastBatchFull ? this->socketEmptyAt : polledAt;
   this->SendAll();
   this->ReleaseHeld();
   this->CheckSendDelay();
@@ -201,10 +201,13 @@
 // empty.
 template<Platform P>
 Micros
-Node<P>::QueueTime(size_t aIndex) const
+Node<P>::QueueTime(size_t aIndex)
 {
-  std::optional<Micros> measured = this->receiveBatch.QueueTime(aIndex);
-  return measured ? *measured : BootNow() - this->socketEmptyAt;
+  if (auto measured = this->receiveBatch.QueueTime(aIndex)) {
+    return *measured;
+  }
+  ++this->port.arrivalsUnknown;
+  return BootNow() - this->socketEmptyAt;
 }
 
 template<Platform P>
@@ -396,11 +399,7 @@
   Micros boot = BootNow();
   Micros elapsed =
     std::max(at - this->lastTickAt, boot - this->lastTickBootTime);
-  // The event loop polls the socket between two ticks; if it had found packets,
-  // OnReadable would have set a later time.
-  if (this->socketDrained) {
-    this->socketEmptyAt = std::max(this->socketEmptyAt, this->lastTickBootTime);
-  }
+  this->BoundQueueTime();
   this->lastTickAt = at;
   this->lastTickBootTime = boot;
   if (elapsed > kTickPeriod + kPauseThreshold) {
@@ -424,6 +423,20 @@
   }
 }
 
+// The event loop polls the socket when a tick is due at the latest, and reads
+// what it finds before the tick. A process that is stopped after the poll makes
+// the time too late, but by less than kTickPeriod.
+template<Platform P>
+void
+Node<P>::BoundQueueTime()
+{
+  if (this->polledSinceTick && !this->lastBatchFull) {
+    this->socketEmptyAt =
+      std::max(this->socketEmptyAt, this->lastTickBootTime + kTickPeriod);
+  }
+  this->polledSinceTick = this->receiving;
+}
+
 template<Platform P>
 void
 Node<P>::OnProcessPause(Micros aDuration)
