Start with a grace period that is a fraction of seconds

Cause: the platform's template appended three zeros to the seconds, which makes 5.5 into 5.5000, and grace_ms was read as a whole number; the message was "stop.grace_ms: must be a whole number".

A whole number of milliseconds stays valid, so old files are read as before. The other figures of the template were looked at: cpu_share is read as a real number already, the port is whole.

Red before: "The platform's template takes each grace period in seconds" failed at 5.5 with that message.

--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -472,8 +472,8 @@
   Micros since = at - this->stopRequestedAt;
   bool isQuiet =
     since >= kMinStopTime && at - this->lastPacketAt >= kStopQuietTime;
-  bool graceOver =
-    since >= this->settings.stop.graceMs * kMillisecond - kStopMargin;
+  auto grace = static_cast<Micros>(this->settings.stop.graceMs * kMillisecond);
+  bool graceOver = since >= grace - kStopMargin;
   if (isQuiet || graceOver) {
     event_base_loopbreak(this->base);
   }
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -43,7 +43,7 @@
 
 struct TaggedStopSettings
 {
-  int64_t graceMs = 0;
+  double graceMs = 0;
 };
 
 struct TaggedMetricsSettings
@@ -159,8 +159,8 @@
       },
     },
     {
-      { "stop", "grace_ms", SettingType::Integer,
-      false, "", 6000, 500, 600000,
+      { "stop", "grace_ms", SettingType::Real,
+      false, "", 6000, 0, 86400000,
       "milliseconds", "time from SIGTERM to the end of the process at the latest" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.stop.graceMs;
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -1,3 +1,4 @@
+#include "support/source_file.h"
 #include "tagged/settings.h"
 
 #include <catch2/catch.hpp>
@@ -29,6 +30,58 @@
   CHECK(settings->peers.seeds.empty());
 }
 
+namespace {
+
+// Fills in the platform's template with plain values, as the platform does.
+std::string
+FillTemplate(const std::string& aGraceSeconds)
+{
+  std::string text = ReadSource("platform/settings.template");
+  REQUIRE_FALSE(text.empty());
+  for (const auto& [name, value] :
+       std::vector<std::pair<std::string, std::string>>{
+         { "{{node_name}}", "frontend-1" },
+         { "{{ip}}", "10.0.0.1" },
+         { "{{zone}}", "a" },
+         { "{{limits.cpu_share}}", "0.055" },
+         { "{{listen_addrs.packet_addr}}", "10.0.0.1:1" },
+         { "{{listen_addrs.readiness}}", "10.0.0.1:2" },
+         { "{{platform.address}}", "10.0.0.9:3" },
+         { "{{internal_ports.0}}", "7720" },
+         { "{{seeds|json}}", "[\"10.0.0.2:8166\"]" },
+         { "{{policy_values.grace_s}}", aGraceSeconds },
+       }) {
+    size_t at = text.find(name);
+    REQUIRE(at != std::string::npos);
+    text.replace(at, name.size(), value);
+  }
+  REQUIRE(text.find("{{") == std::string::npos);
+  return text;
+}
+
+}
+
+// Guards against a daemon that doesn't start: the template appended zeros to
+// the seconds, and a fraction of them was refused.
+TEST_CASE("The platform's template takes each grace period in seconds")
+{
+  for (const auto& [seconds, milliseconds] :
+       std::vector<std::pair<std::string, double>>{
+         { "6", 6000 },
+         { "5.5", 5500 },
+         { "6.0", 6000 },
+         { "0.25", 250 },
+         { "0", 0 },
+         { "3600", 3'600'000 },
+       }) {
+    INFO(seconds);
+    auto settings = ParseTaggedSettings(FillTemplate(seconds), "file");
+    INFO(settings.status().ToString());
+    REQUIRE(settings.ok());
+    CHECK(settings->stop.graceMs == milliseconds);
+  }
+}
+
 TEST_CASE(
   "The list of seeds may have none, and cores may be a fraction but not a "
   "string")
