Drop opening packets whose callers have gone on

Cause: an instance that wakes up handled the opening packets in its socket as if they had just come. Their callers had opened the flows through the other instance with a later copy, and the second server's answer changes the tag that the caller returns. The record of such a flow: opening packet at one server through frontend-jkt-2, open and answered there, and 3.6 s later at two other servers through the instance that woke.

Change: steer/opening.h has the times between the copies of an opening packet. A packet that waited so long in the socket that its answer can't reach the caller before the next copy is due, or before the caller gives up, is dropped and counted (out_of_date). The packet format tells which copy a packet is. The check comes before that of the route, so that an old packet causes no reset either.

--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -1,6 +1,7 @@
 #include "steer/steer.h"
 
 #include "base/text.h"
+#include "steer/opening.h"
 
 #include "absl/hash/hash.h"
 
@@ -93,6 +94,9 @@
                         bool aConfigFresh,
                         Micros aNow)
 {
+  if (aPacket.queueTime >= UsableTime(aPacket)) {
+    return { .reason = Reason::OutOfDate };
+  }
   if (aRoute == nullptr) {
     bool removed = this->view.IsFormerRoute(aPacket.flow.target);
     // The route may have been added since the configuration was last confirmed.
--- a/src/steer/types.h
+++ b/src/steer/types.h
@@ -102,6 +102,8 @@
   bool syn = false;
   bool fin = false;
   bool rst = false;
+  // Of an opening packet: how often the caller sent it before.
+  uint32_t copy = 0;
   // Of an opening packet: how long it waited in the instance's socket, as it
   // does while the process is paused. 0 for other packets.
   Micros queueTime = 0;
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -1,6 +1,7 @@
 // Runs the daemon of the tagged transport as a process, with a stand-in for the
 // store. The tests guard against faults that show only in the whole daemon:
 // lost packets or views during store outages, reloads and planned stops.
+#include "steer/opening.h"
 #include "support/tagged_process.h"
 
 namespace gentianspindle {
@@ -147,6 +148,25 @@
   CHECK((counts[0] == 0 || counts[1] == 0));
 }
 
+// Guards against a paused process that forwards opening packets whose callers
+// have opened their flows through another instance meanwhile.
+TEST_CASE(
+  "Opening packets that grew old while the process was stopped reach no "
+  "server")
+{
+  Fixture fixture;
+  Daemon daemon(fixture.port);
+  REQUIRE(Eventually([&] { return daemon.ReadinessStatus() == 200; }));
+  kill(daemon.pid, SIGSTOP);
+  daemon.Send(MakePacket(7000, true), fixture.fabricSocket);
+  usleep(steer::kOpeningIntervals[0]);
+  kill(daemon.pid, SIGCONT);
+  std::array<const BoundSocket*, 1> servers{ &fixture.serverSocket };
+  CHECK(CountPackets(daemon, fixture, servers, uint16_t{ 7000 })[0] == 0);
+  CHECK(daemon.Metrics().find("reason=\"out_of_date\"} 0") ==
+        std::string::npos);
+}
+
 TEST_CASE(
   "Settings are reloaded with and without a signal, and bad ones change "
   "nothing")
--- a/tests/translation/wire_test.cpp
+++ b/tests/translation/wire_test.cpp
@@ -49,6 +49,16 @@
   CHECK(packet->tag == steer::kNoTag);
 }
 
+TEST_CASE("Copies of an opening packet are counted, other packets are not")
+{
+  std::vector<uint8_t> bytes = OpeningPacket();
+  CHECK(platform::PacketFormat::Decode(bytes)->copy == 0);
+  bytes[7] = 2;
+  CHECK(platform::PacketFormat::Decode(bytes)->copy == 2);
+  bytes[8] = 64;
+  CHECK(platform::PacketFormat::Decode(bytes)->copy == 0);
+}
+
 TEST_CASE("Datagrams that are not one whole packet are not decoded")
 {
   std::vector<uint8_t> bytes = PacketWithData("abc");
