Place a held flow only while its caller still waits here

Cause: the hold queue kept the first packet and ignored its copies, so it couldn't tell a caller that waits from one that has gone on.

Change: a copy takes the place of the held packet, and a held packet is placed only within its UsableTime, as in the socket. If it is not usable when its hold time ends, it is dropped rather than reset, as the flow may be open elsewhere.

Tests: three existing tests held a packet for longer than its caller waits before the next copy. Their callers now send that copy, or the last copy is held; what they check is unchanged. The simulated callers number their copies.

--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -84,12 +84,20 @@
 }
 
 bool
-HoldQueue::Holds(const FlowId& aFlow) const
+HoldQueue::OnCopy(const Packet& aPacket, Micros aArrivedAt)
 {
-  return std::any_of(
+  auto known = std::find_if(
     this->held.begin(), this->held.end(), [&](const HeldOpening& aHeld) {
-      return aHeld.packet.flow == aFlow;
+      return aHeld.packet.flow == aPacket.flow;
     });
+  if (known == this->held.end()) {
+    return false;
+  }
+  if (known->packet.seq == aPacket.seq) {
+    known->packet = aPacket;
+    known->arrivedAt = aArrivedAt;
+  }
+  return true;
 }
 
 bool
@@ -125,6 +133,9 @@
   };
   auto best = this->held.end();
   for (auto next = this->held.begin(); next != this->held.end(); ++next) {
+    if (!next->IsUsable(aNow)) {
+      continue;
+    }
     if (best == this->held.end() || next->priority < best->priority) {
       best = next;
       continue;
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -5,7 +5,7 @@
 // a little late or refused.
 #pragma once
 
-#include "steer/types.h"
+#include "steer/opening.h"
 
 #include <deque>
 #include <optional>
@@ -68,23 +68,33 @@
 // Opening packet of a caller that waits until the limit admits it.
 struct HeldOpening
 {
-  Packet packet;
+  Packet packet;         // the last copy that this instance received
   uint32_t priority = 0; // 0 goes first
   Micros latencyTarget = 0;
   Micros heldAt = 0;
+  Micros arrivedAt = 0; // of the last copy
+
+  // Returns whether the packet may be sent to a server at aNow. A copy that did
+  // not come may have opened the flow through another instance.
+  bool IsUsable(Micros aNow) const
+  {
+    return aNow - this->arrivedAt < UsableTime(this->packet);
+  }
 };
 
 // Held openings of one service.
 class HoldQueue
 {
 public:
-  bool Holds(const FlowId& aFlow) const;
+  // Returns whether the flow of aPacket is held. If aPacket is a copy of the
+  // held packet, it takes its place.
+  bool OnCopy(const Packet& aPacket, Micros aArrivedAt);
   // Returns false if the queue is full.
   bool Put(const HeldOpening& aOpening);
   void Remove(const FlowId& aFlow);
-  // Takes out the opening that is to be placed next.
+  // Takes out the opening that is to be placed next, if one is usable.
   std::optional<HeldOpening> Take(Micros aNow);
-  // Takes out an opening that has waited for kMaxHoldTime and is refused.
+  // Takes out an opening that has waited for kMaxHoldTime.
   std::optional<HeldOpening> TakeExpired(Micros aNow);
   size_t Size() const { return this->held.size(); }
 
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -147,8 +147,9 @@
                     Micros aNow)
 {
   ServiceAdmission& admission = this->AdmissionOf(aService);
+  Micros arrivedAt = aNow - aPacket.queueTime;
   if (admission.holdQueue.Size() > 0 &&
-      admission.holdQueue.Holds(aPacket.flow)) {
+      admission.holdQueue.OnCopy(aPacket, arrivedAt)) {
     return { .action = Action::Drop, .reason = Reason::HeldAgain };
   }
   if (!this->options.hold || admission.limit.Admits()) {
@@ -158,7 +159,8 @@
     admission.holdQueue.Put({ .packet = aPacket,
                               .priority = aRoute.entry.priority,
                               .latencyTarget = aRoute.entry.latencyTarget,
-                              .heldAt = aNow });
+                              .heldAt = aNow,
+                              .arrivedAt = arrivedAt });
   if (!fits) {
     return { .action = Action::Reset, .reason = Reason::HoldFull };
   }
@@ -193,6 +195,10 @@
 {
   Decision decision{ .action = Action::Reset, .reason = Reason::HeldTooLong };
   std::optional<HeldOpening> held = aAdmission.holdQueue.TakeExpired(aNow);
+  if (held && !held->IsUsable(aNow)) {
+    // The flow may be open through another instance, so it is not reset.
+    decision = { .action = Action::Drop, .reason = Reason::OutOfDate };
+  }
   if (!held) {
     if (!aAdmission.limit.Admits()) {
       return std::nullopt;
--- a/tests/steer/admission_test.cpp
+++ b/tests/steer/admission_test.cpp
@@ -12,12 +12,15 @@
 constexpr Micros kLatencyTarget = 100 * kMillisecond;
 constexpr Micros kStart = 1000 * kSecond;
 
-// Returns an opening packet from port aPort that has been held since aAt.
+// Returns an opening packet from port aPort that has been held since aAt. It is
+// the last copy, so that it stays usable for longest.
 HeldOpening
 MakeHeldOpening(uint16_t aPort, Micros aAt, uint32_t aPriority = 1)
 {
   HeldOpening held;
   held.packet.flow = { { 1, aPort }, { 2, 443 } };
+  held.packet.copy = 2;
+  held.arrivedAt = aAt;
   held.priority = aPriority;
   held.latencyTarget = kLatencyTarget;
   held.heldAt = aAt;
@@ -99,6 +102,26 @@
   CHECK(PortOf(queue.Take(kStart + 20 * kMillisecond)) == 1);
 }
 
+// Guards against flows that are opened twice: the caller's next copy went to
+// another instance, which opened the flow, and later the held one was placed.
+TEST_CASE("A held opening whose next copy is due waits for that copy")
+{
+  HoldQueue queue;
+  HeldOpening first = MakeHeldOpening(1, kStart);
+  first.packet.copy = 0;
+  queue.Put(first);
+  Micros now = kStart + UsableTime(first.packet);
+  CHECK_FALSE(queue.Take(now));
+  Packet copy = first.packet;
+  copy.copy = 1;
+  now = kStart + kOpeningIntervals[0];
+  CHECK(queue.OnCopy(copy, now));
+  CHECK(queue.Size() == 1);
+  CHECK_FALSE(queue.Take(now + UsableTime(copy)));
+  CHECK(PortOf(queue.Take(now + UsableTime(copy) - 1)) == 1);
+  CHECK_FALSE(queue.OnCopy(copy, now));
+}
+
 TEST_CASE("A held opening expires after the longest hold time")
 {
   HoldQueue queue;
--- a/tests/steer/steer_test.cpp
+++ b/tests/steer/steer_test.cpp
@@ -407,6 +407,8 @@
   fixture.now += kCountedLatencyTargets * 100 * kMillisecond;
   fixture.steer.Tick(fixture.now);
   CHECK(fixture.steer.LimitOf("web")->Open() == 0);
+  // The caller of the held flow has sent a copy meanwhile.
+  CHECK(fixture.Open(port, 0, 1).reason == Reason::HeldAgain);
   CHECK(fixture.steer.Release(fixture.now)->decision.action == Action::Forward);
 }
 
@@ -428,9 +430,10 @@
     held = fixture.Open(++port).action == Action::Hold ? port : 0;
   }
   REQUIRE(held != 0);
-  fixture.SendData(held, TagOf(1));
   ServerIndex server = fixture.IndexOf(1);
   fixture.now += kCountedLatencyTargets * 100 * kMillisecond;
+  CHECK(fixture.Open(held, 0, 1).reason == Reason::HeldAgain);
+  fixture.SendData(held, TagOf(1));
   fixture.steer.Tick(fixture.now);
   uint32_t openBefore = fixture.steer.HealthOf(server).open;
   uint64_t allBefore = fixture.steer.Flows();
@@ -442,6 +445,39 @@
     server);
 }
 
+// Guards against a second server for a flow whose caller went on to another
+// instance while this one held its opening packet, as in a planned roll.
+TEST_CASE(
+  "A held flow whose caller sent no further copy here is neither placed "
+  "nor reset")
+{
+  SteeringFixture fixture;
+  uint16_t port = 7000;
+  for (int i = 0; i < 200; ++i) {
+    Decision opened = fixture.Open(++port);
+    fixture.SendData(port, opened.tag);
+    fixture.now += 300 * kMillisecond;
+    fixture.SendData(port, opened.tag, 2);
+    fixture.SendFin(port, opened.tag);
+    fixture.steer.Tick(fixture.now);
+  }
+  Decision opened;
+  do {
+    opened = fixture.Open(++port);
+  } while (opened.action != Action::Hold);
+  Micros heldAt = fixture.now;
+  // The limit admits it now, but the caller's next copy is due.
+  fixture.now = heldAt + kCountedLatencyTargets * 100 * kMillisecond;
+  fixture.steer.Tick(fixture.now);
+  CHECK(fixture.steer.LimitOf("web")->Admits());
+  CHECK_FALSE(fixture.steer.Release(fixture.now));
+  fixture.now = heldAt + kMaxHoldTime;
+  std::optional<ReleasedPacket> released = fixture.steer.Release(fixture.now);
+  REQUIRE(released);
+  CHECK(released->decision.action == Action::Drop);
+  CHECK(released->decision.reason == Reason::OutOfDate);
+}
+
 TEST_CASE("A flow stops counting against its service when its server moves to "
           "another one")
 {
