Send a late copy of an open flow's opening packet to the flow's server

The instance has a record of the flow by then, took the copy for a new flow with the same ends, and sent it to a second server.

Change: such a record keeps the sequence number before the first data, which is that of the opening packet, and a copy with this number goes to the record's server. placedHere, which the record no longer needs, is gone.

Red before: "A copy that comes after the first request of a flow that another instance placed goes to the flow's server" failed in all three checks; steer_test passes with the change.

--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -108,7 +108,6 @@
   auto known = this->flows.find(aPacket.flow);
   if (known != this->flows.end()) {
     bool retransmission = known->second.openingSeq == aPacket.seq &&
-                          known->second.placedHere &&
                           this->SameProcess(known->second);
     if (retransmission) {
       return this->OnRetransmission(aPacket, known->second, *aRoute, aNow);
@@ -290,7 +289,6 @@
                                 .sentAt = aNow,
                                 .lastPacketAt = aNow,
                                 .latencyTarget = aRoute.entry.latencyTarget,
-                                .placedHere = true,
                                 .limit = &admission.limit };
   this->handshakeTimers.push_back({ aPacket.flow, aNow });
   this->idleTimers.push_back({ aPacket.flow, aNow + kQuietTime });
@@ -354,6 +352,7 @@
     // Another instance handled the flow so far.
     FlowRecord newRecord{ .server = aServer,
                           .generation = this->view.At(aServer).generation,
+                          .openingSeq = aPacket.seq - 1,
                           .ackBase = aPacket.ack,
                           .placedAt = aNow,
                           .opening = false };
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -107,7 +107,10 @@
 {
   ServerIndex server = kNoServer;
   uint32_t generation = 0; // of the server when the record was made
-  uint32_t openingSeq = 0; // sequence number of the opening packet
+  // Sequence number of the opening packet. If another instance placed the flow,
+  // the number before that of the first data that this one saw, which is the
+  // same if that was the flow's first data.
+  uint32_t openingSeq = 0;
   // Another acknowledgement than this one shows a response. It is that of the
   // caller's packet that ended the handshake or, if another instance placed the
   // flow, of the first packet with data that this one saw.
@@ -126,7 +129,6 @@
   bool suspected = false;
   bool answered = false;    // the response to the first request was seen
   Micros latencyTarget = 0; // of the route; 0 if another instance placed it
-  bool placedHere = false;  // this instance chose the server
   // Limit that the flow counts against; null: it counts no more.
   ConcurrencyLimit* limit = nullptr;
 };
--- a/tests/steer/steer_test.cpp
+++ b/tests/steer/steer_test.cpp
@@ -276,6 +276,23 @@
   CHECK(repeated.server == first.server);
 }
 
+// Guards against a second server for an open flow: the caller's last copy and
+// its first request overtook each other on the way to this instance.
+TEST_CASE("A copy that comes after the first request of a flow that another "
+          "instance placed goes to the flow's server")
+{
+  SteeringFixture fixture;
+  Packet request = SteeringFixture::MakePacket(7000);
+  request.seq = 7001;
+  request.tag = TagOf(2);
+  request.dataBytes = 100;
+  fixture.steer.OnPacket(request, true, fixture.now);
+  Decision copy = fixture.Open(7000, 0, 1);
+  CHECK(copy.reason == Reason::Repeated);
+  CHECK(copy.server == fixture.IndexOf(2));
+  CHECK(fixture.steer.FindFlow(request.flow)->server == fixture.IndexOf(2));
+}
+
 TEST_CASE("A SYN with a new sequence number on a used port opens a new flow")
 {
   SteeringFixture fixture;
