--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -110,14 +110,6 @@
   return true;
 }
 
-void
-HoldQueue::Remove(const FlowId& aFlow)
-{
-  std::erase_if(this->held, [&](const HeldOpening& aHeld) {
-    return aHeld.packet.flow == aFlow;
-  });
-}
-
 // Takes the most urgent opening. Among equally urgent ones those that can still
 // be answered in time come first, newest first: at peak load the oldest would
 // take the capacity and be late all the same. Those that are already late
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -91,7 +91,6 @@
   bool OnCopy(const Packet& aPacket, Micros aArrivedAt);
   // Returns false if the queue is full.
   bool Put(const HeldOpening& aOpening);
-  void Remove(const FlowId& aFlow);
   // Takes out the opening that is to be placed next, if one is usable.
   std::optional<HeldOpening> Take(Micros aNow);
   // Takes out an opening that has waited for kMaxHoldTime.
--- a/src/tagged/log.cpp
+++ b/src/tagged/log.cpp
@@ -3,7 +3,6 @@
 #include "base/text.h"
 
 #include <algorithm>
-#include <ctime>
 #include <fcntl.h>
 #include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
@@ -170,10 +169,8 @@
 void
 Log::Write(const LogLine& aLine)
 {
-  timespec now{};
-  clock_gettime(CLOCK_REALTIME, &now);
   std::string line = absl::StrCat("{\"unix_ms\":",
-                                  now.tv_sec * 1000 + now.tv_nsec / 1'000'000,
+                                  TimeOfDay() / kMillisecond,
                                   ",\"at_us\":",
                                   SteadyNow(),
                                   ",\"instance\":");
