Count refused reloads, and bound a measured wait as well

So far only a log line told; gentianspindle_reloads_refused_total shows it on the metrics page before the next restart. The process test of reloads checks it.

A measured wait in the socket is cut at the upper bound, so that packets that wait while the time of day is set forward don't all count as out of date.

--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -182,6 +182,9 @@
   gauge("view_age_seconds",
         "Time since the store last confirmed the whole view",
         static_cast<double>(aSource.viewAge) / kSecond);
+  counter("reloads_refused_total",
+          "Changes of the settings file that were refused",
+          aSource.reloadsRefused);
   gauge("ready", "1 if the readiness check gets 200", aSource.ready ? 1 : 0);
   writer.Latency("handshake_seconds",
                  "Placement of a flow to the caller's next packet",
--- a/src/tagged/metrics.h
+++ b/src/tagged/metrics.h
@@ -38,7 +38,7 @@
   uint64_t bytesIn = 0;    // of packetsIn
   uint64_t badPackets = 0; // datagrams that are not packets
   uint64_t sendFailed = 0;
-  // Opening packets for whose arrival there is only a lower bound.
+  // Opening packets whose arrival the kernel did not record.
   uint64_t arrivalsUnknown = 0;
 };
 
@@ -57,6 +57,7 @@
   Micros viewAge = 0;
   bool reads = false; // this instance reads the store
   bool ready = false;
+  uint64_t reloadsRefused = 0;
 };
 
 std::string
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -59,6 +59,7 @@
 
   // Serves readiness and metrics at the readiness address.
   absl::Status StartHttpServer();
+  void RecordArrivals();
   void StartSync();
   // Starts the log, and also serves metrics at the metrics port.
   void StartLogAndMetrics();
@@ -68,7 +69,6 @@
   // Handles one datagram of receiveBatch.
   void OnDatagram(size_t aIndex);
   Micros QueueTime(size_t aIndex);
-  void RecordArrivals();
   void ExecuteDecision(const steer::Decision& aDecision,
                        const steer::Packet& aPacket,
                        std::span<uint8_t> aBytes);
@@ -135,13 +135,14 @@
   Micros lastSettingsCheckAt = 0;
   Micros lastPacketAt = 0;
   Micros stopRequestedAt = 0;
+  uint64_t reloadsRefused = 0;
   bool stopping = false;
   bool receiving = false; // packets are received from the socket
   // When the socket was last known to hold no packet, by BootNow.
   Micros socketEmptyAt = BootNow();
   bool lastBatchFull = false; // it may have left packets in the socket
-  bool polledSinceTick =
-    false;         // the event loop polls the socket since the tick
+  // The event loop has polled the socket since the last tick.
+  bool polledSinceTick = false;
   PortCounts port; // counts of the socket for packets
   Histogram handshake;
   Histogram response;
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -196,18 +196,18 @@
   this->CheckSendDelay();
 }
 
-// Returns how long a datagram waited in the socket. If its arrival was not
-// recorded, it may have come at any time since the socket was last known to be
-// empty.
+// Returns how long a datagram waited in the socket, or an upper bound if its
+// arrival was not recorded: it came after the socket was last known to be
+// empty. The bound also limits the error if the time of day was set while it
+// waited.
 template<Platform P>
 Micros
 Node<P>::QueueTime(size_t aIndex)
 {
-  if (auto measured = this->receiveBatch.QueueTime(aIndex)) {
-    return *measured;
-  }
-  ++this->port.arrivalsUnknown;
-  return BootNow() - this->socketEmptyAt;
+  Micros bound = BootNow() - this->socketEmptyAt;
+  std::optional<Micros> measured = this->receiveBatch.QueueTime(aIndex);
+  this->port.arrivalsUnknown += measured ? 0 : 1;
+  return measured ? std::min(*measured, bound) : bound;
 }
 
 template<Platform P>
@@ -502,6 +502,7 @@
   LogLine line("reload");
   line.Text("outcome", reloaded.ok() ? "in_force" : "refused");
   if (!reloaded.ok()) {
+    ++this->reloadsRefused;
     line.Text("problem", reloaded.status().ToString());
     this->Write(line);
     return;
@@ -532,7 +533,8 @@
                         .log = this->log ? this->log->Counts() : LogCounts{},
                         .viewAge = this->sync->ViewAge(SteadyNow()),
                         .reads = this->sync->Reads(),
-                        .ready = this->Ready() };
+                        .ready = this->Ready(),
+                        .reloadsRefused = this->reloadsRefused };
   return FormatMetrics(source);
 }
 
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -185,6 +185,7 @@
   daemon.WriteSettings(100, "[nonsense]\nkey = 1\n");
   kill(daemon.pid, SIGHUP);
   CHECK(Eventually([&] { return logContains("\"outcome\":\"refused\""); }));
+  CHECK(daemon.Metric("gentianspindle_reloads_refused_total") >= 1);
   CHECK(daemon.ReadinessStatus() == 200);
 }
 
