--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -107,10 +107,8 @@
              uint16_t aPort)
 {
   std::vector<size_t> counts(aServers.size());
-  uint16_t probe = 20000;
-  bool arrived = Eventually([&] {
-    aDaemon.Send(MakePacket(++probe, true), aFixture.fabricSocket);
-    bool probeArrived = false;
+  bool probeArrived = false;
+  auto receiveAll = [&] {
     for (size_t i = 0; i < aServers.size(); ++i) {
       for (auto bytes = aServers[i]->Receive(20); bytes.size() == 40;
            bytes = aServers[i]->Receive(20)) {
@@ -119,8 +117,15 @@
         probeArrived = probeArrived || port != aPort;
       }
     }
+  };
+  uint16_t probe = 20000;
+  bool arrived = Eventually([&] {
+    aDaemon.Send(MakePacket(++probe, true), aFixture.fabricSocket);
+    receiveAll();
     return probeArrived;
   });
+  // Packets sent before the probe may wait at a server that was read earlier.
+  receiveAll();
   CHECK(arrived);
   return counts;
 }
@@ -158,7 +163,7 @@
   Daemon daemon(fixture.port);
   REQUIRE(Eventually([&] { return daemon.ReadinessStatus() == 200; }));
   kill(daemon.pid, SIGSTOP);
-  daemon.Send(MakePacket(7000, true), fixture.fabricSocket);
+  daemon.Send(MakePacket(7000, true, 0, 0), fixture.fabricSocket);
   usleep(steer::kOpeningIntervals[0]);
   kill(daemon.pid, SIGCONT);
   std::array<const BoundSocket*, 1> servers{ &fixture.serverSocket };
