--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -149,6 +149,27 @@
   }
 }
 
+// An entry of another writer may name an address that later belongs to a server
+// of another service.
+TEST_CASE("An entry without a version or a sequence number gives no server")
+{
+  auto [member, replacement] = GENERATE(table<std::string, std::string>({
+    { R"("version":"v1",)", "" },
+    { R"("version":"v1")", R"("version":1)" },
+    { R"("version":"v1")", R"("version":null)" },
+    { R"("seq":4,)", "" },
+    { R"("seq":4)", R"("seq":"4")" },
+    { R"("seq":4)", R"("seq":4.5)" },
+  }));
+  std::string spec = MakeServerSpec("ready");
+  spec.replace(spec.find(member), member.size(), replacement);
+  auto page =
+    ObjectFormat::ParseServersList(MakeList(MakeObject("host-7f3a91c6", spec)));
+  REQUIRE(page.ok());
+  REQUIRE(page->changes.size() == 1);
+  CHECK_FALSE(page->changes[0].entry);
+}
+
 TEST_CASE("A body that is not a list is an error, not an empty list")
 {
   for (const char* body : { "", "{", "[]", R"({"items":[]})", "null" }) {
