--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -17,6 +17,14 @@
                   // all durations here
   5: i64 aim      // latency target
   6: i32 priority // 0 is the most urgent
+  7: bool repeatable
+  8: list<string> regions // whose servers may serve the route; none: all
+}
+
+// A service that needs more than its defaults.
+struct Service {
+  1: string name
+  2: double warmupQuota // new flows a second for one server in its warm-up
 }
 
 // A backend server as the store lists it.
@@ -45,6 +53,7 @@
   6: i64 configRevision // store revision up to which all changes are known
   7: list<Server> unreadable // listed servers whose entries cannot be read;
                              // only name and revision are valid
+  10: list<Service> services
 }
 
 // A change of one server's entry in the store.
--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -84,7 +84,7 @@
 }
 
 bool
-HoldQueue::OnCopy(const Packet& aPacket, Micros aArrivedAt)
+HoldQueue::OnRetransmission(const Packet& aPacket, Micros aArrivedAt)
 {
   auto known = std::find_if(
     this->held.begin(), this->held.end(), [&](const HeldOpening& aHeld) {
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -68,14 +68,15 @@
 // Opening packet of a caller that waits until the limit admits it.
 struct HeldOpening
 {
-  Packet packet;         // the last copy that this instance received
+  Packet packet;         // the last one that this instance received
   uint32_t priority = 0; // 0 goes first
   Micros latencyTarget = 0;
   Micros heldAt = 0;
-  Micros arrivedAt = 0; // of the last copy
+  Micros arrivedAt = 0; // of that packet
 
-  // Returns whether the packet may be sent to a server at aNow. A copy that did
-  // not come may have opened the flow through another instance.
+  // Returns whether the packet may be sent to a server at aNow. A
+  // retransmission that did not come here may have opened the flow through
+  // another instance.
   bool IsUsable(Micros aNow) const
   {
     return aNow - this->arrivedAt < UsableTime(this->packet);
@@ -86,9 +87,9 @@
 class HoldQueue
 {
 public:
-  // Returns whether the flow of aPacket is held. If aPacket is a copy of the
-  // held packet, it takes its place.
-  bool OnCopy(const Packet& aPacket, Micros aArrivedAt);
+  // Returns whether the flow of aPacket is held. If aPacket is a retransmission
+  // of the held packet, it takes its place.
+  bool OnRetransmission(const Packet& aPacket, Micros aArrivedAt);
   // Returns false if the queue is full.
   bool Put(const HeldOpening& aOpening);
   // Takes out the opening that is to be placed next, if one is usable.
--- /dev/null
+++ b/src/steer/candidates.cpp
@@ -0,0 +1,24 @@
+#include "steer/candidates.h"
+
+namespace gentianspindle::steer {
+
+Exclusion
+ExclusionOf(const View& aView,
+            ServerIndex aServer,
+            const PlacementRequest& aRequest)
+{
+  const Server& server = aView.At(aServer);
+  if (!server.IsAvailable()) {
+    return Exclusion::Unlisted;
+  }
+  if (server.entry.draining) {
+    return Exclusion::Draining;
+  }
+  if (server.tagConflict) {
+    return Exclusion::TagConflict;
+  }
+  return aServer == aRequest.unanswered ? Exclusion::Unanswered
+                                        : Exclusion::None;
+}
+
+}
--- /dev/null
+++ b/src/steer/candidates.h
@@ -0,0 +1,54 @@
+// Which servers may get a new flow, and why the others may not.
+#pragma once
+
+#include "steer/view.h"
+
+#include <array>
+
+namespace gentianspindle::steer {
+
+// Why a server is no candidate for a new flow.
+enum class Exclusion : uint8_t
+{
+  None, // it is a candidate
+  Unlisted,
+  Draining,
+  TagConflict, // another server has its tag
+  Unanswered,  // it left this flow's opening packet unanswered
+  Count,
+};
+
+constexpr std::array<std::string_view, static_cast<size_t>(Exclusion::Count)>
+  kExclusionNames{ "none",
+                   "unlisted",
+                   "draining",
+                   "tag_conflict",
+                   "unanswered" };
+
+constexpr std::string_view
+ExclusionName(Exclusion aExclusion)
+{
+  return kExclusionNames[static_cast<size_t>(aExclusion)];
+}
+
+// Number of servers by exclusion.
+using ExclusionCounts =
+  std::array<uint32_t, static_cast<size_t>(Exclusion::Count)>;
+
+// A new flow that needs a server.
+struct PlacementRequest
+{
+  std::string_view service;
+  const RouteEntry& route;
+  // Server that left the flow's opening packet unanswered, if any.
+  ServerIndex unanswered = kNoServer;
+};
+
+// Returns why the server cannot get the flow. A suspect server is no exclusion:
+// the placer uses one if there is no other.
+Exclusion
+ExclusionOf(const View& aView,
+            ServerIndex aServer,
+            const PlacementRequest& aRequest);
+
+}
--- a/src/steer/opening.h
+++ b/src/steer/opening.h
@@ -1,4 +1,5 @@
-// When a caller repeats its opening packet, and which copies are out of date.
+// When a caller retransmits its opening packet, and when such a packet is out
+// of date.
 #pragma once
 
 #include "steer/evidence.h"
@@ -8,21 +9,22 @@
 
 namespace gentianspindle::steer {
 
-// Times between the opening packet, its copies, and the moment when the caller
-// gives up.
+// Times between the opening packet, its retransmissions, and the moment when
+// the caller gives up.
 constexpr std::array<Micros, 3> kOpeningIntervals{ 200 * kMillisecond,
                                                    400 * kMillisecond,
                                                    800 * kMillisecond };
 
 // Returns how long after its arrival an opening packet may be sent to a server:
 // the answer, one round trip later, must reach the caller before its next step.
-// Later its next copy may have opened the flow at another server, through
-// another instance. Two servers that answer would share the flow, as the caller
-// returns the tag of the last answer, whichever it took.
+// Later its next retransmission may have opened the flow at another server,
+// through another instance. Two servers that answer would share the flow, as
+// the caller returns the tag of the last answer, whichever it took.
 constexpr Micros
 UsableTime(const Packet& aOpening)
 {
-  size_t step = std::min<size_t>(aOpening.copy, kOpeningIntervals.size() - 1);
+  size_t step =
+    std::min<size_t>(aOpening.retransmissions, kOpeningIntervals.size() - 1);
   return kOpeningIntervals[step] - kHandshakeTimeout;
 }
 
--- a/src/steer/placer.cpp
+++ b/src/steer/placer.cpp
@@ -61,20 +61,21 @@
 Placement
 Placer::ChooseServer(const View& aView,
                      std::span<const ServerHealth> aHealth,
-                     std::string_view aService,
-                     ServerIndex aExcluded,
+                     const PlacementRequest& aRequest,
                      Micros aNow)
 {
-  std::span<const ServerIndex> indexes = aView.ServersOf(aService);
+  std::span<const ServerIndex> indexes = aView.ServersOf(aRequest.service);
   double mean = MeanResponse(indexes, aHealth);
   Placement placement;
   Placement suspect;
   uint32_t tied = 0;
   for (ServerIndex index : indexes) {
-    const Server& server = aView.At(index);
-    if (!server.AcceptsNewFlows() || index == aExcluded) {
+    Exclusion exclusion = ExclusionOf(aView, index, aRequest);
+    if (exclusion != Exclusion::None) {
+      ++placement.excluded[static_cast<size_t>(exclusion)];
       continue;
     }
+    const Server& server = aView.At(index);
     const ServerHealth& health = aHealth[index];
     double score = this->Score(server, health, mean, aNow);
     if (health.IsSuspect(aNow)) {
--- a/src/steer/placer.h
+++ b/src/steer/placer.h
@@ -2,8 +2,8 @@
 // availability zone.
 #pragma once
 
+#include "steer/candidates.h"
 #include "steer/evidence.h"
-#include "steer/view.h"
 
 #include <random>
 
@@ -32,6 +32,7 @@
   uint32_t candidates = 0; // servers that were compared
   // Suspect servers. One of them is chosen only if there is no candidate.
   uint32_t suspects = 0;
+  ExclusionCounts excluded{}; // servers of the service that were left out
 };
 
 // Chooses the server with the lowest score; ties are broken at random.
@@ -44,12 +45,10 @@
   {
   }
 
-  // aHealth has the servers' health by index in aView. aExcluded is a server
-  // that did not answer the flow, or kNoServer.
+  // aHealth has the servers' health by index in aView.
   Placement ChooseServer(const View& aView,
                          std::span<const ServerHealth> aHealth,
-                         std::string_view aService,
-                         ServerIndex aExcluded,
+                         const PlacementRequest& aRequest,
                          Micros aNow);
 
 private:
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -3,159 +3,16 @@
 // in packets, ticks and the time.
 #pragma once
 
-#include "steer/admission.h"
-#include "steer/placer.h"
+#include "steer/decision.h"
+#include "steer/flow_record.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/node_hash_map.h"
 
-#include <array>
 #include <deque>
 
 namespace gentianspindle::steer {
 
-// The record of a flow without packets for this time is erased, so that the
-// flow no longer counts as open at its server. Later packets still find the
-// server by their tag.
-constexpr Micros kQuietTime = 5 * kSecond;
-
-// What to do with a packet.
-enum class Action : uint8_t
-{
-  Forward,
-  Reset, // send a reset to the caller
-  Drop,
-  Hold, // keep the packet until Release returns it
-};
-
-// Reason for a decision, for counters and logs.
-enum class Reason : uint8_t
-{
-  Placed,        // a new flow got a server
-  PlacedAgain,   // its first server did not answer or takes no new flows
-  Repeated,      // retransmitted opening packet, same server
-  Known,         // the tag or the flow record gives the server
-  NoView,        // configuration or servers are not known yet
-  UnknownRoute,  // no route has the packet's target
-  RouteRemoved,  // only an earlier configuration had the route
-  NoServer,      // no server of the service takes new flows, or only one that
-                 // did not answer this flow
-  UnknownTag,    // no server of the view has the packet's tag
-  TagNotAllowed, // the route does not allow the service of the tag's server
-  ServerGone,    // the flow's server is RegistryState::Gone
-  NoTag,         // the packet has no tag and its flow no record
-  Held,          // the service is at its limit of open flows
-  HeldAgain,     // retransmission of a held packet, or a held packet whose
-                 // flow was placed meanwhile
-  HoldFull,      // the service's hold queue is full
-  HeldTooLong,   // the flow was held for kMaxHoldTime
-  OutOfDate,     // the opening packet waited beyond its UsableTime
-  Count,
-};
-
-constexpr std::array<std::string_view, static_cast<size_t>(Reason::Count)>
-  kReasonNames{
-    "placed",      "placed_again",    "repeated",      "known",
-    "no_view",     "unknown_route",   "route_removed", "no_server",
-    "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
-    "held",        "held_again",      "hold_full",     "held_too_long",
-    "out_of_date",
-  };
-
-constexpr std::string_view
-ReasonName(Reason aReason)
-{
-  return kReasonNames[static_cast<size_t>(aReason)];
-}
-
-// What to do with one packet, and why.
-struct Decision
-{
-  Action action = Action::Drop;
-  Reason reason = Reason::NoView;
-  ServerIndex server = kNoServer;
-  Tag tag = kNoTag; // to be written into the packet
-  // The packet has the first data that was seen since the flow's record was
-  // made. Another instance makes its own record, and so does this one after
-  // kQuietTime without packets.
-  bool firstRequest = false;
-  // If the flow is or was held: for how long so far, how many flows count
-  // against the service's limit, and the limit.
-  Micros waited = 0;
-  uint32_t openFlows = 0;
-  double flowLimit = 0;
-  Placement placement; // how the server was chosen, if the flow was placed
-};
-
-// How a flow ended, as far as this instance saw.
-enum class Outcome : uint8_t
-{
-  Closed,     // the caller sent a FIN
-  Reset,      // the caller sent a reset, or got one as the server was gone
-  Unanswered, // the server did not answer the opening packet
-  // No packets for kQuietTime, a new flow with the same ends, or
-  // the opening packet again after the server's process was replaced.
-  Expired,
-  Count,
-};
-
-constexpr std::array<std::string_view, static_cast<size_t>(Outcome::Count)>
-  kOutcomeNames{ "closed", "reset", "unanswered", "expired" };
-
-// What this instance knows of one open flow.
-struct FlowRecord
-{
-  ServerIndex server = kNoServer;
-  uint32_t generation = 0; // of the server when the record was made
-  // Sequence number of the opening packet. If another instance placed the flow,
-  // the number before that of the first data that this one saw, which is the
-  // same if that was the flow's first data.
-  uint32_t openingSeq = 0;
-  // Another acknowledgement than this one shows a response. It is that of the
-  // caller's packet that ended the handshake or, if another instance placed the
-  // flow, of the first packet with data that this one saw.
-  uint32_t ackBase = 0;
-  // When the server was chosen; if another instance chose it, when this one saw
-  // the flow's first data.
-  Micros placedAt = 0;
-  // When the opening packet was sent to the server: at placedAt, or later if
-  // the process was stopped in between.
-  Micros sentAt = 0;
-  Micros requestAt = 0;    // when the first data was seen; 0: not yet
-  Micros lastPacketAt = 0; // when a packet last updated the record
-  bool opening = true;     // the handshake is not yet answered
-  // The flow can no longer make its server suspect: its opening packet went
-  // unanswered already, or this process was paused before its handshake check.
-  bool suspected = false;
-  bool answered = false;    // the response to the first request was seen
-  Micros latencyTarget = 0; // of the route; 0 if another instance placed it
-  // Limit that the flow counts against; null: it counts no more.
-  ConcurrencyLimit* limit = nullptr;
-};
-
-// A packet that was held, and what to do with it now.
-struct ReleasedPacket
-{
-  Packet packet;
-  Decision decision;
-};
-
-// Handshake or response time of one flow, for histograms. At most one of the
-// flags is set; if none is, there is no time.
-struct LatencySample
-{
-  bool handshake = false;
-  bool response = false;
-  Micros duration = 0;
-};
-
-struct FlowSteeringCounts
-{
-  std::array<uint64_t, static_cast<size_t>(Reason::Count)> reasons{};
-  std::array<uint64_t, static_cast<size_t>(Outcome::Count)> outcomes{};
-  uint64_t suspected = 0; // opening packets counted as unanswered by a server
-};
-
 struct FlowSteeringOptions
 {
   PlacerOptions placer;
--- a/src/steer/types.h
+++ b/src/steer/types.h
@@ -65,6 +65,23 @@
   Micros timeout = 0;       // of one request; not applied, only sent to peers
   Micros latencyTarget = 0; // time within which callers want the response
   uint32_t priority = 0;    // 0 is the most urgent
+  // The requests are idempotent: callers repeat them after any failure.
+  bool repeatable = false;
+  // Regions whose servers may serve the route; empty: all.
+  std::vector<std::string> regions;
+
+  friend bool operator==(const RouteEntry&, const RouteEntry&) = default;
+};
+
+// What the configuration says of one service.
+struct ServiceEntry
+{
+  std::string name;
+  // New flows a second that one server in its warm-up gets from the whole
+  // fleet; 0: no bound.
+  double warmupQuota = 0;
+
+  friend bool operator==(const ServiceEntry&, const ServiceEntry&) = default;
 };
 
 // One version of the configuration.
@@ -72,6 +89,8 @@
 {
   int64_t version = 0;
   std::vector<RouteEntry> routes;
+  // Only services that need more than their defaults.
+  std::vector<ServiceEntry> services;
   // Idle timeout of flows; not applied, only sent to peers.
   Micros idle = 15 * kSecond;
 };
@@ -103,7 +122,7 @@
   bool fin = false;
   bool rst = false;
   // Of an opening packet: how often the caller sent it before.
-  uint32_t copy = 0;
+  uint32_t retransmissions = 0;
   // Of an opening packet: how long it waited in the instance's socket, as it
   // does while the process is paused. 0 for other packets.
   Micros queueTime = 0;
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -52,13 +52,19 @@
   Micros changedAt = 0;     // when a change or list last set the state
   Micros warmupUntil = 0;
 
-  // Returns whether the registry allows new flows to the server.
+  // Returns whether the server is listed, or may have lost its entry only in an
+  // outage.
+  bool IsAvailable() const
+  {
+    return this->registryState == RegistryState::Listed ||
+           (this->registryState == RegistryState::Missing &&
+            this->inGracePeriod);
+  }
+  // Returns whether the registry allows new flows to the server. See
+  // ExclusionOf for what else may exclude it.
   bool AcceptsNewFlows() const
   {
-    bool available =
-      this->registryState == RegistryState::Listed ||
-      (this->registryState == RegistryState::Missing && this->inGracePeriod);
-    return available && !this->entry.draining && !this->tagConflict;
+    return this->IsAvailable() && !this->entry.draining && !this->tagConflict;
   }
 };
 
--- a/src/tagged/gen/peers_types.cpp
+++ b/src/tagged/gen/peers_types.cpp
@@ -153,6 +153,14 @@
 void Route::__set_priority(const int32_t val) {
   this->priority = val;
 }
+
+void Route::__set_repeatable(const bool val) {
+  this->repeatable = val;
+}
+
+void Route::__set_regions(const std::vector<std::string> & val) {
+  this->regions = val;
+}
 std::ostream& operator<<(std::ostream& out, const Route& obj)
 {
   obj.printTo(out);
@@ -241,6 +249,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->repeatable);
+          this->__isset.repeatable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->regions.clear();
+            uint32_t _size7;
+            ::apache::thrift::protocol::TType _etype10;
+            xfer += iprot->readListBegin(_etype10, _size7);
+            this->regions.resize(_size7);
+            uint32_t _i11;
+            for (_i11 = 0; _i11 < _size7; ++_i11)
+            {
+              xfer += iprot->readString(this->regions[_i11]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.regions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -269,10 +305,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<Weight> ::const_iterator _iter7;
-    for (_iter7 = this->services.begin(); _iter7 != this->services.end(); ++_iter7)
+    std::vector<Weight> ::const_iterator _iter12;
+    for (_iter12 = this->services.begin(); _iter12 != this->services.end(); ++_iter12)
     {
-      xfer += (*_iter7).write(oprot);
+      xfer += (*_iter12).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -290,6 +326,22 @@
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("repeatable", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->repeatable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("regions", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->regions.size()));
+    std::vector<std::string> ::const_iterator _iter13;
+    for (_iter13 = this->regions.begin(); _iter13 != this->regions.end(); ++_iter13)
+    {
+      xfer += oprot->writeString((*_iter13));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -303,26 +355,32 @@
   swap(a.timeout, b.timeout);
   swap(a.aim, b.aim);
   swap(a.priority, b.priority);
+  swap(a.repeatable, b.repeatable);
+  swap(a.regions, b.regions);
   swap(a.__isset, b.__isset);
 }
 
-Route::Route(const Route& other8) {
-  name = other8.name;
-  endpoint = other8.endpoint;
-  services = other8.services;
-  timeout = other8.timeout;
-  aim = other8.aim;
-  priority = other8.priority;
-  __isset = other8.__isset;
-}
-Route& Route::operator=(const Route& other9) {
-  name = other9.name;
-  endpoint = other9.endpoint;
-  services = other9.services;
-  timeout = other9.timeout;
-  aim = other9.aim;
-  priority = other9.priority;
-  __isset = other9.__isset;
+Route::Route(const Route& other14) {
+  name = other14.name;
+  endpoint = other14.endpoint;
+  services = other14.services;
+  timeout = other14.timeout;
+  aim = other14.aim;
+  priority = other14.priority;
+  repeatable = other14.repeatable;
+  regions = other14.regions;
+  __isset = other14.__isset;
+}
+Route& Route::operator=(const Route& other15) {
+  name = other15.name;
+  endpoint = other15.endpoint;
+  services = other15.services;
+  timeout = other15.timeout;
+  aim = other15.aim;
+  priority = other15.priority;
+  repeatable = other15.repeatable;
+  regions = other15.regions;
+  __isset = other15.__isset;
   return *this;
 }
 void Route::printTo(std::ostream& out) const {
@@ -334,6 +392,120 @@
   out << ", " << "timeout=" << to_string(timeout);
   out << ", " << "aim=" << to_string(aim);
   out << ", " << "priority=" << to_string(priority);
+  out << ", " << "repeatable=" << to_string(repeatable);
+  out << ", " << "regions=" << to_string(regions);
+  out << ")";
+}
+
+
+Service::~Service() noexcept {
+}
+
+
+void Service::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Service::__set_warmupQuota(const double val) {
+  this->warmupQuota = val;
+}
+std::ostream& operator<<(std::ostream& out, const Service& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Service::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->warmupQuota);
+          this->__isset.warmupQuota = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Service::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Service");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("warmupQuota", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->warmupQuota);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Service &a, Service &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.warmupQuota, b.warmupQuota);
+  swap(a.__isset, b.__isset);
+}
+
+Service::Service(const Service& other16) {
+  name = other16.name;
+  warmupQuota = other16.warmupQuota;
+  __isset = other16.__isset;
+}
+Service& Service::operator=(const Service& other17) {
+  name = other17.name;
+  warmupQuota = other17.warmupQuota;
+  __isset = other17.__isset;
+  return *this;
+}
+void Service::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Service(";
+  out << "name=" << to_string(name);
+  out << ", " << "warmupQuota=" << to_string(warmupQuota);
   out << ")";
 }
 
@@ -566,31 +738,31 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other10) {
-  name = other10.name;
-  revision = other10.revision;
-  id = other10.id;
-  startedAt = other10.startedAt;
-  serviceName = other10.serviceName;
-  endpoint = other10.endpoint;
-  zone = other10.zone;
-  slots = other10.slots;
-  draining = other10.draining;
-  coldFor = other10.coldFor;
-  __isset = other10.__isset;
-}
-Server& Server::operator=(const Server& other11) {
-  name = other11.name;
-  revision = other11.revision;
-  id = other11.id;
-  startedAt = other11.startedAt;
-  serviceName = other11.serviceName;
-  endpoint = other11.endpoint;
-  zone = other11.zone;
-  slots = other11.slots;
-  draining = other11.draining;
-  coldFor = other11.coldFor;
-  __isset = other11.__isset;
+Server::Server(const Server& other18) {
+  name = other18.name;
+  revision = other18.revision;
+  id = other18.id;
+  startedAt = other18.startedAt;
+  serviceName = other18.serviceName;
+  endpoint = other18.endpoint;
+  zone = other18.zone;
+  slots = other18.slots;
+  draining = other18.draining;
+  coldFor = other18.coldFor;
+  __isset = other18.__isset;
+}
+Server& Server::operator=(const Server& other19) {
+  name = other19.name;
+  revision = other19.revision;
+  id = other19.id;
+  startedAt = other19.startedAt;
+  serviceName = other19.serviceName;
+  endpoint = other19.endpoint;
+  zone = other19.zone;
+  slots = other19.slots;
+  draining = other19.draining;
+  coldFor = other19.coldFor;
+  __isset = other19.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -641,6 +813,10 @@
 void ViewCopy::__set_unreadable(const std::vector<Server> & val) {
   this->unreadable = val;
 }
+
+void ViewCopy::__set_services(const std::vector<Service> & val) {
+  this->services = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewCopy& obj)
 {
   obj.printTo(out);
@@ -681,14 +857,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->routes.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->routes.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->routes[_i16].read(iprot);
+              xfer += this->routes[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -717,14 +893,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->servers.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->servers.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->servers[_i21].read(iprot);
+              xfer += this->servers[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -745,14 +921,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unreadable.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->unreadable.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->unreadable.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->unreadable[_i26].read(iprot);
+              xfer += this->unreadable[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -761,6 +937,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->services.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += this->services[_i39].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -785,10 +981,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<Route> ::const_iterator _iter27;
-    for (_iter27 = this->routes.begin(); _iter27 != this->routes.end(); ++_iter27)
+    std::vector<Route> ::const_iterator _iter40;
+    for (_iter40 = this->routes.begin(); _iter40 != this->routes.end(); ++_iter40)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter40).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -805,10 +1001,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter28;
-    for (_iter28 = this->servers.begin(); _iter28 != this->servers.end(); ++_iter28)
+    std::vector<Server> ::const_iterator _iter41;
+    for (_iter41 = this->servers.begin(); _iter41 != this->servers.end(); ++_iter41)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -821,10 +1017,22 @@
   xfer += oprot->writeFieldBegin("unreadable", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unreadable.size()));
-    std::vector<Server> ::const_iterator _iter29;
-    for (_iter29 = this->unreadable.begin(); _iter29 != this->unreadable.end(); ++_iter29)
+    std::vector<Server> ::const_iterator _iter42;
+    for (_iter42 = this->unreadable.begin(); _iter42 != this->unreadable.end(); ++_iter42)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter42).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<Service> ::const_iterator _iter43;
+    for (_iter43 = this->services.begin(); _iter43 != this->services.end(); ++_iter43)
+    {
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -844,28 +1052,31 @@
   swap(a.servers, b.servers);
   swap(a.configRevision, b.configRevision);
   swap(a.unreadable, b.unreadable);
+  swap(a.services, b.services);
   swap(a.__isset, b.__isset);
 }
 
-ViewCopy::ViewCopy(const ViewCopy& other30) {
-  configVersion = other30.configVersion;
-  routes = other30.routes;
-  idle = other30.idle;
-  serversRevision = other30.serversRevision;
-  servers = other30.servers;
-  configRevision = other30.configRevision;
-  unreadable = other30.unreadable;
-  __isset = other30.__isset;
-}
-ViewCopy& ViewCopy::operator=(const ViewCopy& other31) {
-  configVersion = other31.configVersion;
-  routes = other31.routes;
-  idle = other31.idle;
-  serversRevision = other31.serversRevision;
-  servers = other31.servers;
-  configRevision = other31.configRevision;
-  unreadable = other31.unreadable;
-  __isset = other31.__isset;
+ViewCopy::ViewCopy(const ViewCopy& other44) {
+  configVersion = other44.configVersion;
+  routes = other44.routes;
+  idle = other44.idle;
+  serversRevision = other44.serversRevision;
+  servers = other44.servers;
+  configRevision = other44.configRevision;
+  unreadable = other44.unreadable;
+  services = other44.services;
+  __isset = other44.__isset;
+}
+ViewCopy& ViewCopy::operator=(const ViewCopy& other45) {
+  configVersion = other45.configVersion;
+  routes = other45.routes;
+  idle = other45.idle;
+  serversRevision = other45.serversRevision;
+  servers = other45.servers;
+  configRevision = other45.configRevision;
+  unreadable = other45.unreadable;
+  services = other45.services;
+  __isset = other45.__isset;
   return *this;
 }
 void ViewCopy::printTo(std::ostream& out) const {
@@ -878,6 +1089,7 @@
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "configRevision=" << to_string(configRevision);
   out << ", " << "unreadable=" << to_string(unreadable);
+  out << ", " << "services=" << to_string(services);
   out << ")";
 }
 
@@ -974,15 +1186,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Change::Change(const Change& other32) {
-  server = other32.server;
-  kind = other32.kind;
-  __isset = other32.__isset;
+Change::Change(const Change& other46) {
+  server = other46.server;
+  kind = other46.kind;
+  __isset = other46.__isset;
 }
-Change& Change::operator=(const Change& other33) {
-  server = other33.server;
-  kind = other33.kind;
-  __isset = other33.__isset;
+Change& Change::operator=(const Change& other47) {
+  server = other47.server;
+  kind = other47.kind;
+  __isset = other47.__isset;
   return *this;
 }
 void Change::printTo(std::ostream& out) const {
@@ -1086,15 +1298,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Reader::Reader(const Reader& other34) {
-  address = other34.address;
-  zone = other34.zone;
-  __isset = other34.__isset;
+Reader::Reader(const Reader& other48) {
+  address = other48.address;
+  zone = other48.zone;
+  __isset = other48.__isset;
 }
-Reader& Reader::operator=(const Reader& other35) {
-  address = other35.address;
-  zone = other35.zone;
-  __isset = other35.__isset;
+Reader& Reader::operator=(const Reader& other49) {
+  address = other49.address;
+  zone = other49.zone;
+  __isset = other49.__isset;
   return *this;
 }
 void Reader::printTo(std::ostream& out) const {
@@ -1329,14 +1541,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->changes.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->changes.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += this->changes[_i40].read(iprot);
+              xfer += this->changes[_i54].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1349,14 +1561,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->members.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->members.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
             {
-              xfer += iprot->readI32(this->members[_i45]);
+              xfer += iprot->readI32(this->members[_i59]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1369,14 +1581,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readers.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->readers.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->readers.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->readers[_i50].read(iprot);
+              xfer += this->readers[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1477,10 +1689,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Change> ::const_iterator _iter51;
-    for (_iter51 = this->changes.begin(); _iter51 != this->changes.end(); ++_iter51)
+    std::vector<Change> ::const_iterator _iter65;
+    for (_iter65 = this->changes.begin(); _iter65 != this->changes.end(); ++_iter65)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1489,10 +1701,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter52;
-    for (_iter52 = this->members.begin(); _iter52 != this->members.end(); ++_iter52)
+    std::vector<int32_t> ::const_iterator _iter66;
+    for (_iter66 = this->members.begin(); _iter66 != this->members.end(); ++_iter66)
     {
-      xfer += oprot->writeI32((*_iter52));
+      xfer += oprot->writeI32((*_iter66));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1501,10 +1713,10 @@
   xfer += oprot->writeFieldBegin("readers", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readers.size()));
-    std::vector<Reader> ::const_iterator _iter53;
-    for (_iter53 = this->readers.begin(); _iter53 != this->readers.end(); ++_iter53)
+    std::vector<Reader> ::const_iterator _iter67;
+    for (_iter67 = this->readers.begin(); _iter67 != this->readers.end(); ++_iter67)
     {
-      xfer += (*_iter53).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1547,49 +1759,49 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other54) {
-  zone = other54.zone;
-  share = other54.share;
-  reads = other54.reads;
-  storeAnswers = other54.storeAnswers;
-  hasView = other54.hasView;
-  wantsAnswer = other54.wantsAnswer;
-  configVersion = other54.configVersion;
-  configRevision = other54.configRevision;
-  configAge = other54.configAge;
-  serversRevision = other54.serversRevision;
-  serversAge = other54.serversAge;
-  storeBackAge = other54.storeBackAge;
-  changesFrom = other54.changesFrom;
-  changesTo = other54.changesTo;
-  changes = other54.changes;
-  members = other54.members;
-  readers = other54.readers;
-  zoneSize = other54.zoneSize;
-  fleetSize = other54.fleetSize;
-  __isset = other54.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other55) {
-  zone = other55.zone;
-  share = other55.share;
-  reads = other55.reads;
-  storeAnswers = other55.storeAnswers;
-  hasView = other55.hasView;
-  wantsAnswer = other55.wantsAnswer;
-  configVersion = other55.configVersion;
-  configRevision = other55.configRevision;
-  configAge = other55.configAge;
-  serversRevision = other55.serversRevision;
-  serversAge = other55.serversAge;
-  storeBackAge = other55.storeBackAge;
-  changesFrom = other55.changesFrom;
-  changesTo = other55.changesTo;
-  changes = other55.changes;
-  members = other55.members;
-  readers = other55.readers;
-  zoneSize = other55.zoneSize;
-  fleetSize = other55.fleetSize;
-  __isset = other55.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other68) {
+  zone = other68.zone;
+  share = other68.share;
+  reads = other68.reads;
+  storeAnswers = other68.storeAnswers;
+  hasView = other68.hasView;
+  wantsAnswer = other68.wantsAnswer;
+  configVersion = other68.configVersion;
+  configRevision = other68.configRevision;
+  configAge = other68.configAge;
+  serversRevision = other68.serversRevision;
+  serversAge = other68.serversAge;
+  storeBackAge = other68.storeBackAge;
+  changesFrom = other68.changesFrom;
+  changesTo = other68.changesTo;
+  changes = other68.changes;
+  members = other68.members;
+  readers = other68.readers;
+  zoneSize = other68.zoneSize;
+  fleetSize = other68.fleetSize;
+  __isset = other68.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other69) {
+  zone = other69.zone;
+  share = other69.share;
+  reads = other69.reads;
+  storeAnswers = other69.storeAnswers;
+  hasView = other69.hasView;
+  wantsAnswer = other69.wantsAnswer;
+  configVersion = other69.configVersion;
+  configRevision = other69.configRevision;
+  configAge = other69.configAge;
+  serversRevision = other69.serversRevision;
+  serversAge = other69.serversAge;
+  storeBackAge = other69.storeBackAge;
+  changesFrom = other69.changesFrom;
+  changesTo = other69.changesTo;
+  changes = other69.changes;
+  members = other69.members;
+  readers = other69.readers;
+  zoneSize = other69.zoneSize;
+  fleetSize = other69.fleetSize;
+  __isset = other69.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
--- a/src/tagged/gen/peers_types.h
+++ b/src/tagged/gen/peers_types.h
@@ -25,6 +25,8 @@
 
 class Route;
 
+class Service;
+
 class Server;
 
 class ViewCopy;
@@ -86,13 +88,15 @@
 std::ostream& operator<<(std::ostream& out, const Weight& obj);
 
 typedef struct _Route__isset {
-  _Route__isset() : name(false), endpoint(false), services(false), timeout(false), aim(false), priority(false) {}
+  _Route__isset() : name(false), endpoint(false), services(false), timeout(false), aim(false), priority(false), repeatable(false), regions(false) {}
   bool name :1;
   bool endpoint :1;
   bool services :1;
   bool timeout :1;
   bool aim :1;
   bool priority :1;
+  bool repeatable :1;
+  bool regions :1;
 } _Route__isset;
 
 class Route : public virtual ::apache::thrift::TBase {
@@ -105,7 +109,8 @@
           endpoint(0),
           timeout(0),
           aim(0),
-          priority(0) {
+          priority(0),
+          repeatable(0) {
   }
 
   virtual ~Route() noexcept;
@@ -115,6 +120,8 @@
   int64_t timeout;
   int64_t aim;
   int32_t priority;
+  bool repeatable;
+  std::vector<std::string>  regions;
 
   _Route__isset __isset;
 
@@ -130,6 +137,10 @@
 
   void __set_priority(const int32_t val);
 
+  void __set_repeatable(const bool val);
+
+  void __set_regions(const std::vector<std::string> & val);
+
   bool operator == (const Route & rhs) const
   {
     if (!(name == rhs.name))
@@ -144,6 +155,10 @@
       return false;
     if (!(priority == rhs.priority))
       return false;
+    if (!(repeatable == rhs.repeatable))
+      return false;
+    if (!(regions == rhs.regions))
+      return false;
     return true;
   }
   bool operator != (const Route &rhs) const {
@@ -162,6 +177,56 @@
 
 std::ostream& operator<<(std::ostream& out, const Route& obj);
 
+typedef struct _Service__isset {
+  _Service__isset() : name(false), warmupQuota(false) {}
+  bool name :1;
+  bool warmupQuota :1;
+} _Service__isset;
+
+class Service : public virtual ::apache::thrift::TBase {
+ public:
+
+  Service(const Service&);
+  Service& operator=(const Service&);
+  Service() noexcept
+          : name(),
+            warmupQuota(0) {
+  }
+
+  virtual ~Service() noexcept;
+  std::string name;
+  double warmupQuota;
+
+  _Service__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_warmupQuota(const double val);
+
+  bool operator == (const Service & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(warmupQuota == rhs.warmupQuota))
+      return false;
+    return true;
+  }
+  bool operator != (const Service &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Service & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Service &a, Service &b);
+
+std::ostream& operator<<(std::ostream& out, const Service& obj);
+
 typedef struct _Server__isset {
   _Server__isset() : name(false), revision(false), id(false), startedAt(false), serviceName(false), endpoint(false), zone(false), slots(false), draining(false), coldFor(false) {}
   bool name :1;
@@ -269,7 +334,7 @@
 std::ostream& operator<<(std::ostream& out, const Server& obj);
 
 typedef struct _ViewCopy__isset {
-  _ViewCopy__isset() : configVersion(false), routes(false), idle(false), serversRevision(false), servers(false), configRevision(false), unreadable(false) {}
+  _ViewCopy__isset() : configVersion(false), routes(false), idle(false), serversRevision(false), servers(false), configRevision(false), unreadable(false), services(false) {}
   bool configVersion :1;
   bool routes :1;
   bool idle :1;
@@ -277,6 +342,7 @@
   bool servers :1;
   bool configRevision :1;
   bool unreadable :1;
+  bool services :1;
 } _ViewCopy__isset;
 
 class ViewCopy : public virtual ::apache::thrift::TBase {
@@ -299,6 +365,7 @@
   std::vector<Server>  servers;
   int64_t configRevision;
   std::vector<Server>  unreadable;
+  std::vector<Service>  services;
 
   _ViewCopy__isset __isset;
 
@@ -316,6 +383,8 @@
 
   void __set_unreadable(const std::vector<Server> & val);
 
+  void __set_services(const std::vector<Service> & val);
+
   bool operator == (const ViewCopy & rhs) const
   {
     if (!(configVersion == rhs.configVersion))
@@ -332,6 +401,8 @@
       return false;
     if (!(unreadable == rhs.unreadable))
       return false;
+    if (!(services == rhs.services))
+      return false;
     return true;
   }
   bool operator != (const ViewCopy &rhs) const {
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -151,3 +151,4 @@
 }
 
 #include "tagged/node_impl.h"
+#include "tagged/node_packets.h"
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -74,6 +74,8 @@
   route.timeout = aRoute.timeout;
   route.aim = aRoute.latencyTarget;
   route.priority = static_cast<int32_t>(aRoute.priority);
+  route.repeatable = aRoute.repeatable;
+  route.regions = aRoute.regions;
   return route;
 }
 
@@ -90,6 +92,8 @@
   route.timeout = aRoute.timeout;
   route.latencyTarget = aRoute.aim;
   route.priority = static_cast<uint32_t>(aRoute.priority);
+  route.repeatable = aRoute.repeatable;
+  route.regions = aRoute.regions;
   return route;
 }
 
@@ -142,6 +146,12 @@
   for (const steer::RouteEntry& route : aView.config.routes) {
     copy.routes.push_back(ToMessage(route));
   }
+  for (const steer::ServiceEntry& service : aView.config.services) {
+    msg::Service message;
+    message.name = service.name;
+    message.warmupQuota = service.warmupQuota;
+    copy.services.push_back(std::move(message));
+  }
   copy.idle = aView.config.idle;
   copy.configRevision = static_cast<int64_t>(aView.configRevision);
   copy.serversRevision = static_cast<int64_t>(aView.serversRevision);
@@ -165,6 +175,9 @@
   for (const msg::Route& route : copy->routes) {
     view.config.routes.push_back(FromMessage(route));
   }
+  for (const msg::Service& service : copy->services) {
+    view.config.services.push_back({ service.name, service.warmupQuota });
+  }
   view.configRevision = static_cast<uint64_t>(copy->configRevision);
   view.serversRevision = static_cast<uint64_t>(copy->serversRevision);
   for (const msg::Server& server : copy->servers) {
--- a/tests/steer/admission_test.cpp
+++ b/tests/steer/admission_test.cpp
@@ -13,13 +13,13 @@
 constexpr Micros kStart = 1000 * kSecond;
 
 // Returns an opening packet from port aPort that has been held since aAt. It is
-// the last copy, so that it stays usable for longest.
+// the last retransmission, so that it stays usable for longest.
 HeldOpening
 MakeHeldOpening(uint16_t aPort, Micros aAt, uint32_t aPriority = 1)
 {
   HeldOpening held;
   held.packet.flow = { { 1, aPort }, { 2, 443 } };
-  held.packet.copy = 2;
+  held.packet.retransmissions = 2;
   held.arrivedAt = aAt;
   held.priority = aPriority;
   held.latencyTarget = kLatencyTarget;
@@ -102,24 +102,25 @@
   CHECK(PortOf(queue.Take(kStart + 20 * kMillisecond)) == 1);
 }
 
-// Guards against flows that are opened twice: the caller's next copy went to
-// another instance, which opened the flow, and later the held one was placed.
-TEST_CASE("A held opening whose next copy is due waits for that copy")
+// Guards against flows that are opened twice: the caller's next retransmission
+// went to another instance, which opened the flow, and later the held one was
+// placed.
+TEST_CASE("A held opening whose next retransmission is due waits for it")
 {
   HoldQueue queue;
   HeldOpening first = MakeHeldOpening(1, kStart);
-  first.packet.copy = 0;
+  first.packet.retransmissions = 0;
   queue.Put(first);
   Micros now = kStart + UsableTime(first.packet);
   CHECK_FALSE(queue.Take(now));
-  Packet copy = first.packet;
-  copy.copy = 1;
+  Packet again = first.packet;
+  again.retransmissions = 1;
   now = kStart + kOpeningIntervals[0];
-  CHECK(queue.OnCopy(copy, now));
+  CHECK(queue.OnRetransmission(again, now));
   CHECK(queue.Size() == 1);
-  CHECK_FALSE(queue.Take(now + UsableTime(copy)));
-  CHECK(PortOf(queue.Take(now + UsableTime(copy) - 1)) == 1);
-  CHECK_FALSE(queue.OnCopy(copy, now));
+  CHECK_FALSE(queue.Take(now + UsableTime(again)));
+  CHECK(PortOf(queue.Take(now + UsableTime(again) - 1)) == 1);
+  CHECK_FALSE(queue.OnRetransmission(again, now));
 }
 
 TEST_CASE("A held opening expires after the longest hold time")
--- a/tests/steer/steer_test.cpp
+++ b/tests/steer/steer_test.cpp
@@ -39,13 +39,15 @@
     return packet;
   }
 
-  // The caller on aPort sends its opening packet (SYN) or a copy, which then
-  // waits for aQueueTime in the instance's socket.
-  Decision Open(uint16_t aPort, Micros aQueueTime = 0, uint32_t aCopy = 0)
+  // The caller on aPort sends its opening packet (SYN) or a retransmission,
+  // which then waits for aQueueTime in the instance's socket.
+  Decision Open(uint16_t aPort,
+                Micros aQueueTime = 0,
+                uint32_t aRetransmissions = 0)
   {
     Packet packet = MakePacket(aPort);
     packet.syn = true;
-    packet.copy = aCopy;
+    packet.retransmissions = aRetransmissions;
     packet.queueTime = aQueueTime;
     return this->steer.OnPacket(packet, true, this->now);
   }
@@ -184,26 +186,28 @@
   CHECK(fixture.SendData(7000, repeated.tag).server == repeated.server);
 }
 
-// Guards against flows that are moved to another server later: copies that
-// waited in the socket of a paused process went to one server each, all of them
-// answered, and the caller took over the tag of a late answer.
-TEST_CASE("Copies of an opening packet that waited together go to one server")
+// Guards against flows that are moved to another server later: retransmissions
+// that waited in the socket of a paused process went to one server each, all of
+// them answered, and the caller took over the tag of a late answer.
+TEST_CASE(
+  "Retransmissions of an opening packet that waited together go to one server")
 {
   SteeringFixture fixture;
   Decision first = fixture.Open(7000, 100 * kMillisecond);
-  // Many packets are handled between the copies, so that the second one comes
-  // up later than kHandshakeTimeout after the first.
+  // Many packets are handled between the retransmissions, so that the second
+  // one comes up later than kHandshakeTimeout after the first.
   fixture.now += 2 * kHandshakeTimeout;
   for (Micros queueTime : { 200 * kMillisecond, 130 * kMillisecond }) {
-    Decision copy = fixture.Open(7000, queueTime, 1);
-    CHECK(copy.action == Action::Forward);
-    CHECK(copy.reason == Reason::Repeated);
-    CHECK(copy.server == first.server);
+    Decision again = fixture.Open(7000, queueTime, 1);
+    CHECK(again.action == Action::Forward);
+    CHECK(again.reason == Reason::Repeated);
+    CHECK(again.server == first.server);
   }
   CHECK(fixture.steer.HealthOf(first.server).unanswered == 0);
 }
 
-TEST_CASE("A copy that came when the server could have answered leaves it")
+TEST_CASE(
+  "A retransmission that came when the server could have answered leaves it")
 {
   SteeringFixture fixture;
   Decision first = fixture.Open(7000);
@@ -214,8 +218,9 @@
 
 // Guards against the same fault if the process is stopped after it has chosen
 // the server and before it sends the packet.
-TEST_CASE("Copies that came before a delayed opening packet was sent leave it "
-          "at its server")
+TEST_CASE(
+  "Retransmissions that came before a delayed opening packet was sent leave it "
+  "at its server")
 {
   SteeringFixture fixture;
   Micros placedAt = fixture.now;
@@ -223,9 +228,9 @@
   fixture.now += kSecond;
   fixture.steer.OnSendDelay(placedAt, fixture.now);
   for (Micros queueTime : { 700 * kMillisecond, 400 * kMillisecond }) {
-    Decision copy = fixture.Open(7000, queueTime, 2);
-    CHECK(copy.reason == Reason::Repeated);
-    CHECK(copy.server == first.server);
+    Decision again = fixture.Open(7000, queueTime, 2);
+    CHECK(again.reason == Reason::Repeated);
+    CHECK(again.server == first.server);
   }
   fixture.steer.Tick(fixture.now);
   CHECK(fixture.steer.HealthOf(first.server).unanswered == 0);
@@ -234,22 +239,22 @@
 // Guards against flows that are moved to another server later: a process that
 // was paused forwarded opening packets of flows that were open meanwhile, and
 // their callers took over the tag of the second answer.
-TEST_CASE("An opening packet is dropped if its caller has sent the next copy")
+TEST_CASE("An opening packet is dropped if its caller has sent the next one")
 {
-  for (const auto& [copy, usableTime] :
+  for (const auto& [retransmissions, usableTime] :
        std::vector<std::pair<uint32_t, Micros>>{
          { 0, 140 * kMillisecond },
          { 1, 340 * kMillisecond },
          { 2, 740 * kMillisecond },
          { 99, 740 * kMillisecond },
        }) {
-    INFO("copy " << copy);
+    INFO("retransmissions " << retransmissions);
     SteeringFixture fixture;
-    Decision late = fixture.Open(7000, usableTime, copy);
+    Decision late = fixture.Open(7000, usableTime, retransmissions);
     CHECK(late.action == Action::Drop);
     CHECK(late.reason == Reason::OutOfDate);
     CHECK(fixture.steer.Flows() == 0);
-    Decision inTime = fixture.Open(7000, usableTime - 1, copy);
+    Decision inTime = fixture.Open(7000, usableTime - 1, retransmissions);
     CHECK(inTime.reason == Reason::Placed);
   }
 }
@@ -276,10 +281,12 @@
   CHECK(repeated.server == first.server);
 }
 
-// Guards against a second server for an open flow: the caller's last copy and
-// its first request overtook each other on the way to this instance.
-TEST_CASE("A copy that comes after the first request of a flow that another "
-          "instance placed goes to the flow's server")
+// Guards against a second server for an open flow: the caller's last
+// retransmission and its first request overtook each other on the way to this
+// instance.
+TEST_CASE(
+  "A retransmission that comes after the first request of a flow that another "
+  "instance placed goes to the flow's server")
 {
   SteeringFixture fixture;
   Packet request = SteeringFixture::MakePacket(7000);
@@ -287,9 +294,9 @@
   request.tag = TagOf(2);
   request.dataBytes = 100;
   fixture.steer.OnPacket(request, true, fixture.now);
-  Decision copy = fixture.Open(7000, 0, 1);
-  CHECK(copy.reason == Reason::Repeated);
-  CHECK(copy.server == fixture.IndexOf(2));
+  Decision again = fixture.Open(7000, 0, 1);
+  CHECK(again.reason == Reason::Repeated);
+  CHECK(again.server == fixture.IndexOf(2));
   CHECK(fixture.steer.FindFlow(request.flow)->server == fixture.IndexOf(2));
 }
 
@@ -424,7 +431,7 @@
   fixture.now += kCountedLatencyTargets * 100 * kMillisecond;
   fixture.steer.Tick(fixture.now);
   CHECK(fixture.steer.LimitOf("web")->Open() == 0);
-  // The caller of the held flow has sent a copy meanwhile.
+  // The caller of the held flow has sent the packet again meanwhile.
   CHECK(fixture.Open(port, 0, 1).reason == Reason::HeldAgain);
   CHECK(fixture.steer.Release(fixture.now)->decision.action == Action::Forward);
 }
@@ -465,7 +472,7 @@
 // Guards against a second server for a flow whose caller went on to another
 // instance while this one held its opening packet, as in a planned roll.
 TEST_CASE(
-  "A held flow whose caller sent no further copy here is neither placed "
+  "A held flow whose caller sent no further packet here is neither placed "
   "nor reset")
 {
   SteeringFixture fixture;
@@ -483,7 +490,7 @@
     opened = fixture.Open(++port);
   } while (opened.action != Action::Hold);
   Micros heldAt = fixture.now;
-  // The limit admits it now, but the caller's next copy is due.
+  // The limit admits it now, but the caller's next retransmission is due.
   fixture.now = heldAt + kCountedLatencyTargets * 100 * kMillisecond;
   fixture.steer.Tick(fixture.now);
   CHECK(fixture.steer.LimitOf("web")->Admits());
--- a/tests/support/tagged_load.cpp
+++ b/tests/support/tagged_load.cpp
@@ -165,11 +165,12 @@
     flow.id = { { static_cast<Address>(0x64400000 + (key >> 14)),
                   static_cast<uint16_t>(1024 + (key & 0x3FFF)) },
                 kTarget };
-    uint32_t copy = 0;
+    uint32_t retransmissions = 0;
     for (Micros at : { Micros{ 0 }, kFirstRepeat, kSecondRepeat }) {
-      this->clock.After(at,
-                        [this, key, copy] { this->SendOpening(key, copy); });
-      ++copy;
+      this->clock.After(at, [this, key, retransmissions] {
+        this->SendOpening(key, retransmissions);
+      });
+      ++retransmissions;
     }
     this->clock.After(kAttemptTimeout, [this, key] {
       if (!this->flows[key].open) {
@@ -198,18 +199,19 @@
     return packet;
   }
 
-  void SendOpening(uint64_t aFlow, uint32_t aCopy)
+  void SendOpening(uint64_t aFlow, uint32_t aRetransmissions)
   {
     Flow& flow = this->flows[aFlow];
     if (flow.ended || flow.open) {
       return;
     }
-    this->clock.After(this->options.oneWayDelay, [this, aFlow, aCopy] {
-      Packet packet = this->MakePacket(this->flows[aFlow]);
-      packet.syn = true;
-      packet.copy = aCopy;
-      this->DeliverToInstance(aFlow, packet);
-    });
+    this->clock.After(this->options.oneWayDelay,
+                      [this, aFlow, aRetransmissions] {
+                        Packet packet = this->MakePacket(this->flows[aFlow]);
+                        packet.syn = true;
+                        packet.retransmissions = aRetransmissions;
+                        this->DeliverToInstance(aFlow, packet);
+                      });
   }
 
   void Send(uint64_t aFlow, const Packet& aPacket)
--- a/tests/support/tagged_process.h
+++ b/tests/support/tagged_process.h
@@ -57,9 +57,9 @@
 
 // Builds a packet without data from port aPort of 127.0.0.1 to kTarget: an
 // opening packet, or one with the ACK flag, 64. aAck is the acknowledgement; in
-// an opening packet it counts the copies that were sent before. By default that
-// is the last copy, which stays usable for so long that a busy machine doesn't
-// make it out of date. platform/wire.cpp has the offsets.
+// an opening packet it counts how often it was sent before. By default that
+// is the last retransmission, which stays usable for so long that a busy
+// machine doesn't make it out of date. platform/wire.cpp has the offsets.
 inline std::vector<uint8_t>
 MakePacket(uint16_t aPort, bool aSyn, steer::Tag aTag = 0, uint8_t aAck = 2)
 {
--- a/tests/tagged/docs_test.cpp
+++ b/tests/tagged/docs_test.cpp
@@ -74,8 +74,9 @@
   }
   // Fewer if the pattern no longer fits the source.
   CHECK(nameCount >= 20);
-  std::string nodeSource =
-    ReadSource("src/tagged/node_impl.h") + ReadSource("src/tagged/sync.cpp");
+  std::string nodeSource = ReadSource("src/tagged/node_impl.h") +
+                           ReadSource("src/tagged/node_packets.h") +
+                           ReadSource("src/tagged/sync.cpp");
   // The first group is the other name of a conditional.
   std::regex eventPattern(
     "LogLine \\w+\\((?:\\w+ \\? \"(\\w+)\" : )?\"(\\w+)\"\\)");
--- a/tests/tagged/peer_codec_test.cpp
+++ b/tests/tagged/peer_codec_test.cpp
@@ -63,6 +63,19 @@
   CHECK_FALSE(decoded->servers[1].removed);
 }
 
+TEST_CASE("A view passes on all that the configuration says")
+{
+  tagged::PeerView view;
+  view.config = MakeConfig(5);
+  view.config.routes[0].repeatable = true;
+  view.config.routes[0].regions = { "north", "south" };
+  view.config.services = { { "web", 2.5 } };
+  auto decoded = tagged::DecodePeerView(tagged::EncodePeerView(view));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->config.routes == view.config.routes);
+  CHECK(decoded->config.services == view.config.services);
+}
+
 TEST_CASE("A bit that changed in a message of a peer crashes no decoder")
 {
   spread::Heartbeat heartbeat;
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -132,10 +132,11 @@
 
 }
 
-// Guards against a paused process that sends the copies of one opening packet
-// to several servers.
-TEST_CASE("Copies of an opening packet that waited while the process was "
-          "stopped reach one server")
+// Guards against a paused process that sends the retransmissions of one opening
+// packet to several servers.
+TEST_CASE(
+  "Retransmissions of an opening packet that waited while the process was "
+  "stopped reach one server")
 {
   Fixture fixture;
   BoundSocket other = BoundSocket::Make();
@@ -143,8 +144,9 @@
   Daemon daemon(fixture.port);
   REQUIRE(Eventually([&] { return daemon.ReadinessStatus() == 200; }));
   kill(daemon.pid, SIGSTOP);
-  for (uint8_t copy : { 0, 1, 2 }) {
-    daemon.Send(MakePacket(7000, true, 0, copy), fixture.fabricSocket);
+  for (uint8_t retransmissions : { 0, 1, 2 }) {
+    daemon.Send(MakePacket(7000, true, 0, retransmissions),
+                fixture.fabricSocket);
   }
   kill(daemon.pid, SIGCONT);
   std::array<const BoundSocket*, 2> servers{ &fixture.serverSocket, &other };
--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -213,6 +213,34 @@
   CHECK(config.routes[1].services.size() == 2);
 }
 
+TEST_CASE("A configuration says which requests may be repeated, which regions "
+          "may serve a route, and what a cold server bears")
+{
+  std::string route = R"("host":"198.18.0.1","service":"s","path_prefix":)";
+  std::string spec =
+    R"({"version":7,"routes":[)"
+    R"({"type":"idempotent","allowed_regions":["r","q"],)" +
+    route + R"("/1/"},{"type":"download",)" + route +
+    R"("/2/"},{"type":"non_idempotent",)" + route + R"("/3/"},{)" + route +
+    R"("/4/"},{"allowed_regions":"r",)" + route +
+    R"("/5/"},{"allowed_regions":[7],)" + route +
+    R"("/6/"}],"services":[{"name":"s","warmup_per_s":2.5},)"
+    R"({"name":"t","warmup_per_s":0.0},{"name":"u","warmup_per_s":"9"},7]})";
+  auto page = ObjectFormat::ParseConfigList(MakeList(MakeObject("main", spec)));
+  REQUIRE(page.ok());
+  REQUIRE(page->changes[0].config);
+  const steer::Config& config = *page->changes[0].config;
+  // A route whose regions cannot be read is left out, not served everywhere.
+  REQUIRE(config.routes.size() == 4);
+  CHECK(config.routes[0].repeatable);
+  CHECK(config.routes[0].regions == std::vector<std::string>{ "r", "q" });
+  CHECK(config.routes[1].repeatable);
+  CHECK_FALSE(config.routes[2].repeatable);
+  CHECK_FALSE(config.routes[3].repeatable);
+  CHECK(config.routes[3].regions.empty());
+  CHECK(config.services == std::vector<steer::ServiceEntry>{ { "s", 2.5 } });
+}
+
 TEST_CASE("An object of the configuration's kind with another name is not a "
           "configuration")
 {
--- a/tests/translation/wire_test.cpp
+++ b/tests/translation/wire_test.cpp
@@ -52,11 +52,11 @@
 TEST_CASE("Copies of an opening packet are counted, other packets are not")
 {
   std::vector<uint8_t> bytes = OpeningPacket();
-  CHECK(platform::PacketFormat::Decode(bytes)->copy == 0);
+  CHECK(platform::PacketFormat::Decode(bytes)->retransmissions == 0);
   bytes[7] = 2;
-  CHECK(platform::PacketFormat::Decode(bytes)->copy == 2);
+  CHECK(platform::PacketFormat::Decode(bytes)->retransmissions == 2);
   bytes[8] = 64;
-  CHECK(platform::PacketFormat::Decode(bytes)->copy == 0);
+  CHECK(platform::PacketFormat::Decode(bytes)->retransmissions == 0);
 }
 
 TEST_CASE("Datagrams that are not one whole packet are not decoded")
