Let the test load have kinds of requests, long flows, uneven servers and zones

Change: TaggedLoadOptions has kinds, each with a route, a share of demand by zone and a delay between zones; callers repeat lost data after 200, 400, 800 ms. The servers and the parts of the load have files of their own. A factor below 1 makes a server quicker. A reply on a flow that its caller left no longer counts.

--- a/tests/support/tagged_load.cpp
+++ b/tests/support/tagged_load.cpp
@@ -1,5 +1,8 @@
 #include "support/tagged_load.h"
 
+#include "support/load_servers.h"
+#include "support/tagged_load_parts.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -9,52 +12,19 @@
 
 using namespace steer;
 
-constexpr Endpoint kTarget{ 0xC6120001, 443 };
 // A caller repeats an unanswered opening packet after these times, and then
 // gives up the attempt. After an answer, an attempt has no timeout.
 constexpr Micros kFirstRepeat = 200 * kMillisecond;
 constexpr Micros kSecondRepeat = 600 * kMillisecond;
 constexpr Micros kAttemptTimeout = 1400 * kMillisecond;
-// A caller sends lost data again after this time.
+// A caller sends lost data again after this time, which doubles up to so often.
 constexpr Micros kRetransmitDelay = 200 * kMillisecond;
+constexpr uint32_t kMaxDoublings = 3;
+constexpr uint32_t kFirstSeq = 100;
+constexpr uint32_t kRequestBytes = 200;
+constexpr uint32_t kReplyBytes = 1000;
 constexpr Micros kTick = 50 * kMillisecond; // period of the instances' ticks
 
-// A request of a caller, over all its attempts.
-struct Request
-{
-  uint64_t id = 0;
-  Micros startedAt = 0;
-  uint32_t attempts = 0;
-  bool done = false;
-  uint32_t executions = 0;
-  Micros work = 0;
-};
-
-// One attempt of a request.
-struct Flow
-{
-  uint64_t request = 0;
-  size_t instance = 0;
-  FlowId id;
-  bool open = false;
-  bool ended = false;
-  Tag tag = kNoTag;
-};
-
-// A request that waits at a server.
-struct Job
-{
-  uint64_t flow = 0;
-  Micros arrivedAt = 0;
-};
-
-// A backend server with its occupied slots and its queue.
-struct Backend
-{
-  uint32_t busy = 0;
-  std::deque<Job> queue;
-};
-
 // Instances, callers and servers of one run.
 class Simulation
 {
@@ -62,29 +32,62 @@
   explicit Simulation(const TaggedLoadOptions& aOptions)
     : options(aOptions)
     , random(aOptions.seed)
-    , backends(aOptions.servers)
+    , servers(this->clock,
+              { .servers = aOptions.servers,
+                .slots = aOptions.slots,
+                .queue = aOptions.queue,
+                .maxQueueTime = aOptions.maxQueueTime,
+                .onStart =
+                  [this](const LoadJob& aJob, size_t aServer) {
+                    return this->OnStart(aJob, aServer);
+                  },
+                .onEnd =
+                  [this](const LoadJob& aJob, size_t aServer, bool aExecuted) {
+                    this->Reply(aJob.flow, aServer, aExecuted);
+                  } })
   {
+    if (this->options.kinds.empty()) {
+      this->options.kinds.push_back({ .arrivalRate = aOptions.arrivalRate,
+                                      .work = aOptions.work,
+                                      .latencyTarget = aOptions.latencyTarget,
+                                      .deadline = aOptions.deadline });
+    }
+    for (size_t kind = 0; kind < this->options.kinds.size(); ++kind) {
+      for (size_t i = 0; i < this->options.kinds[kind].longFlows; ++i) {
+        this->callers.push_back({ .kind = kind, .zone = i % aOptions.zones });
+      }
+    }
+    this->result.kinds.resize(this->options.kinds.size());
+    this->result.zones.resize(this->options.zones);
     for (size_t i = 0; i < aOptions.instances; ++i) {
       FlowSteeringOptions steeringOptions;
-      steeringOptions.placer.zone = this->Zone(i);
+      steeringOptions.placer.zone = LoadZone(aOptions, i);
       // Not drawn from `random`, whose sequence the callers use.
       steeringOptions.placer.randomSeed =
         static_cast<uint32_t>(aOptions.seed * aOptions.instances + i + 1);
       steeringOptions.hold = aOptions.policy == TaggedPolicy::Product;
+      if (aOptions.steering) {
+        aOptions.steering(steeringOptions);
+      }
       this->instances.push_back(
         std::make_unique<FlowSteering>(steeringOptions));
       this->instances.back()->SetInstanceCount(aOptions.instances);
-      this->FillView(this->instances.back()->CurrentView());
+      FillLoadView(this->options,
+                   this->clock.Now(),
+                   this->instances.back()->CurrentView());
     }
   }
 
   TaggedLoadResult Run()
   {
     this->start = this->clock.Now();
-    this->ScheduleArrival();
+    Micros deadline = 0;
+    for (size_t kind = 0; kind < this->options.kinds.size(); ++kind) {
+      this->ScheduleArrival(kind);
+      deadline = std::max(deadline, this->options.kinds[kind].deadline);
+    }
     this->Tick();
-    this->clock.RunUntil(this->start + this->options.duration +
-                         2 * this->options.deadline);
+    this->clock.RunUntil(this->start + this->options.duration + 2 * deadline);
     for (const auto& [id, request] : this->requests) {
       this->result.failed += request.done ? 0 : 1;
       this->result.executedTwice += request.executions > 1 ? 1 : 0;
@@ -93,78 +96,99 @@
   }
 
 private:
-  std::string Zone(size_t aIndex) const
+  void ScheduleArrival(size_t aKind)
   {
-    return "zone-" + std::to_string(aIndex % this->options.zones);
+    Micros since = this->clock.Now() - this->start;
+    if (since > this->options.duration) {
+      return;
+    }
+    double arrivalRate = this->options.kinds[aKind].arrivalRate(since);
+    std::exponential_distribution<double> gap(arrivalRate / kSecond);
+    this->clock.After(1 + static_cast<Micros>(gap(this->random)),
+                      [this, aKind] {
+                        this->StartRequest(aKind);
+                        this->ScheduleArrival(aKind);
+                      });
   }
 
-  void FillView(View& aView) const
+  // Returns the zone of the next caller.
+  size_t PickZone()
   {
-    std::vector<ServerChange> list;
-    for (size_t i = 0; i < this->options.servers; ++i) {
-      ServerEntry entry;
-      entry.id = i + 1;
-      entry.service = "service";
-      entry.endpoint = { static_cast<Address>(0x0A000001 + i), 8080 };
-      entry.zone = this->Zone(i);
-      entry.slots = this->options.slots;
-      list.push_back({ "i-" + std::to_string(i), i + 1, false, entry });
+    if (!this->options.zoneDemand) {
+      return this->random() % this->options.zones;
+    }
+    std::vector<double> shares;
+    for (size_t zone = 0; zone < this->options.zones; ++zone) {
+      Micros since = this->clock.Now() - this->start;
+      shares.push_back(this->options.zoneDemand(zone, since));
     }
-    Config config;
-    config.version = 1;
-    config.routes.push_back({ .name = "route",
-                              .endpoint = kTarget,
-                              .services = { { "service", 1 } },
-                              .latencyTarget = this->options.latencyTarget });
-    aView.PutConfig(config);
-    aView.PutServers(list, this->clock.Now());
+    return std::discrete_distribution<size_t>(shares.begin(),
+                                              shares.end())(this->random);
   }
 
-  void ScheduleArrival()
+  // Returns the index + 1 of a random idle caller that keeps its flow, or 0.
+  uint64_t PickLongCaller(size_t aKind, size_t aZone)
   {
-    Micros since = this->clock.Now() - this->start;
-    if (since > this->options.duration) {
-      return;
+    std::vector<uint64_t> idle;
+    for (size_t i = 0; i < this->callers.size(); ++i) {
+      const LongCaller& caller = this->callers[i];
+      if (caller.kind == aKind && caller.zone == aZone && !caller.busy) {
+        idle.push_back(i + 1);
+      }
     }
-    double arrivalRate = this->options.arrivalRate(since);
-    std::exponential_distribution<double> gap(arrivalRate / kSecond);
-    this->clock.After(1 + static_cast<Micros>(gap(this->random)), [this] {
-      this->StartRequest();
-      this->ScheduleArrival();
-    });
+    return idle.empty() ? 0 : idle[this->random() % idle.size()];
   }
 
-  void StartRequest()
+  void StartRequest(size_t aKind)
   {
     uint64_t id = ++this->lastRequest;
+    const TaggedLoadKind& kind = this->options.kinds[aKind];
     std::lognormal_distribution<double> factor(-this->options.workSigma *
                                                  this->options.workSigma / 2,
                                                this->options.workSigma);
-    Request& request = this->requests[id];
+    LoadRequest& request = this->requests[id];
     request.id = id;
+    request.kind = aKind;
     request.startedAt = this->clock.Now();
-    request.work = static_cast<Micros>(static_cast<double>(this->options.work) *
+    request.work = static_cast<Micros>(static_cast<double>(kind.work) *
                                        factor(this->random));
+    request.zone = this->options.zones > 1 ? this->PickZone() : 0;
     ++this->result.requestCount;
+    ++this->result.kinds[aKind].requestCount;
+    ++this->result.zones[request.zone].requestCount;
+    if (kind.longFlows > 0) {
+      request.caller = this->PickLongCaller(aKind, request.zone);
+    }
+    if (request.caller > 0) {
+      LongCaller& caller = this->callers[request.caller - 1];
+      caller.busy = true;
+      if (caller.flow != 0) {
+        this->flows[caller.flow].request = id;
+        ++request.attempts;
+        this->SendRequest(caller.flow);
+        return;
+      }
+    }
     this->StartAttempt(id);
   }
 
   void StartAttempt(uint64_t aRequest)
   {
-    Request& request = this->requests[aRequest];
-    bool expired =
-      this->clock.Now() - request.startedAt >= this->options.deadline;
+    LoadRequest& request = this->requests[aRequest];
+    const TaggedLoadKind& kind = this->options.kinds[request.kind];
+    bool expired = this->clock.Now() - request.startedAt >= kind.deadline;
     if (expired || request.attempts > this->options.retries) {
+      this->EndLongRequest(request);
       return;
     }
     ++request.attempts;
     uint64_t key = ++this->lastFlow;
-    Flow& flow = this->flows[key];
+    LoadFlow& flow = this->flows[key];
     flow.request = aRequest;
-    flow.instance = this->random() % this->instances.size();
+    flow.instance = this->PickInstance(request.zone);
     flow.id = { { static_cast<Address>(0x64400000 + (key >> 14)),
                   static_cast<uint16_t>(1024 + (key & 0x3FFF)) },
-                kTarget };
+                LoadTarget(request.kind) };
     uint32_t retransmissions = 0;
     for (Micros at : { Micros{ 0 }, kFirstRepeat, kSecondRepeat }) {
       this->clock.After(at, [this, key, retransmissions] {
@@ -179,29 +203,55 @@
     });
   }
 
+  // Instances are in the zones in turn, so those of a zone have indexes that
+  // differ by the number of zones.
+  size_t PickInstance(size_t aZone)
+  {
+    size_t count = this->instances.size();
+    if (this->options.zones == 1 || count < this->options.zones) {
+      return this->random() % count;
+    }
+    size_t inZone =
+      (count - aZone + this->options.zones - 1) / this->options.zones;
+    return aZone + this->options.zones * (this->random() % inZone);
+  }
+
+  // The caller that keeps its flow may start its next request.
+  void EndLongRequest(const LoadRequest& aRequest)
+  {
+    if (aRequest.caller > 0) {
+      this->callers[aRequest.caller - 1].busy = false;
+    }
+  }
+
   // Ends a failed attempt. The caller retries on a new flow.
   void FailAttempt(uint64_t aFlow)
   {
-    Flow& flow = this->flows[aFlow];
+    LoadFlow& flow = this->flows[aFlow];
     if (flow.ended) {
       return;
     }
     flow.ended = true;
+    uint64_t caller = this->requests[flow.request].caller;
+    if (caller > 0) {
+      this->callers[caller - 1].flow = 0;
+    }
     this->StartAttempt(flow.request);
   }
 
-  Packet MakePacket(const Flow& aFlow) const
+  Packet MakePacket(const LoadFlow& aFlow) const
   {
     Packet packet;
     packet.flow = aFlow.id;
-    packet.seq = 100;
+    packet.seq = kFirstSeq + aFlow.requests * kRequestBytes;
+    packet.ack = aFlow.open ? 1 + aFlow.replies * kReplyBytes : 0;
     packet.tag = aFlow.tag;
     return packet;
   }
 
   void SendOpening(uint64_t aFlow, uint32_t aRetransmissions)
   {
-    Flow& flow = this->flows[aFlow];
+    LoadFlow& flow = this->flows[aFlow];
     if (flow.ended || flow.open) {
       return;
     }
@@ -258,8 +308,8 @@
       this->DeliverToServer(aFlow, aPacket, aDecision.tag - 1);
     } else if (aDecision.action == Action::Reset) {
       this->clock.After(this->options.oneWayDelay, [this, aFlow] {
-        Flow& flow = this->flows[aFlow];
-        const Request& request = this->requests[flow.request];
+        LoadFlow& flow = this->flows[aFlow];
+        const LoadRequest& request = this->requests[flow.request];
         this->result.refusedButExecuted +=
           request.executions > 0 && !request.done;
         this->FailAttempt(aFlow);
@@ -277,104 +327,111 @@
   void DeliverToServer(uint64_t aFlow, const Packet& aPacket, size_t aServer)
   {
     std::uniform_real_distribution<double> uniform(0, 1);
-    if (this->Slowdown(aServer) == 0) {
-      return;
-    }
-    if (uniform(this->random) < this->options.loss) {
+    bool lost = this->Slowdown(aServer) == 0 ||
+                uniform(this->random) < this->options.loss;
+    if (lost) {
       if (aPacket.dataBytes > 0) {
-        this->clock.After(kRetransmitDelay, [this, aFlow, aPacket] {
-          this->Send(aFlow, aPacket);
-        });
+        this->Retransmit(aFlow, aPacket);
       }
       return;
     }
     if (aPacket.syn) {
       Tag tag = static_cast<Tag>(aServer + 1);
-      this->clock.After(this->options.oneWayDelay,
+      this->clock.After(this->DelayFrom(aFlow, aServer),
                         [this, aFlow, tag] { this->OnSynAck(aFlow, tag); });
     } else if (aPacket.dataBytes > 0) {
-      this->OnRequest(aFlow, aServer);
+      this->servers.OnRequest({ aFlow, this->flows[aFlow].request }, aServer);
     }
   }
 
-  void OnSynAck(uint64_t aFlow, Tag aTag)
+  // Time from the server to the caller of the flow. It includes the way of the
+  // forwarded packet to a server in another zone, which arrives at once.
+  Micros DelayFrom(uint64_t aFlow, size_t aServer) const
   {
-    Flow& flow = this->flows[aFlow];
-    if (flow.ended || flow.open) {
+    const LoadFlow& flow = this->flows.at(aFlow);
+    bool remote =
+      flow.instance % this->options.zones != aServer % this->options.zones;
+    return this->options.oneWayDelay +
+           (remote ? 2 * this->options.crossZoneDelay : 0);
+  }
+
+  // The caller sends lost data again, after twice the time each time, and gives
+  // the flow up at the request's deadline.
+  void Retransmit(uint64_t aFlow, const Packet& aPacket)
+  {
+    LoadFlow& flow = this->flows[aFlow];
+    const LoadRequest& request = this->requests[flow.request];
+    Micros deadline =
+      request.startedAt + this->options.kinds[request.kind].deadline;
+    Micros left = deadline - this->clock.Now();
+    Micros delay = kRetransmitDelay << std::min(flow.losses, kMaxDoublings);
+    ++flow.losses;
+    if (delay >= left) {
+      this->clock.After(std::max<Micros>(1, left),
+                        [this, aFlow] { this->FailAttempt(aFlow); });
       return;
     }
-    flow.open = true;
-    flow.tag = aTag;
-    Packet packet = this->MakePacket(flow);
-    packet.ack = 1;
-    packet.dataBytes = 200;
-    this->Send(aFlow, packet);
+    this->clock.After(delay, [this, aFlow, aPacket] {
+      if (!this->flows[aFlow].ended) {
+        this->Send(aFlow, aPacket);
+      }
+    });
   }
 
-  void OnRequest(uint64_t aFlow, size_t aServer)
+  void OnSynAck(uint64_t aFlow, Tag aTag)
   {
-    Backend& backend = this->backends[aServer];
-    if (backend.queue.size() >= this->options.queue) {
-      this->Reply(aFlow, false);
+    LoadFlow& flow = this->flows[aFlow];
+    if (flow.ended || flow.open) {
       return;
     }
-    backend.queue.push_back({ aFlow, this->clock.Now() });
-    this->clock.After(this->options.maxQueueTime,
-                      [this, aFlow, aServer] { this->Shed(aFlow, aServer); });
-    this->StartJobs(aServer);
+    flow.open = true;
+    flow.tag = aTag;
+    uint64_t caller = this->requests[flow.request].caller;
+    if (caller > 0) {
+      this->callers[caller - 1].flow = aFlow;
+    }
+    this->SendRequest(aFlow);
   }
 
-  // Rejects a request that has waited for maxQueueTime.
-  void Shed(uint64_t aFlow, size_t aServer)
+  // Sends the data of the flow's request.
+  void SendRequest(uint64_t aFlow)
   {
-    std::deque<Job>& queue = this->backends[aServer].queue;
-    auto job = std::find_if(queue.begin(), queue.end(), [&](const Job& aJob) {
-      return aJob.flow == aFlow;
-    });
-    if (job != queue.end()) {
-      queue.erase(job);
-      this->Reply(aFlow, false);
-    }
+    LoadFlow& flow = this->flows[aFlow];
+    flow.losses = 0;
+    Packet packet = this->MakePacket(flow);
+    packet.dataBytes = kRequestBytes;
+    ++flow.requests;
+    this->Send(aFlow, packet);
   }
 
-  void StartJobs(size_t aServer)
+  // A server starts to work on a request; returns how long it takes.
+  Micros OnStart(const LoadJob& aJob, size_t aServer)
   {
-    Backend& backend = this->backends[aServer];
-    while (backend.busy < this->options.slots && !backend.queue.empty()) {
-      uint64_t flow = backend.queue.front().flow;
-      backend.queue.pop_front();
-      ++backend.busy;
-      Request& request = this->requests[this->flows[flow].request];
-      ++request.executions;
-      ++this->result.perServer[aServer];
-      auto elapsed =
-        static_cast<Micros>(static_cast<double>(request.work) *
-                            std::max(1.0, this->Slowdown(aServer)));
-      this->clock.After(elapsed, [this, flow, aServer] {
-        --this->backends[aServer].busy;
-        this->Reply(flow, true);
-        this->StartJobs(aServer);
-      });
-    }
+    LoadRequest& request = this->requests[aJob.request];
+    ++request.executions;
+    ++this->result.perServer[aServer];
+    double slowdown = this->Slowdown(aServer);
+    return static_cast<Micros>(static_cast<double>(request.work) *
+                               (slowdown > 0 ? slowdown : 1));
   }
 
-  void Reply(uint64_t aFlow, bool aExecuted)
+  void Reply(uint64_t aFlow, size_t aServer, bool aExecuted)
   {
-    this->clock.After(this->options.oneWayDelay, [this, aFlow, aExecuted] {
-      Flow& flow = this->flows[aFlow];
-      Request& request = this->requests[flow.request];
-      Micros elapsed = this->clock.Now() - request.startedAt;
-      if (aExecuted && !request.done && elapsed <= this->options.deadline) {
-        request.done = true;
-        this->result.latencies.push_back(elapsed);
-        ++(elapsed <= this->options.latencyTarget ? this->result.withinTarget
-                                                  : this->result.overTarget);
+    Micros delay = this->DelayFrom(aFlow, aServer);
+    this->clock.After(delay, [this, aFlow, aExecuted] {
+      LoadFlow& flow = this->flows[aFlow];
+      if (aExecuted && !flow.ended) {
+        this->CountReply(this->requests[flow.request]);
       }
+      ++flow.replies;
+      LoadRequest& request = this->requests[flow.request];
+      bool keeps = aExecuted && !flow.ended && request.caller > 0;
       Packet last = this->MakePacket(flow);
-      last.ack = 1000;
-      last.fin = true;
+      last.fin = !keeps;
       this->Send(aFlow, last);
-      if (aExecuted) {
+      if (keeps) {
+        this->EndLongRequest(request);
+      } else if (aExecuted) {
         flow.ended = true;
       } else {
         this->FailAttempt(aFlow);
@@ -382,6 +439,24 @@
     });
   }
 
+  void CountReply(LoadRequest& aRequest)
+  {
+    const TaggedLoadKind& kind = this->options.kinds[aRequest.kind];
+    Micros elapsed = this->clock.Now() - aRequest.startedAt;
+    if (aRequest.done || elapsed > kind.deadline) {
+      return;
+    }
+    aRequest.done = true;
+    this->result.latencies.push_back(elapsed);
+    bool inTime = elapsed <= kind.latencyTarget;
+    ++(inTime ? this->result.withinTarget : this->result.overTarget);
+    for (TaggedLoadShare* share : { &this->result.kinds[aRequest.kind],
+                                    &this->result.zones[aRequest.zone] }) {
+      share->withinTarget += inTime ? 1 : 0;
+      share->latencies.push_back(elapsed);
+    }
+  }
+
   void Tick()
   {
     for (size_t i = 0; i < this->instances.size(); ++i) {
@@ -396,9 +471,10 @@
   VirtualClock clock;
   std::mt19937_64 random;
   std::vector<std::unique_ptr<FlowSteering>> instances;
-  std::vector<Backend> backends;
-  std::map<uint64_t, Request> requests;
-  std::map<uint64_t, Flow> flows;
+  LoadServers servers;
+  std::vector<LongCaller> callers;
+  std::map<uint64_t, LoadRequest> requests;
+  std::map<uint64_t, LoadFlow> flows;
   uint64_t lastRequest = 0;
   uint64_t lastFlow = 0;
   Micros start = 0;
@@ -406,20 +482,6 @@
 
 }
 
-Micros
-TaggedLoadResult::LatencyAt(double aQuantile)
-{
-  if (this->latencies.empty()) {
-    return 0;
-  }
-  auto index = static_cast<size_t>(
-    aQuantile * static_cast<double>(this->latencies.size() - 1));
-  std::nth_element(this->latencies.begin(),
-                   this->latencies.begin() + static_cast<std::ptrdiff_t>(index),
-                   this->latencies.end());
-  return this->latencies[index];
-}
-
 TaggedLoadResult
 RunTaggedLoad(const TaggedLoadOptions& aOptions)
 {
--- a/tests/support/tagged_load.h
+++ b/tests/support/tagged_load.h
@@ -6,6 +6,7 @@
 #include "steer/steer.h"
 #include "support/clock.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -25,6 +26,23 @@
   Random,
 };
 
+// One kind of request. Each has a route of its own to the one service.
+struct TaggedLoadKind
+{
+  // New requests a second, by the time since the start.
+  std::function<double(Micros)> arrivalRate;
+  Micros work = 59 * kMillisecond; // mean
+  Micros latencyTarget = 250 * kMillisecond;
+  // Time from a request's start after which its reply no longer counts and its
+  // caller starts no new attempt.
+  Micros deadline = 2500 * kMillisecond;
+  uint32_t priority = 0; // 0 is the most urgent
+  bool repeatable = true;
+  // Callers that each keep one flow for all their requests; 0: each request has
+  // a flow of its own.
+  size_t longFlows = 0;
+};
+
 // Settings of the callers, the instances and the servers.
 struct TaggedLoadOptions
 {
@@ -38,17 +56,19 @@
   uint32_t queue = 12;
   // Longest wait of a request at a server, which then responds with 503.
   Micros maxQueueTime = 350 * kMillisecond;
+  // If empty, there is one kind, with arrivalRate and the figures below.
+  std::vector<TaggedLoadKind> kinds;
   // Mean work of a request.
   Micros work = 59 * kMillisecond;
   // Sigma of the work, which is log-normal with the mean `work`.
   double workSigma = 0.5;
   Micros latencyTarget = 250 * kMillisecond;
-  // Time from a request's start after which its reply no longer counts and its
-  // caller starts no new attempt.
   Micros deadline = 2500 * kMillisecond;
   // A caller retries failed attempts at most this often, each on a new flow.
   uint32_t retries = 2;
   Micros oneWayDelay = 2 * kMillisecond;
+  // Added to it between an instance and a server of different zones.
+  Micros crossZoneDelay = 0;
   Micros duration = 20 * kSecond;
   // Probability that a packet towards a server is lost.
   double loss = 0;
@@ -56,9 +76,42 @@
   // New requests a second, by the time since the start.
   std::function<double(Micros)> arrivalRate;
   // Factor on the work of a server, by its index and the time since the start.
-  // Factors below 1 count as 1; 0: the server receives nothing, but still
-  // answers the requests that it has.
+  // 0: the server receives nothing, but still answers the requests that it has.
   std::function<double(size_t, Micros)> slowdown;
+  // Share of the callers in each zone, by its index and the time since the
+  // start, relative to the others; without it all are alike. Callers use the
+  // instances of their zone.
+  std::function<double(size_t, Micros)> zoneDemand;
+  // Changes the options of each instance's flow steering.
+  std::function<void(steer::FlowSteeringOptions&)> steering;
+};
+
+// Returns a quantile of the latencies, or 0 if there are none.
+inline Micros
+LatencyQuantile(std::vector<Micros> aLatencies, double aQuantile)
+{
+  if (aLatencies.empty()) {
+    return 0;
+  }
+  auto index = static_cast<std::ptrdiff_t>(
+    aQuantile * static_cast<double>(aLatencies.size() - 1));
+  auto at = aLatencies.begin() + index;
+  std::nth_element(aLatencies.begin(), at, aLatencies.end());
+  return *at;
+}
+
+// Outcome of the requests of one kind or of the callers of one zone.
+struct TaggedLoadShare
+{
+  uint64_t requestCount = 0;
+  uint64_t withinTarget = 0;
+  std::vector<Micros> latencies;
+
+  double WithinTarget() const
+  {
+    return static_cast<double>(this->withinTarget) /
+           static_cast<double>(std::max<uint64_t>(1, this->requestCount));
+  }
 };
 
 // Outcome of all requests.
@@ -79,6 +132,8 @@
   std::vector<Micros> latencies;
   // Executions that each server started, by the server's index.
   std::map<size_t, uint64_t> perServer;
+  std::vector<TaggedLoadShare> kinds; // as in the options
+  std::vector<TaggedLoadShare> zones;
 
   double ShareWithinTarget() const
   {
@@ -90,8 +145,10 @@
     return static_cast<double>(this->failed) /
            static_cast<double>(this->requestCount);
   }
-  // Quantile of the latencies.
-  Micros LatencyAt(double aQuantile);
+  Micros LatencyAt(double aQuantile) const
+  {
+    return LatencyQuantile(this->latencies, aQuantile);
+  }
 };
 
 // Runs one simulation to its end.
--- /dev/null
+++ b/tests/support/tagged_load_parts.h
@@ -0,0 +1,93 @@
+// Requests, callers and flows of the tagged load, and the view that its
+// instances share.
+#pragma once
+
+#include "support/tagged_load.h"
+
+namespace gentianspindle {
+
+// The route of the first kind; those of further ones have the next ports.
+constexpr Endpoint kFirstLoadTarget{ 0xC6120001, 443 };
+
+inline Endpoint
+LoadTarget(size_t aKind)
+{
+  Endpoint target = kFirstLoadTarget;
+  target.port = static_cast<uint16_t>(target.port + aKind);
+  return target;
+}
+
+// Returns the zone of the instance or server with this index.
+inline std::string
+LoadZone(const TaggedLoadOptions& aOptions, size_t aIndex)
+{
+  return "zone-" + std::to_string(aIndex % aOptions.zones);
+}
+
+// Fills in the servers and a route for each kind.
+inline void
+FillLoadView(const TaggedLoadOptions& aOptions, Micros aNow, steer::View& aView)
+{
+  std::vector<steer::ServerChange> list;
+  for (size_t i = 0; i < aOptions.servers; ++i) {
+    steer::ServerEntry entry;
+    entry.id = i + 1;
+    entry.service = "service";
+    entry.endpoint = { static_cast<Address>(0x0A000001 + i), 8080 };
+    entry.zone = LoadZone(aOptions, i);
+    entry.slots = aOptions.slots;
+    list.push_back({ "i-" + std::to_string(i), i + 1, false, entry });
+  }
+  steer::Config config;
+  config.version = 1;
+  for (size_t i = 0; i < aOptions.kinds.size(); ++i) {
+    const TaggedLoadKind& kind = aOptions.kinds[i];
+    config.routes.push_back({ .name = "route",
+                              .endpoint = LoadTarget(i),
+                              .services = { { "service", 1 } },
+                              .latencyTarget = kind.latencyTarget,
+                              .priority = kind.priority,
+                              .repeatable = kind.repeatable });
+  }
+  aView.PutConfig(config);
+  aView.PutServers(list, aNow);
+}
+
+// A request of a caller, over all its attempts.
+struct LoadRequest
+{
+  uint64_t id = 0;
+  size_t kind = 0;
+  size_t zone = 0;
+  uint64_t caller = 0; // that keeps a flow, by its index + 1; 0: none does
+  Micros startedAt = 0;
+  uint32_t attempts = 0;
+  bool done = false;
+  uint32_t executions = 0;
+  Micros work = 0;
+};
+
+// A caller that keeps its flow for all its requests.
+struct LongCaller
+{
+  size_t kind = 0;
+  size_t zone = 0;
+  uint64_t flow = 0; // 0: none is open
+  bool busy = false;
+};
+
+// One attempt of a request or, if its caller keeps it, of several.
+struct LoadFlow
+{
+  uint64_t request = 0; // the last one
+  size_t instance = 0;
+  steer::FlowId id;
+  bool open = false;
+  bool ended = false;
+  steer::Tag tag = steer::kNoTag;
+  uint32_t requests = 0; // that were sent
+  uint32_t replies = 0;
+  uint32_t losses = 0; // of the data of the last request
+};
+
+}
