--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -54,6 +54,9 @@
   7: list<Server> unreadable // listed servers whose entries cannot be read;
                              // only name and revision are valid
   10: list<Service> services
+  11: i64 drainsRevision // store revision of drainedZones; 0: not known
+  12: i64 drainsChanged  // store revision up to which a zone last changed
+  13: list<string> drainedZones
 }
 
 // A change of one server's entry in the store.
@@ -93,4 +96,9 @@
   17: list<Reader> readers // of other zones; in a reply also of the sender's
   18: i32 zoneSize  // instances in the sender's zone
   19: i32 fleetSize // instances in all zones
+  20: i64 drainsRevision // as in ViewCopy, 20 to 23
+  21: i64 drainsAge      // as serversAge
+  22: i64 drainsChanged
+  23: list<string> drainedZones
+  24: bool drainsLeftOut // the zones are too many for a heartbeat
 }
--- a/src/base/settings_reader.h
+++ b/src/base/settings_reader.h
@@ -18,7 +18,7 @@
 namespace gentianspindle {
 
 // How a setting's value is written and checked. Address and Endpoint are
-// strings of the forms a.b.c.d and a.b.c.d:port; the plurals are lists of them.
+// strings of the forms a.b.c.d and a.b.c.d:port; the plurals are lists.
 enum class SettingType : uint8_t
 {
   String,
--- a/src/spread/beat.h
+++ b/src/spread/beat.h
@@ -60,6 +60,11 @@
   Micros configAge = 0;
   uint64_t serversRevision = 0;
   Micros serversAge = 0;
+  // Drained zones; revision 0: the sender does not know them.
+  steer::DrainState drains;
+  Micros drainsAge = 0;
+  // The zones are left out, as they are too many for a datagram.
+  bool drainsLeftOut = false;
   Micros storeBackAge = -1; // since the end of the last store outage; -1: none
   // Latest changes of servers; hellos, replies and seed queries carry none.
   ChangeRange recent;
--- a/src/spread/sending.cpp
+++ b/src/spread/sending.cpp
@@ -30,6 +30,7 @@
   heartbeat.configAge = aNow - this->config.confirmedAt;
   heartbeat.serversRevision = this->servers.revision;
   heartbeat.serversAge = aNow - this->servers.confirmedAt;
+  this->PutDrainsInto(heartbeat, aNow);
   heartbeat.storeBackAge =
     this->storeBackAt == kNever ? -1 : aNow - this->storeBackAt;
   heartbeat.recent = { this->servers.revision, this->servers.revision, {} };
@@ -38,6 +39,23 @@
   return heartbeat;
 }
 
+void
+Replicator::PutDrainsInto(Heartbeat& aHeartbeat, Micros aNow) const
+{
+  aHeartbeat.drains.revision = this->drains.revision;
+  aHeartbeat.drains.changedRevision = this->drains.changedRevision;
+  aHeartbeat.drainsAge = aNow - this->drainsConfirmedAt;
+  size_t bytes = 0;
+  for (const std::string& zone : this->drains.zones) {
+    bytes += zone.size();
+  }
+  aHeartbeat.drainsLeftOut = this->drains.zones.size() > kMaxDrainedZones ||
+                             bytes > kMaxDrainedZoneBytes;
+  if (!aHeartbeat.drainsLeftOut) {
+    aHeartbeat.drains.zones = this->drains.zones;
+  }
+}
+
 void
 Replicator::AppendReaderHeartbeats(std::vector<OutgoingHeartbeat>& aHeartbeats,
                                    Micros aNow)
--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -73,6 +73,49 @@
   this->servers.Confirm(aRevision, aNow);
 }
 
+bool
+Replicator::OnDrainsResponse(std::span<const steer::DrainChange> aChanges,
+                             uint64_t aRevision,
+                             bool aList,
+                             Micros aNow)
+{
+  this->OnStoreAnswer(aNow);
+  bool changed = aList ? this->drains.PutList(aChanges, aRevision)
+                       : this->drains.PutChanges(aChanges, aRevision);
+  this->drainsConfirmedAt = aNow;
+  this->updatePending = this->updatePending || changed;
+  return changed;
+}
+
+// A state of an earlier revision confirms the present one, which was the
+// store's at a later time.
+bool
+Replicator::OnPeerDrains(const steer::DrainState& aState, Micros aConfirmedAt)
+{
+  if (!this->options.drains || !aState.IsKnown()) {
+    return false;
+  }
+  bool changed = this->drains.Adopt(aState);
+  this->drainsConfirmedAt = std::max(this->drainsConfirmedAt, aConfirmedAt);
+  this->updatePending = this->updatePending || changed;
+  return changed;
+}
+
+// Where the heartbeat leaves out the zones, they are the same as here if they
+// last changed before the revision that this instance knows.
+void
+Replicator::OnHeartbeatDrains(const Heartbeat& aHeartbeat, Micros aNow)
+{
+  steer::DrainState state = aHeartbeat.drains;
+  if (aHeartbeat.drainsLeftOut) {
+    if (state.changedRevision > this->drains.revision) {
+      return;
+    }
+    state.zones = this->drains.zones;
+  }
+  this->OnPeerDrains(state, aNow - aHeartbeat.drainsAge);
+}
+
 void
 Replicator::OnStoreBack(Micros aNow)
 {
@@ -85,6 +128,7 @@
 {
   this->config.confirmedAt = kNever;
   this->servers.confirmedAt = kNever;
+  this->drainsConfirmedAt = kNever;
 }
 
 void
@@ -133,6 +177,7 @@
     this->fleetSize = aHeartbeat.fleetSize;
     this->heardReader = true;
   }
+  this->OnHeartbeatDrains(aHeartbeat, aNow);
   if (!aHeartbeat.hasView) {
     return {};
   }
@@ -176,7 +221,9 @@
   if (!serversBehind) {
     this->servers.Confirm(this->servers.revision, aNow - aHeartbeat.serversAge);
   }
-  if (!configBehind && !serversBehind) {
+  bool drainsBehind = this->options.drains && aHeartbeat.drainsLeftOut &&
+                      aHeartbeat.drains.changedRevision > this->drains.revision;
+  if (!configBehind && !serversBehind && !drainsBehind) {
     return;
   }
   if (!this->IsBehind()) {
@@ -184,6 +231,8 @@
   }
   this->aheadConfigVersion = aHeartbeat.configVersion;
   this->aheadServersRevision = aHeartbeat.serversRevision;
+  this->aheadDrainsRevision =
+    drainsBehind ? aHeartbeat.drains.changedRevision : 0;
   this->aheadPeer = aFrom;
 }
 
@@ -191,7 +240,8 @@
 Replicator::IsBehind() const
 {
   return this->aheadConfigVersion > this->configVersion ||
-         this->aheadServersRevision > this->servers.revision;
+         this->aheadServersRevision > this->servers.revision ||
+         this->aheadDrainsRevision > this->drains.revision;
 }
 
 std::optional<ViewRequest>
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -80,9 +80,16 @@
   std::vector<Address> seeds;     // queried for members and readers
   bool standalone = false;        // there are no peers, so read without a delay
   Micros watchWait = 1 * kSecond; // how long a watch waits for a change
+  bool drains = false;            // the drains of zones are read
   uint32_t randomSeed = 1;
 };
 
+// A heartbeat names up to so many drained zones, with names of up to so many
+// bytes together. Beyond that it says that it leaves them out, and an instance
+// that misses a change requests a view, which names them all.
+constexpr size_t kMaxDrainedZones = 32;
+constexpr size_t kMaxDrainedZoneBytes = 400;
+
 // Up to which revision of the store this instance knows the configuration or
 // the servers, and when the store last confirmed that.
 struct Freshness
@@ -148,6 +155,12 @@
   void OnServersChanges(std::span<const steer::ServerChange> aChanges,
                         uint64_t aRevision,
                         Micros aNow);
+  // Also the drained zones; aList says that the changes are all drains there
+  // are. Returns whether the zones, or whether they are known, changed.
+  bool OnDrainsResponse(std::span<const steer::DrainChange> aChanges,
+                        uint64_t aRevision,
+                        bool aList,
+                        Micros aNow);
   // A call to the store failed. Stops reading if another reader ranks above
   // this instance.
   void OnStoreLost(Micros aNow);
@@ -159,6 +172,9 @@
   // aRevision is the revision of the store up to which the peer knew it.
   void OnPeerConfig(int64_t aVersion, uint64_t aRevision);
   void OnPeerServers(uint64_t aRevision);
+  // A peer sent its drained zones, which the store confirmed at aConfirmedAt.
+  // Returns whether the zones, or whether they are known, changed.
+  bool OnPeerDrains(const steer::DrainState& aState, Micros aConfirmedAt);
   // Returns the heartbeat's changes that are new to this instance, in order.
   std::vector<steer::ServerChange> OnHeartbeat(Address aFrom,
                                                const Heartbeat& aHeartbeat,
@@ -178,6 +194,9 @@
 
   const Freshness& Config() const { return this->config; }
   const Freshness& Servers() const { return this->servers; }
+  // The drained zones, and when the store last confirmed them.
+  const steer::DrainState& Drains() const { return this->drains; }
+  Micros DrainsConfirmedAt() const { return this->drainsConfirmedAt; }
   bool HasView() const { return this->configVersion > 0 && this->hasServers; }
   // Returns whether this instance's configuration or servers were not confirmed
   // for kStaleTime.
@@ -201,8 +220,10 @@
   void StopReading(Micros aNow);
   ReadReason ReasonToRead(const std::optional<ReaderRank>& aBest,
                           Micros aNow) const;
+  void OnHeartbeatDrains(const Heartbeat& aHeartbeat, Micros aNow);
   void CompareWithPeer(Address aFrom, const Heartbeat& aHeartbeat, Micros aNow);
   Heartbeat MakeHeartbeat(Micros aNow);
+  void PutDrainsInto(Heartbeat& aHeartbeat, Micros aNow) const;
   // Append the heartbeats that are due to aHeartbeats: a reader's to its zone
   // and the readers of other zones, a follower's hello, and replies to queries.
   void AppendReaderHeartbeats(std::vector<OutgoingHeartbeat>& aHeartbeats,
@@ -218,6 +239,8 @@
   ChangeLog changeLog;
   Freshness config;
   Freshness servers;
+  steer::DrainState drains;
+  Micros drainsConfirmedAt = kNever;
   int64_t configVersion = 0; // of the configuration in force; 0: none
   bool hasServers = false;
   bool reads = false;
@@ -231,10 +254,13 @@
   Micros stoppedAt = kNever;    // when this instance last stopped reading
   bool heardReader = false;     // of this zone, while this instance followed
   Micros nextReadAttemptAt = 0; // no read attempt before this time
-  // The last peer that was ahead of this instance in one of the two: the
-  // version of its configuration, the revision of its servers, and its address.
+  // The last peer that was ahead of this instance in one of the three: the
+  // version of its configuration, the revision of its servers, that of the last
+  // change of its drained zones if its heartbeat left them out, and its
+  // address.
   int64_t aheadConfigVersion = 0;
   uint64_t aheadServersRevision = 0;
+  uint64_t aheadDrainsRevision = 0;
   Address aheadPeer = 0;
   Micros behindSince = 0;     // when this instance last fell behind a peer
   bool updatePending = false; // a reader sends its next heartbeat early
--- a/src/steer/candidates.cpp
+++ b/src/steer/candidates.cpp
@@ -17,6 +17,9 @@
   if (server.tagConflict) {
     return Exclusion::TagConflict;
   }
+  if (server.zoneDrained) {
+    return Exclusion::ZoneDrained;
+  }
   return aServer == aRequest.unanswered ? Exclusion::Unanswered
                                         : Exclusion::None;
 }
--- a/src/steer/candidates.h
+++ b/src/steer/candidates.h
@@ -14,16 +14,13 @@
   Unlisted,
   Draining,
   TagConflict, // another server has its tag
+  ZoneDrained, // its zone is drained
   Unanswered,  // it left this flow's opening packet unanswered
   Count,
 };
 
 constexpr std::array<std::string_view, static_cast<size_t>(Exclusion::Count)>
-  kExclusionNames{ "none",
-                   "unlisted",
-                   "draining",
-                   "tag_conflict",
-                   "unanswered" };
+  kExclusionNames{ "none", "unlisted", "draining", "unanswered" };
 
 constexpr std::string_view
 ExclusionName(Exclusion aExclusion)
--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -38,6 +38,8 @@
   HoldFull,      // the service's hold queue is full
   HeldTooLong,   // the flow was held for kMaxHoldTime
   OutOfDate,     // the opening packet waited beyond its UsableTime
+  // As NoServer, but there would be one without the drains of zones.
+  ZoneDrained,
   Count,
 };
 
@@ -47,7 +49,7 @@
     "no_view",     "unknown_route",   "route_removed", "no_server",
     "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
     "held",        "held_again",      "hold_full",     "held_too_long",
-    "out_of_date",
+    "out_of_date", "zone_drained",
   };
 
 constexpr std::string_view
--- /dev/null
+++ b/src/steer/drains.cpp
@@ -0,0 +1,62 @@
+#include "steer/drains.h"
+
+#include <algorithm>
+
+namespace gentianspindle::steer {
+
+bool
+DrainState::PutList(std::span<const DrainChange> aList, uint64_t aRevision)
+{
+  DrainState listed{ .revision = aRevision, .changedRevision = aRevision };
+  for (const DrainChange& change : aList) {
+    listed.zones.push_back(change.zone);
+  }
+  std::sort(listed.zones.begin(), listed.zones.end());
+  listed.zones.erase(std::unique(listed.zones.begin(), listed.zones.end()),
+                     listed.zones.end());
+  return this->Adopt(listed);
+}
+
+// The changes may begin before this state's revision, as a peer can bring a
+// newer one while a watch waits. To repeat those is harmless: the last change
+// of a zone decides, and a zone without any is as it was.
+bool
+DrainState::PutChanges(std::span<const DrainChange> aChanges,
+                       uint64_t aRevision)
+{
+  DrainState next = *this;
+  next.revision = aRevision;
+  for (const DrainChange& change : aChanges) {
+    auto at =
+      std::lower_bound(next.zones.begin(), next.zones.end(), change.zone);
+    bool isDrained = at != next.zones.end() && *at == change.zone;
+    if (change.removed && isDrained) {
+      next.zones.erase(at);
+    } else if (!change.removed && !isDrained) {
+      next.zones.insert(at, change.zone);
+    }
+  }
+  if (!aChanges.empty()) {
+    next.changedRevision = aRevision;
+  }
+  return this->Adopt(next);
+}
+
+bool
+DrainState::Adopt(const DrainState& aState)
+{
+  if (aState.revision <= this->revision) {
+    return false;
+  }
+  bool isNew = !this->IsKnown() || aState.zones != this->zones;
+  // A zone may have changed and changed back.
+  if (isNew || aState.changedRevision > this->revision) {
+    this->changedRevision =
+      std::max(this->changedRevision, aState.changedRevision);
+  }
+  this->revision = aState.revision;
+  this->zones = aState.zones;
+  return isNew;
+}
+
+}
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -9,6 +9,19 @@
 
 namespace gentianspindle::steer {
 
+namespace {
+
+// ExclusionOf asks for drains last: servers that they exclude would otherwise
+// get the flow.
+Reason
+ReasonWithoutServer(const ExclusionCounts& aExcluded)
+{
+  bool drained = aExcluded[static_cast<size_t>(Exclusion::ZoneDrained)] > 0;
+  return drained ? Reason::ZoneDrained : Reason::NoServer;
+}
+
+}
+
 Decision
 FlowSteering::Count(Decision aDecision)
 {
@@ -154,7 +167,7 @@
     this->view, this->health, { aService, aRoute.entry, aExcluded }, aNow);
   if (placement.server == kNoServer) {
     return { .action = Action::Reset,
-             .reason = Reason::NoServer,
+             .reason = ReasonWithoutServer(placement.excluded),
              .placement = placement };
   }
   const Server& server = this->view.At(placement.server);
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -188,6 +188,7 @@
   server.revision = aChange.revision;
   server.changedAt = aNow;
   server.warmupUntil = aNow + entry.warmupLeft;
+  server.zoneDrained = this->IsZoneDrained(entry.zone);
   if (serviceChanged) {
     this->byService[entry.service].push_back(index);
   }
@@ -196,6 +197,26 @@
   }
 }
 
+bool
+View::PutDrains(const DrainState& aState)
+{
+  if (aState.revision < this->drains.revision) {
+    return false;
+  }
+  this->drains = aState;
+  for (Server& server : this->servers) {
+    server.zoneDrained = this->IsZoneDrained(server.entry.zone);
+  }
+  return true;
+}
+
+bool
+View::IsZoneDrained(const std::string& aZone) const
+{
+  return std::binary_search(
+    this->drains.zones.begin(), this->drains.zones.end(), aZone);
+}
+
 // Of two servers with the same tag one gets it, and with it all packets that
 // carry the tag; the other takes no new flows. A gone server loses the tag to
 // the other, else the smaller id gets it. This is decided when a server is
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -2,6 +2,7 @@
 // valid state, kept through any outage of the store.
 #pragma once
 
+#include "steer/drains.h"
 #include "steer/types.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -47,6 +48,7 @@
   // outage. Cleared kGracePeriod later, or when the server is listed again.
   bool inGracePeriod = false;
   bool tagConflict = false; // another server has the tag
+  bool zoneDrained = false; // its zone is drained
   uint64_t revision = 0;    // of the entry, or of its removal
   uint32_t generation = 0;  // number of server processes seen at this index
   Micros changedAt = 0;     // when a change or list last set the state
@@ -60,11 +62,13 @@
            (this->registryState == RegistryState::Missing &&
             this->inGracePeriod);
   }
-  // Returns whether the registry allows new flows to the server. See
+  // Returns whether the registry and the drains allow new flows to the server.
+  // See
   // ExclusionOf for what else may exclude it.
   bool AcceptsNewFlows() const
   {
-    return this->IsAvailable() && !this->entry.draining && !this->tagConflict;
+    return this->IsAvailable() && !this->entry.draining && !this->tagConflict &&
+           !this->zoneDrained;
   }
 };
 
@@ -118,6 +122,11 @@
   // makes unreadable a server that the view does not know.
   bool PutServer(const ServerChange& aChange, Micros aNow);
 
+  // Applies the drained zones, to servers that appear later, too. Returns false
+  // if the state is of an earlier revision than the one in force.
+  bool PutDrains(const DrainState& aState);
+  const DrainState& Drains() const { return this->drains; }
+
   // Sets when the last store outage, in which entries may have expired, ended.
   // aNow is that time, not the present one.
   void SetStoreBackAt(Micros aNow) { this->storeBackAt = aNow; }
@@ -158,6 +167,7 @@
   void PutEntry(const ServerChange& aChange, Micros aNow);
   ServerIndex AllocateIndex(const std::string& aName);
   void Evict(ServerIndex aServer);
+  bool IsZoneDrained(const std::string& aZone) const;
   static void MarkUnreadable(Server& aServer, Micros aNow);
   void MarkMissing(Server& aServer, Micros aNow);
   void AddTag(ServerIndex aIndex);
@@ -172,6 +182,7 @@
   absl::flat_hash_map<std::string, ServerIndex> byName;
   absl::flat_hash_map<Tag, ServerIndex> byTag;
   absl::flat_hash_map<std::string, std::vector<ServerIndex>> byService;
+  DrainState drains;
   uint64_t processCount = 0;
   bool hasServers = false;
   // End of the last store outage. The default is so long before any time in use
--- a/src/tagged/gen/peers_types.cpp
+++ b/src/tagged/gen/peers_types.cpp
@@ -817,6 +817,18 @@
 void ViewCopy::__set_services(const std::vector<Service> & val) {
   this->services = val;
 }
+
+void ViewCopy::__set_drainsRevision(const int64_t val) {
+  this->drainsRevision = val;
+}
+
+void ViewCopy::__set_drainsChanged(const int64_t val) {
+  this->drainsChanged = val;
+}
+
+void ViewCopy::__set_drainedZones(const std::vector<std::string> & val) {
+  this->drainedZones = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewCopy& obj)
 {
   obj.printTo(out);
@@ -957,6 +969,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainsRevision);
+          this->__isset.drainsRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainsChanged);
+          this->__isset.drainsChanged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->drainedZones.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->drainedZones.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += iprot->readString(this->drainedZones[_i44]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.drainedZones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -981,10 +1029,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<Route> ::const_iterator _iter40;
-    for (_iter40 = this->routes.begin(); _iter40 != this->routes.end(); ++_iter40)
+    std::vector<Route> ::const_iterator _iter45;
+    for (_iter45 = this->routes.begin(); _iter45 != this->routes.end(); ++_iter45)
     {
-      xfer += (*_iter40).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1001,10 +1049,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter41;
-    for (_iter41 = this->servers.begin(); _iter41 != this->servers.end(); ++_iter41)
+    std::vector<Server> ::const_iterator _iter46;
+    for (_iter46 = this->servers.begin(); _iter46 != this->servers.end(); ++_iter46)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1017,10 +1065,10 @@
   xfer += oprot->writeFieldBegin("unreadable", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unreadable.size()));
-    std::vector<Server> ::const_iterator _iter42;
-    for (_iter42 = this->unreadable.begin(); _iter42 != this->unreadable.end(); ++_iter42)
+    std::vector<Server> ::const_iterator _iter47;
+    for (_iter47 = this->unreadable.begin(); _iter47 != this->unreadable.end(); ++_iter47)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1029,10 +1077,30 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<Service> ::const_iterator _iter43;
-    for (_iter43 = this->services.begin(); _iter43 != this->services.end(); ++_iter43)
+    std::vector<Service> ::const_iterator _iter48;
+    for (_iter48 = this->services.begin(); _iter48 != this->services.end(); ++_iter48)
+    {
+      xfer += (*_iter48).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainsRevision", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->drainsRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainsChanged", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->drainsChanged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainedZones", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->drainedZones.size()));
+    std::vector<std::string> ::const_iterator _iter49;
+    for (_iter49 = this->drainedZones.begin(); _iter49 != this->drainedZones.end(); ++_iter49)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += oprot->writeString((*_iter49));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1053,30 +1121,39 @@
   swap(a.configRevision, b.configRevision);
   swap(a.unreadable, b.unreadable);
   swap(a.services, b.services);
+  swap(a.drainsRevision, b.drainsRevision);
+  swap(a.drainsChanged, b.drainsChanged);
+  swap(a.drainedZones, b.drainedZones);
   swap(a.__isset, b.__isset);
 }
 
-ViewCopy::ViewCopy(const ViewCopy& other44) {
-  configVersion = other44.configVersion;
-  routes = other44.routes;
-  idle = other44.idle;
-  serversRevision = other44.serversRevision;
-  servers = other44.servers;
-  configRevision = other44.configRevision;
-  unreadable = other44.unreadable;
-  services = other44.services;
-  __isset = other44.__isset;
-}
-ViewCopy& ViewCopy::operator=(const ViewCopy& other45) {
-  configVersion = other45.configVersion;
-  routes = other45.routes;
-  idle = other45.idle;
-  serversRevision = other45.serversRevision;
-  servers = other45.servers;
-  configRevision = other45.configRevision;
-  unreadable = other45.unreadable;
-  services = other45.services;
-  __isset = other45.__isset;
+ViewCopy::ViewCopy(const ViewCopy& other50) {
+  configVersion = other50.configVersion;
+  routes = other50.routes;
+  idle = other50.idle;
+  serversRevision = other50.serversRevision;
+  servers = other50.servers;
+  configRevision = other50.configRevision;
+  unreadable = other50.unreadable;
+  services = other50.services;
+  drainsRevision = other50.drainsRevision;
+  drainsChanged = other50.drainsChanged;
+  drainedZones = other50.drainedZones;
+  __isset = other50.__isset;
+}
+ViewCopy& ViewCopy::operator=(const ViewCopy& other51) {
+  configVersion = other51.configVersion;
+  routes = other51.routes;
+  idle = other51.idle;
+  serversRevision = other51.serversRevision;
+  servers = other51.servers;
+  configRevision = other51.configRevision;
+  unreadable = other51.unreadable;
+  services = other51.services;
+  drainsRevision = other51.drainsRevision;
+  drainsChanged = other51.drainsChanged;
+  drainedZones = other51.drainedZones;
+  __isset = other51.__isset;
   return *this;
 }
 void ViewCopy::printTo(std::ostream& out) const {
@@ -1090,6 +1167,9 @@
   out << ", " << "configRevision=" << to_string(configRevision);
   out << ", " << "unreadable=" << to_string(unreadable);
   out << ", " << "services=" << to_string(services);
+  out << ", " << "drainsRevision=" << to_string(drainsRevision);
+  out << ", " << "drainsChanged=" << to_string(drainsChanged);
+  out << ", " << "drainedZones=" << to_string(drainedZones);
   out << ")";
 }
 
@@ -1186,15 +1266,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Change::Change(const Change& other46) {
-  server = other46.server;
-  kind = other46.kind;
-  __isset = other46.__isset;
+Change::Change(const Change& other52) {
+  server = other52.server;
+  kind = other52.kind;
+  __isset = other52.__isset;
 }
-Change& Change::operator=(const Change& other47) {
-  server = other47.server;
-  kind = other47.kind;
-  __isset = other47.__isset;
+Change& Change::operator=(const Change& other53) {
+  server = other53.server;
+  kind = other53.kind;
+  __isset = other53.__isset;
   return *this;
 }
 void Change::printTo(std::ostream& out) const {
@@ -1298,15 +1378,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Reader::Reader(const Reader& other48) {
-  address = other48.address;
-  zone = other48.zone;
-  __isset = other48.__isset;
+Reader::Reader(const Reader& other54) {
+  address = other54.address;
+  zone = other54.zone;
+  __isset = other54.__isset;
 }
-Reader& Reader::operator=(const Reader& other49) {
-  address = other49.address;
-  zone = other49.zone;
-  __isset = other49.__isset;
+Reader& Reader::operator=(const Reader& other55) {
+  address = other55.address;
+  zone = other55.zone;
+  __isset = other55.__isset;
   return *this;
 }
 void Reader::printTo(std::ostream& out) const {
@@ -1397,6 +1477,26 @@
 void Heartbeat::__set_fleetSize(const int32_t val) {
   this->fleetSize = val;
 }
+
+void Heartbeat::__set_drainsRevision(const int64_t val) {
+  this->drainsRevision = val;
+}
+
+void Heartbeat::__set_drainsAge(const int64_t val) {
+  this->drainsAge = val;
+}
+
+void Heartbeat::__set_drainsChanged(const int64_t val) {
+  this->drainsChanged = val;
+}
+
+void Heartbeat::__set_drainedZones(const std::vector<std::string> & val) {
+  this->drainedZones = val;
+}
+
+void Heartbeat::__set_drainsLeftOut(const bool val) {
+  this->drainsLeftOut = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1541,14 +1641,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->changes.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->changes.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->changes[_i54].read(iprot);
+              xfer += this->changes[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1561,14 +1661,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->members.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->members.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += iprot->readI32(this->members[_i59]);
+              xfer += iprot->readI32(this->members[_i65]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1581,14 +1681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readers.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->readers.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->readers.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->readers[_i64].read(iprot);
+              xfer += this->readers[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1613,6 +1713,58 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainsRevision);
+          this->__isset.drainsRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainsAge);
+          this->__isset.drainsAge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainsChanged);
+          this->__isset.drainsChanged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->drainedZones.clear();
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->drainedZones.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
+            {
+              xfer += iprot->readString(this->drainedZones[_i75]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.drainedZones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->drainsLeftOut);
+          this->__isset.drainsLeftOut = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1689,10 +1841,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Change> ::const_iterator _iter65;
-    for (_iter65 = this->changes.begin(); _iter65 != this->changes.end(); ++_iter65)
+    std::vector<Change> ::const_iterator _iter76;
+    for (_iter76 = this->changes.begin(); _iter76 != this->changes.end(); ++_iter76)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1701,10 +1853,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter66;
-    for (_iter66 = this->members.begin(); _iter66 != this->members.end(); ++_iter66)
+    std::vector<int32_t> ::const_iterator _iter77;
+    for (_iter77 = this->members.begin(); _iter77 != this->members.end(); ++_iter77)
     {
-      xfer += oprot->writeI32((*_iter66));
+      xfer += oprot->writeI32((*_iter77));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1713,10 +1865,10 @@
   xfer += oprot->writeFieldBegin("readers", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readers.size()));
-    std::vector<Reader> ::const_iterator _iter67;
-    for (_iter67 = this->readers.begin(); _iter67 != this->readers.end(); ++_iter67)
+    std::vector<Reader> ::const_iterator _iter78;
+    for (_iter78 = this->readers.begin(); _iter78 != this->readers.end(); ++_iter78)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1730,6 +1882,34 @@
   xfer += oprot->writeI32(this->fleetSize);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("drainsRevision", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->drainsRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainsAge", ::apache::thrift::protocol::T_I64, 21);
+  xfer += oprot->writeI64(this->drainsAge);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainsChanged", ::apache::thrift::protocol::T_I64, 22);
+  xfer += oprot->writeI64(this->drainsChanged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainedZones", ::apache::thrift::protocol::T_LIST, 23);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->drainedZones.size()));
+    std::vector<std::string> ::const_iterator _iter79;
+    for (_iter79 = this->drainedZones.begin(); _iter79 != this->drainedZones.end(); ++_iter79)
+    {
+      xfer += oprot->writeString((*_iter79));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainsLeftOut", ::apache::thrift::protocol::T_BOOL, 24);
+  xfer += oprot->writeBool(this->drainsLeftOut);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1756,52 +1936,67 @@
   swap(a.readers, b.readers);
   swap(a.zoneSize, b.zoneSize);
   swap(a.fleetSize, b.fleetSize);
+  swap(a.drainsRevision, b.drainsRevision);
+  swap(a.drainsAge, b.drainsAge);
+  swap(a.drainsChanged, b.drainsChanged);
+  swap(a.drainedZones, b.drainedZones);
+  swap(a.drainsLeftOut, b.drainsLeftOut);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other68) {
-  zone = other68.zone;
-  share = other68.share;
-  reads = other68.reads;
-  storeAnswers = other68.storeAnswers;
-  hasView = other68.hasView;
-  wantsAnswer = other68.wantsAnswer;
-  configVersion = other68.configVersion;
-  configRevision = other68.configRevision;
-  configAge = other68.configAge;
-  serversRevision = other68.serversRevision;
-  serversAge = other68.serversAge;
-  storeBackAge = other68.storeBackAge;
-  changesFrom = other68.changesFrom;
-  changesTo = other68.changesTo;
-  changes = other68.changes;
-  members = other68.members;
-  readers = other68.readers;
-  zoneSize = other68.zoneSize;
-  fleetSize = other68.fleetSize;
-  __isset = other68.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other69) {
-  zone = other69.zone;
-  share = other69.share;
-  reads = other69.reads;
-  storeAnswers = other69.storeAnswers;
-  hasView = other69.hasView;
-  wantsAnswer = other69.wantsAnswer;
-  configVersion = other69.configVersion;
-  configRevision = other69.configRevision;
-  configAge = other69.configAge;
-  serversRevision = other69.serversRevision;
-  serversAge = other69.serversAge;
-  storeBackAge = other69.storeBackAge;
-  changesFrom = other69.changesFrom;
-  changesTo = other69.changesTo;
-  changes = other69.changes;
-  members = other69.members;
-  readers = other69.readers;
-  zoneSize = other69.zoneSize;
-  fleetSize = other69.fleetSize;
-  __isset = other69.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other80) {
+  zone = other80.zone;
+  share = other80.share;
+  reads = other80.reads;
+  storeAnswers = other80.storeAnswers;
+  hasView = other80.hasView;
+  wantsAnswer = other80.wantsAnswer;
+  configVersion = other80.configVersion;
+  configRevision = other80.configRevision;
+  configAge = other80.configAge;
+  serversRevision = other80.serversRevision;
+  serversAge = other80.serversAge;
+  storeBackAge = other80.storeBackAge;
+  changesFrom = other80.changesFrom;
+  changesTo = other80.changesTo;
+  changes = other80.changes;
+  members = other80.members;
+  readers = other80.readers;
+  zoneSize = other80.zoneSize;
+  fleetSize = other80.fleetSize;
+  drainsRevision = other80.drainsRevision;
+  drainsAge = other80.drainsAge;
+  drainsChanged = other80.drainsChanged;
+  drainedZones = other80.drainedZones;
+  drainsLeftOut = other80.drainsLeftOut;
+  __isset = other80.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other81) {
+  zone = other81.zone;
+  share = other81.share;
+  reads = other81.reads;
+  storeAnswers = other81.storeAnswers;
+  hasView = other81.hasView;
+  wantsAnswer = other81.wantsAnswer;
+  configVersion = other81.configVersion;
+  configRevision = other81.configRevision;
+  configAge = other81.configAge;
+  serversRevision = other81.serversRevision;
+  serversAge = other81.serversAge;
+  storeBackAge = other81.storeBackAge;
+  changesFrom = other81.changesFrom;
+  changesTo = other81.changesTo;
+  changes = other81.changes;
+  members = other81.members;
+  readers = other81.readers;
+  zoneSize = other81.zoneSize;
+  fleetSize = other81.fleetSize;
+  drainsRevision = other81.drainsRevision;
+  drainsAge = other81.drainsAge;
+  drainsChanged = other81.drainsChanged;
+  drainedZones = other81.drainedZones;
+  drainsLeftOut = other81.drainsLeftOut;
+  __isset = other81.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1826,6 +2021,11 @@
   out << ", " << "readers=" << to_string(readers);
   out << ", " << "zoneSize=" << to_string(zoneSize);
   out << ", " << "fleetSize=" << to_string(fleetSize);
+  out << ", " << "drainsRevision=" << to_string(drainsRevision);
+  out << ", " << "drainsAge=" << to_string(drainsAge);
+  out << ", " << "drainsChanged=" << to_string(drainsChanged);
+  out << ", " << "drainedZones=" << to_string(drainedZones);
+  out << ", " << "drainsLeftOut=" << to_string(drainsLeftOut);
   out << ")";
 }
 
--- a/src/tagged/gen/peers_types.h
+++ b/src/tagged/gen/peers_types.h
@@ -334,7 +334,7 @@
 std::ostream& operator<<(std::ostream& out, const Server& obj);
 
 typedef struct _ViewCopy__isset {
-  _ViewCopy__isset() : configVersion(false), routes(false), idle(false), serversRevision(false), servers(false), configRevision(false), unreadable(false), services(false) {}
+  _ViewCopy__isset() : configVersion(false), routes(false), idle(false), serversRevision(false), servers(false), configRevision(false), unreadable(false), services(false), drainsRevision(false), drainsChanged(false), drainedZones(false) {}
   bool configVersion :1;
   bool routes :1;
   bool idle :1;
@@ -343,6 +343,9 @@
   bool configRevision :1;
   bool unreadable :1;
   bool services :1;
+  bool drainsRevision :1;
+  bool drainsChanged :1;
+  bool drainedZones :1;
 } _ViewCopy__isset;
 
 class ViewCopy : public virtual ::apache::thrift::TBase {
@@ -354,7 +357,9 @@
            : configVersion(0),
              idle(0),
              serversRevision(0),
-             configRevision(0) {
+             configRevision(0),
+             drainsRevision(0),
+             drainsChanged(0) {
   }
 
   virtual ~ViewCopy() noexcept;
@@ -366,6 +371,9 @@
   int64_t configRevision;
   std::vector<Server>  unreadable;
   std::vector<Service>  services;
+  int64_t drainsRevision;
+  int64_t drainsChanged;
+  std::vector<std::string>  drainedZones;
 
   _ViewCopy__isset __isset;
 
@@ -385,6 +393,12 @@
 
   void __set_services(const std::vector<Service> & val);
 
+  void __set_drainsRevision(const int64_t val);
+
+  void __set_drainsChanged(const int64_t val);
+
+  void __set_drainedZones(const std::vector<std::string> & val);
+
   bool operator == (const ViewCopy & rhs) const
   {
     if (!(configVersion == rhs.configVersion))
@@ -403,6 +417,12 @@
       return false;
     if (!(services == rhs.services))
       return false;
+    if (!(drainsRevision == rhs.drainsRevision))
+      return false;
+    if (!(drainsChanged == rhs.drainsChanged))
+      return false;
+    if (!(drainedZones == rhs.drainedZones))
+      return false;
     return true;
   }
   bool operator != (const ViewCopy &rhs) const {
@@ -521,7 +541,7 @@
 std::ostream& operator<<(std::ostream& out, const Reader& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false) {}
+  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false), drainsRevision(false), drainsAge(false), drainsChanged(false), drainedZones(false), drainsLeftOut(false) {}
   bool zone :1;
   bool share :1;
   bool reads :1;
@@ -541,6 +561,11 @@
   bool readers :1;
   bool zoneSize :1;
   bool fleetSize :1;
+  bool drainsRevision :1;
+  bool drainsAge :1;
+  bool drainsChanged :1;
+  bool drainedZones :1;
+  bool drainsLeftOut :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -564,7 +589,11 @@
               changesFrom(0),
               changesTo(0),
               zoneSize(0),
-              fleetSize(0) {
+              fleetSize(0),
+              drainsRevision(0),
+              drainsAge(0),
+              drainsChanged(0),
+              drainsLeftOut(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -587,6 +616,11 @@
   std::vector<Reader>  readers;
   int32_t zoneSize;
   int32_t fleetSize;
+  int64_t drainsRevision;
+  int64_t drainsAge;
+  int64_t drainsChanged;
+  std::vector<std::string>  drainedZones;
+  bool drainsLeftOut;
 
   _Heartbeat__isset __isset;
 
@@ -628,6 +662,16 @@
 
   void __set_fleetSize(const int32_t val);
 
+  void __set_drainsRevision(const int64_t val);
+
+  void __set_drainsAge(const int64_t val);
+
+  void __set_drainsChanged(const int64_t val);
+
+  void __set_drainedZones(const std::vector<std::string> & val);
+
+  void __set_drainsLeftOut(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -668,6 +712,16 @@
       return false;
     if (!(fleetSize == rhs.fleetSize))
       return false;
+    if (!(drainsRevision == rhs.drainsRevision))
+      return false;
+    if (!(drainsAge == rhs.drainsAge))
+      return false;
+    if (!(drainsChanged == rhs.drainsChanged))
+      return false;
+    if (!(drainedZones == rhs.drainedZones))
+      return false;
+    if (!(drainsLeftOut == rhs.drainsLeftOut))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -86,11 +86,14 @@
 };
 
 std::array<uint64_t, kStoreFailureNames.size()>
-Sum(const ListWatcherCounts& aLeft, const ListWatcherCounts& aRight)
+SumFailures(const MetricsSource& aSource)
 {
-  std::array<uint64_t, kStoreFailureNames.size()> sum = aLeft.failures;
-  for (size_t i = 0; i < sum.size(); ++i) {
-    sum[i] += aRight.failures[i];
+  std::array<uint64_t, kStoreFailureNames.size()> sum{};
+  for (const ListWatcherCounts* counts :
+       { &aSource.servers, &aSource.config, &aSource.drains }) {
+    for (size_t i = 0; i < sum.size(); ++i) {
+      sum[i] += counts->failures[i];
+    }
   }
   return sum;
 }
@@ -98,20 +101,21 @@
 void
 AddStore(Writer& aWriter, const MetricsSource& aSource)
 {
-  static constexpr std::array<std::string_view, 4> kCalls{
-    "list_servers", "watch_servers", "list_config", "watch_config"
+  static constexpr std::array<std::string_view, 6> kCalls{
+    "list_servers", "watch_servers", "list_config",
+    "watch_config", "list_drains",   "watch_drains"
+  };
+  std::array<uint64_t, 6> calls{
+    aSource.servers.lists,  aSource.servers.watches, aSource.config.lists,
+    aSource.config.watches, aSource.drains.lists,    aSource.drains.watches
   };
-  std::array<uint64_t, 4> calls{ aSource.servers.lists,
-                                 aSource.servers.watches,
-                                 aSource.config.lists,
-                                 aSource.config.watches };
   aWriter.Table(
     "store_calls_total", "Calls to the store", "call", kCalls, calls);
   aWriter.Table("store_retries_total",
                 "Failed calls to the store, by reason",
                 "reason",
                 kStoreFailureNames,
-                Sum(aSource.servers, aSource.config));
+                SumFailures(aSource));
   aWriter.Table("unreadable_entries_total",
                 "Entries of the store that cannot be read, once a version",
                 "kind",
@@ -194,6 +198,12 @@
     "First data of a flow to the first acknowledgement of the response",
     aSource.response);
   AddStore(writer, aSource);
+  gauge("drained_zones",
+        "Zones whose servers get no new flows",
+        static_cast<double>(aSource.steer.CurrentView().Drains().zones.size()));
+  gauge("drains_age_seconds",
+        "Time since the store last confirmed the drained zones",
+        static_cast<double>(aSource.drainsAge) / kSecond);
   gauge(
     "reads_store", "1 if this instance reads the store", aSource.reads ? 1 : 0);
   counter("beats_in_total",
--- a/src/tagged/metrics.h
+++ b/src/tagged/metrics.h
@@ -51,6 +51,8 @@
   const Histogram& response;
   const ListWatcherCounts& servers;
   const ListWatcherCounts& config;
+  const ListWatcherCounts& drains;
+  Micros drainsAge = 0;
   EntryCounts unreadable{};
   PeerCounts peers;
   LogCounts log;
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -89,10 +89,7 @@
   void CheckStop();
   void CheckSettings(bool aSignalled);
 
-  bool Ready() const
-  {
-    return this->steer.CurrentView().Ready() && !this->stopping;
-  }
+  bool Ready() const { return this->receiving && !this->stopping; }
   std::string Metrics() const;
   // Logs aLine, or keeps it until the log is open.
   void Write(const LogLine& aLine)
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -118,6 +118,10 @@
                 P::ConfigWatchPath,
                 P::ParseConfigList,
                 P::ParseConfigWatch },
+    .drains = { P::DrainsListPath,
+                P::DrainsWatchPath,
+                P::ParseDrainsList,
+                P::ParseDrainsWatch },
   };
   SyncEvents events;
   events.onView = [this] { this->OnView(); };
@@ -178,7 +182,8 @@
   });
 }
 
-// Starts to receive packets as soon as the first view is complete.
+// Starts to receive packets as soon as the first view is complete and the
+// drained zones are known, or were waited for long enough.
 template<Platform P>
 void
 Node<P>::OnView()
@@ -186,8 +191,12 @@
   if (this->receiving || !this->steer.CurrentView().Ready()) {
     return;
   }
+  Micros at = SteadyNow();
+  this->firstViewAt = this->firstViewAt == 0 ? at : this->firstViewAt;
+  if (!this->sync->KnowsDrains() && at - this->firstViewAt < kMaxDrainsWait) {
+    return;
+  }
   this->receiving = true;
-  this->firstViewAt = SteadyNow();
   event_add(this->readable.get(), nullptr);
 }
 
@@ -208,6 +217,7 @@
   }
   this->now = at;
   this->sync->Tick(at);
+  this->OnView();
   this->steer.SetInstanceCount(this->sync->FleetSize());
   this->steer.Tick(at);
   this->ReleaseHeld();
@@ -329,6 +339,8 @@
                         .response = this->response,
                         .servers = this->sync->ServersCounts(),
                         .config = this->sync->ConfigCounts(),
+                        .drains = this->sync->DrainsCounts(),
+                        .drainsAge = this->sync->DrainsAge(SteadyNow()),
                         .unreadable = this->sync->UnreadableCounts(),
                         .peers = this->sync->Counts(),
                         .log = this->log ? this->log->Counts() : LogCounts{},
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -5,6 +5,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
+
 namespace gentianspindle::tagged {
 
 namespace {
@@ -136,6 +138,30 @@
            std::move(entry) };
 }
 
+// ViewCopy and Heartbeat have the same fields for the drained zones.
+template<typename M>
+void
+WriteDrains(const steer::DrainState& aDrains, M& aMessage)
+{
+  aMessage.drainsRevision = static_cast<int64_t>(aDrains.revision);
+  aMessage.drainsChanged = static_cast<int64_t>(aDrains.changedRevision);
+  aMessage.drainedZones = aDrains.zones;
+}
+
+// The zones are sorted by their sender, but a damaged message may have others.
+template<typename M>
+steer::DrainState
+ReadDrains(const M& aMessage)
+{
+  steer::DrainState drains{
+    static_cast<uint64_t>(aMessage.drainsRevision),
+    static_cast<uint64_t>(aMessage.drainsChanged),
+    aMessage.drainedZones,
+  };
+  std::sort(drains.zones.begin(), drains.zones.end());
+  return drains;
+}
+
 }
 
 std::string
@@ -159,6 +185,7 @@
     (change.entry ? copy.servers : copy.unreadable)
       .push_back(ToMessage(change));
   }
+  WriteDrains(aView.drains, copy);
   return Encode(copy);
 }
 
@@ -187,6 +214,7 @@
     view.servers.push_back(
       { server.name, static_cast<uint64_t>(server.revision), false, {} });
   }
+  view.drains = ReadDrains(*copy);
   return view;
 }
 
@@ -257,6 +285,7 @@
 IsValid(const spread::Heartbeat& aHeartbeat)
 {
   return aHeartbeat.configAge >= 0 && aHeartbeat.serversAge >= 0 &&
+         aHeartbeat.drainsAge >= 0 &&
          aHeartbeat.recent.from <= aHeartbeat.recent.to;
 }
 
@@ -273,6 +302,9 @@
   message.hasView = aHeartbeat.hasView;
   message.wantsAnswer = aHeartbeat.wantsAnswer;
   WriteRevisions(aHeartbeat, message);
+  WriteDrains(aHeartbeat.drains, message);
+  message.drainsAge = aHeartbeat.drainsAge;
+  message.drainsLeftOut = aHeartbeat.drainsLeftOut;
   message.members.assign(aHeartbeat.members.begin(), aHeartbeat.members.end());
   for (const spread::ReaderAddress& reader : aHeartbeat.readers) {
     msg::Reader readerMessage;
@@ -301,6 +333,9 @@
   heartbeat.hasView = message->hasView;
   heartbeat.wantsAnswer = message->wantsAnswer;
   ReadRevisions(*message, heartbeat);
+  heartbeat.drains = ReadDrains(*message);
+  heartbeat.drainsAge = message->drainsAge;
+  heartbeat.drainsLeftOut = message->drainsLeftOut;
   heartbeat.members.assign(message->members.begin(), message->members.end());
   for (const msg::Reader& reader : message->readers) {
     heartbeat.readers.push_back(
--- a/src/tagged/peer_codec.h
+++ b/src/tagged/peer_codec.h
@@ -21,6 +21,7 @@
   uint64_t configRevision = 0;
   uint64_t serversRevision = 0; // 0: the servers are left out
   std::vector<steer::ServerChange> servers;
+  steer::DrainState drains; // with and without the servers
 };
 
 // Encode and decode the body of a view response.
--- a/src/tagged/peers.h
+++ b/src/tagged/peers.h
@@ -53,6 +53,7 @@
 {
   int64_t configVersion = 0;
   uint64_t serversRevision = 0;
+  uint64_t drainsChanged = 0; // revision of the last change
   friend bool operator==(const ViewVersion&, const ViewVersion&) = default;
 };
 
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -35,6 +35,11 @@
   int64_t paceMs = 0;
 };
 
+struct TaggedDrainSettings
+{
+  double boundMs = 0;
+};
+
 struct TaggedPeersSettings
 {
   int64_t port = 0;
@@ -62,13 +67,14 @@
   TaggedFabricSettings fabric;
   TaggedReadySettings ready;
   TaggedStoreSettings store;
+  TaggedDrainSettings drain;
   TaggedPeersSettings peers;
   TaggedStopSettings stop;
   TaggedMetricsSettings metrics;
   TaggedLogSettings log;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 14>
+inline constexpr std::array<SettingField<TaggedSettings>, 15>
   kTaggedSettingsFields{ {
     {
       { "instance", "name", SettingType::String,
@@ -142,6 +148,14 @@
         return &aSettings.store.paceMs;
       },
     },
+    {
+      { "drain", "bound_ms", SettingType::Real,
+      false, "", 0, 0, 86400000,
+      "milliseconds", "time within which a request to drain a zone has to be in force; 0: such requests are not read" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.drain.boundMs;
+      },
+    },
     {
       { "peers", "port", SettingType::Integer,
       false, "", 0, 0, 65535,
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -9,11 +9,9 @@
 
 namespace {
 
-// Up to this many changes that come together are logged one by one.
-constexpr size_t kMaxServerLines = 50;
-// Names of unreadable entries are cut to this length in the log.
-constexpr size_t kMaxLoggedNameBytes = 64;
-
+// A drains watch waits for this fraction of the bound. Even if its connection
+// delivers nothing more, that shows early enough for another watch.
+constexpr double kDrainsWaitFraction = 0.5;
 spread::ReplicatorOptions
 OptionsOf(const TaggedSettings& aSettings)
 {
@@ -23,6 +21,7 @@
   options.cores = aSettings.instance.cores;
   options.standalone = aSettings.peers.port == 0;
   options.watchWait = aSettings.store.watchMs * kMillisecond;
+  options.drains = aSettings.drain.boundMs > 0;
   // The seeds' ports are not used: all instances have the same peer port.
   for (const std::string& seed : aSettings.peers.seeds) {
     options.seeds.push_back(EndpointOf(seed).address);
@@ -43,16 +42,13 @@
          std::find(seeds.begin(), seeds.end(), options.self) != seeds.end();
 }
 
-std::string_view
-StateName(const steer::ServerChange& aChange)
+Micros
+DrainsWait(const TaggedSettings& aSettings)
 {
-  if (aChange.removed) {
-    return "removed";
-  }
-  if (!aChange.entry) {
-    return "unreadable";
-  }
-  return aChange.entry->draining ? "draining" : "ready";
+  Micros wait = static_cast<Micros>(aSettings.drain.boundMs *
+                                    kDrainsWaitFraction * kMillisecond);
+  constexpr Micros kMaxWait = 30 * kSecond; // the longest that a store allows
+  return std::clamp(wait, aSettings.store.watchMs * kMillisecond, kMaxWait);
 }
 
 }
@@ -87,10 +83,20 @@
            { .wait = aSettings.store.watchMs * kMillisecond },
            this->MakeWatcherEvents<steer::ConfigChange>("config"),
            RandomSeed(aSettings) + 1)
+  , readsDrains(aSettings.drain.boundMs > 0)
+  , drains(aBase,
+           EndpointOf(aSettings.store.address),
+           aFormats.drains,
+           { .wait = DrainsWait(aSettings) },
+           this->MakeWatcherEvents<steer::DrainChange>("drains"),
+           RandomSeed(aSettings) + 2)
   , firstListTimer(aBase, [this] {
     this->firstListStarted = true;
     this->servers.Start();
     this->config.Start();
+    if (this->readsDrains) {
+      this->drains.Start();
+    }
   })
 {
 }
@@ -251,12 +257,55 @@
   this->ExchangeWithPeers(now);
 }
 
+void
+Sync::OnStoreResponse(std::span<const steer::DrainChange> aChanges,
+                      uint64_t aRevision,
+                      bool aList)
+{
+  Micros now = SteadyNow();
+  if (this->spread.OnDrainsResponse(aChanges, aRevision, aList, now)) {
+    this->ApplyDrains("store");
+  }
+  this->ExchangeWithPeers(now);
+}
+
+// Once a peer told of the drained zones, no list is needed, only watches that
+// continue from there.
+void
+Sync::ApplyDrains(const std::string& aSource)
+{
+  const steer::DrainState& next = this->spread.Drains();
+  steer::DrainState former = this->view.Drains();
+  this->view.PutDrains(next);
+  if (!former.IsKnown()) {
+    this->drains.AdvanceTo(next.revision);
+    this->events.onView();
+  }
+  auto hasZone = [](const steer::DrainState& aState, const std::string& aZone) {
+    return std::binary_search(aState.zones.begin(), aState.zones.end(), aZone);
+  };
+  for (const std::string& zone : next.zones) {
+    if (!hasZone(former, zone)) {
+      this->LogDrain(zone, true, aSource);
+    }
+  }
+  for (const std::string& zone : former.zones) {
+    if (!hasZone(next, zone)) {
+      this->LogDrain(zone, false, aSource);
+    }
+  }
+}
+
 void
 Sync::OnHeartbeat(Address aFrom, const spread::Heartbeat& aHeartbeat)
 {
   Micros now = SteadyNow();
   std::vector<steer::ServerChange> newChanges =
     this->spread.OnHeartbeat(aFrom, aHeartbeat, now);
+  if (this->spread.Drains().changedRevision !=
+      this->view.Drains().changedRevision) {
+    this->ApplyDrains(FormatAddress(aFrom));
+  }
   this->view.SetStoreBackAt(this->spread.StoreBackAt());
   this->view.PutChanges(newChanges, now);
   if (!newChanges.empty()) {
@@ -272,7 +321,9 @@
   if (!this->spread.HasView()) {
     return std::nullopt;
   }
-  return ViewVersion{ this->view.Version(), this->spread.Servers().revision };
+  return ViewVersion{ this->view.Version(),
+                      this->spread.Servers().revision,
+                      this->spread.Drains().changedRevision };
 }
 
 PeerView
@@ -281,6 +332,7 @@
   PeerView copy;
   copy.config = this->view.CopyConfig();
   copy.configRevision = this->spread.Config().revision;
+  copy.drains = this->spread.Drains();
   if (aWithServers) {
     copy.serversRevision = this->spread.Servers().revision;
     copy.servers = this->view.CopyServers(SteadyNow());
@@ -314,6 +366,10 @@
   if (this->view.Version() > 0) {
     this->config.AdvanceTo(this->spread.Config().revision);
   }
+  // The peer does not say when the store confirmed them; a heartbeat does.
+  if (this->spread.OnPeerDrains(aView.drains, spread::kNever)) {
+    this->ApplyDrains(aPeer);
+  }
   this->events.onView();
   LogLine line("view_from_peer");
   line.Text("peer", aPeer)
@@ -342,6 +398,12 @@
   }
   this->servers.SetWatching(reads);
   this->config.SetWatching(reads);
+  if (this->readsDrains) {
+    if (reads && this->spread.Drains().IsKnown()) {
+      this->drains.AdvanceTo(this->spread.Drains().revision);
+    }
+    this->drains.SetWatching(reads);
+  }
   LogLine line(reads ? "reads_store" : "follows_peers");
   line
     .Text("reason",
@@ -420,6 +482,7 @@
   if (this->isReader) {
     this->servers.Reconnect();
     this->config.Reconnect();
+    this->drains.Reconnect();
   }
 }
 
@@ -428,46 +491,9 @@
 {
   EntryCounts counts = this->unreadable.Counts();
   counts[static_cast<size_t>(EntryKind::Unnamed)] =
-    this->servers.Counts().unnamed + this->config.Counts().unnamed;
+    this->servers.Counts().unnamed + this->config.Counts().unnamed +
+    this->drains.Counts().unnamed;
   return counts;
 }
 
-void
-Sync::ReportUnreadable(EntryKind aKind,
-                       std::string_view aName,
-                       uint64_t aRevision)
-{
-  if (!this->unreadable.Record(aKind, aName, aRevision)) {
-    return;
-  }
-  LogLine line("entry_unreadable");
-  line.Text("kind", kEntryKindNames[static_cast<size_t>(aKind)])
-    .Text("name", aName.substr(0, kMaxLoggedNameBytes))
-    .Number("revision", static_cast<int64_t>(aRevision));
-  this->events.log(line);
-}
-
-// Logs each change, or only their number if there are more than
-// kMaxServerLines, as usual after a list.
-void
-Sync::LogServers(std::span<const steer::ServerChange> aChanges,
-                 std::string_view aSource)
-{
-  if (aChanges.size() > kMaxServerLines) {
-    LogLine line("servers");
-    line.Number("entries", static_cast<int64_t>(aChanges.size()))
-      .Text("source", aSource);
-    this->events.log(line);
-    return;
-  }
-  for (const steer::ServerChange& change : aChanges) {
-    LogLine line("server");
-    line.Text("id", change.name)
-      .Number("revision", static_cast<int64_t>(change.revision))
-      .Text("state", StateName(change))
-      .Text("source", aSource);
-    this->events.log(line);
-  }
-}
-
 }
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -17,6 +17,10 @@
 // If it requests a view from a peer before that, it requests the list only this
 // time after the first such request.
 constexpr Micros kStoreDelayForPeerView = 150 * kMillisecond;
+// An instance that has its first view serves callers only once it also knows
+// the drained zones, or after this time: if neither the store nor a peer tells
+// it, callers are worse off without it.
+constexpr Micros kMaxDrainsWait = 500 * kMillisecond;
 // Opening packets for an unknown route are reset only if the configuration was
 // confirmed within this time; otherwise they are dropped, as the route may have
 // been added since.
@@ -26,11 +30,12 @@
 uint32_t
 RandomSeed(const TaggedSettings& aSettings);
 
-// Formats of the two kinds of objects in the store.
+// Formats of the three kinds of objects in the store.
 struct StoreFormats
 {
   KindFormat<steer::ServerChange> servers;
   KindFormat<steer::ConfigChange> config;
+  KindFormat<steer::DrainChange> drains;
 };
 
 struct SyncEvents
@@ -67,6 +72,17 @@
   // servers, whichever is longer ago. It is more than 1000 s if one of the two
   // was never confirmed, or not since a process pause.
   Micros ViewAge(Micros aNow) const;
+  // Returns whether the drained zones are known, or are not read at all.
+  bool KnowsDrains() const
+  {
+    return !this->readsDrains || this->spread.Drains().IsKnown();
+  }
+  // Returns the time since the store last confirmed the drained zones; 0 if
+  // they are not read.
+  Micros DrainsAge(Micros aNow) const
+  {
+    return this->readsDrains ? aNow - this->spread.DrainsConfirmedAt() : 0;
+  }
   uint32_t FleetSize() const { return this->spread.FleetSize(); }
   bool Reads() const { return this->spread.Reads(); }
   const ListWatcherCounts& ServersCounts() const
@@ -77,6 +93,10 @@
   {
     return this->config.Counts();
   }
+  const ListWatcherCounts& DrainsCounts() const
+  {
+    return this->drains.Counts();
+  }
   // Counts of entries of the store that cannot be read.
   EntryCounts UnreadableCounts() const;
   // Counts of the messages to and from peers.
@@ -104,6 +124,14 @@
   void OnStoreResponse(std::span<const steer::ConfigChange> aChanges,
                        uint64_t aRevision,
                        bool aList);
+  void OnStoreResponse(std::span<const steer::DrainChange> aChanges,
+                       uint64_t aRevision,
+                       bool aList);
+  // Puts the replicator's drained zones in force, and logs those that changed.
+  void ApplyDrains(const std::string& aSource);
+  void LogDrain(std::string_view aZone,
+                bool aDrained,
+                const std::string& aSource);
   void OnHeartbeat(Address aFrom, const spread::Heartbeat& aHeartbeat);
   std::optional<ViewVersion> CurrentViewVersion() const;
   PeerView CopyView(bool aWithServers) const;
@@ -125,6 +153,8 @@
   UnreadableEntries unreadable;
   ListWatcher<steer::ServerChange> servers;
   ListWatcher<steer::ConfigChange> config;
+  bool readsDrains = false; // the drains watcher is used
+  ListWatcher<steer::DrainChange> drains;
   std::unique_ptr<Peers> peers;
   Timer firstListTimer;
   bool firstListStarted = false;
--- a/src/tagged/transport.h
+++ b/src/tagged/transport.h
@@ -94,6 +94,18 @@
   {
     P::ParseConfigWatch(aText)
     } -> std::same_as<absl::StatusOr<Page<steer::ConfigChange>>>;
+  {
+    P::DrainsListPath(aText)
+    } -> std::same_as<std::string>;
+  {
+    P::DrainsWatchPath(aNumber, int64_t{})
+    } -> std::same_as<std::string>;
+  {
+    P::ParseDrainsList(aText)
+    } -> std::same_as<absl::StatusOr<Page<steer::DrainChange>>>;
+  {
+    P::ParseDrainsWatch(aText)
+    } -> std::same_as<absl::StatusOr<Page<steer::DrainChange>>>;
 };
 
 }
--- /dev/null
+++ b/tests/steer/drains_test.cpp
@@ -0,0 +1,153 @@
+// Drains of zones: which servers a new flow may get, and what becomes of flows
+// that are open already.
+#include "support/steering_fixture.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace gentianspindle {
+
+using namespace steer;
+
+namespace {
+
+// Three servers of "web": 1 in zone "a", 2 in zone "b", 3 in zone "c".
+struct ZonesFixture : SteeringFixture
+{
+  uint64_t revision = 100;
+
+  ZonesFixture()
+  {
+    for (ServerId id : { 1, 2, 3 }) {
+      this->PutServer(id, std::string(1, static_cast<char>('a' + id - 1)));
+    }
+  }
+
+  void PutServer(ServerId aId, const std::string& aZone)
+  {
+    ServerChange change = MakeServer(aId, "web", ++this->revision);
+    change.entry->zone = aZone;
+    this->steer.CurrentView().PutServer(change, this->now);
+  }
+
+  // Drains exactly these zones.
+  void Drain(const std::vector<std::string>& aZones)
+  {
+    ++this->revision;
+    this->steer.CurrentView().PutDrains(
+      { this->revision, this->revision, aZones });
+  }
+
+  // Returns how many of aCount new flows each server gets, by its id.
+  std::map<ServerId, int> CountOpenings(int aCount = 60)
+  {
+    std::map<ServerId, int> counts;
+    for (int i = 0; i < aCount; ++i) {
+      Decision decision = this->Open(++this->port);
+      if (decision.action == Action::Forward) {
+        ++counts[this->steer.CurrentView().At(decision.server).entry.id];
+      }
+    }
+    return counts;
+  }
+
+  uint16_t port = 7000;
+};
+
+}
+
+TEST_CASE("While a zone is drained its servers get no new flow")
+{
+  ZonesFixture fixture;
+  REQUIRE(fixture.CountOpenings().contains(1));
+  fixture.Drain({ "a" });
+  CHECK_FALSE(fixture.CountOpenings().contains(1));
+  // A server that appears in the zone later gets none either.
+  fixture.PutServer(4, "a");
+  CHECK_FALSE(fixture.CountOpenings().contains(4));
+  fixture.Drain({ "a", "b" });
+  std::map<ServerId, int> counts = fixture.CountOpenings();
+  CHECK(counts.size() == 1);
+  CHECK(counts.contains(3));
+  fixture.Drain({ "b" });
+  CHECK(fixture.CountOpenings().contains(1));
+}
+
+TEST_CASE("A state of an earlier revision does not replace the one in force")
+{
+  ZonesFixture fixture;
+  fixture.Drain({ "a" });
+  CHECK_FALSE(fixture.steer.CurrentView().PutDrains({ 5, 5, {} }));
+  CHECK_FALSE(fixture.CountOpenings().contains(1));
+}
+
+TEST_CASE("A flow that is open in a drained zone stays there")
+{
+  ZonesFixture fixture;
+  fixture.Drain({ "b", "c" });
+  Decision opened = fixture.Open(6000);
+  fixture.SendData(6000, opened.tag);
+  fixture.Drain({ "a", "b", "c" });
+  Decision decision = fixture.SendData(6000, opened.tag, 2);
+  CHECK(decision.action == Action::Forward);
+  CHECK(decision.reason == Reason::Known);
+  CHECK(fixture.steer.CurrentView().At(decision.server).entry.id == 1);
+}
+
+TEST_CASE("A retransmission of an opening packet leaves a drained zone")
+{
+  ZonesFixture fixture;
+  fixture.Drain({ "b", "c" });
+  Decision opened = fixture.Open(6000);
+  REQUIRE(opened.action == Action::Forward);
+  fixture.Drain({ "a" });
+  fixture.now += kOpeningIntervals[0];
+  Decision again = fixture.Open(6000, 0, 1);
+  CHECK(again.action == Action::Forward);
+  CHECK(again.server != opened.server);
+}
+
+TEST_CASE("A held opening packet is released to no server of a drained zone")
+{
+  ZonesFixture fixture;
+  // Slow responses turn on the concurrency limit.
+  for (int i = 0; i < 200; ++i) {
+    Decision opened = fixture.Open(++fixture.port);
+    fixture.SendData(fixture.port, opened.tag);
+    fixture.now += 300 * kMillisecond;
+    fixture.SendData(fixture.port, opened.tag, 2);
+    fixture.SendFin(fixture.port, opened.tag);
+    fixture.steer.Tick(fixture.now);
+  }
+  uint16_t held = 0;
+  for (int i = 0; held == 0 && i < 100; ++i) {
+    bool holds = fixture.Open(++fixture.port).action == Action::Hold;
+    held = holds ? fixture.port : 0;
+  }
+  REQUIRE(held != 0);
+  bool allDrained = GENERATE(false, true);
+  fixture.Drain(allDrained ? std::vector<std::string>{ "a", "b", "c" }
+                           : std::vector<std::string>{ "a", "b" });
+  fixture.now += kCountedLatencyTargets * 100 * kMillisecond;
+  fixture.steer.Tick(fixture.now);
+  fixture.Open(held, 0, 1);
+  std::optional<ReleasedPacket> released = fixture.steer.Release(fixture.now);
+  REQUIRE(released);
+  const Decision& decision = released->decision;
+  CHECK(decision.action == (allDrained ? Action::Reset : Action::Forward));
+  CHECK((allDrained ? decision.reason == Reason::ZoneDrained
+                    : decision.server == fixture.IndexOf(3)));
+}
+
+TEST_CASE("With all zones drained a new flow is refused at once, and counted")
+{
+  ZonesFixture fixture;
+  fixture.Drain({ "a", "b", "c" });
+  Decision decision = fixture.Open(6000);
+  CHECK(decision.action == Action::Reset);
+  CHECK(decision.reason == Reason::ZoneDrained);
+  auto index = static_cast<size_t>(Reason::ZoneDrained);
+  CHECK(fixture.steer.Counts().reasons[index] == 1);
+}
+
+}
--- a/tests/support/spread_fleet.cpp
+++ b/tests/support/spread_fleet.cpp
@@ -14,14 +14,12 @@
 constexpr Micros kSameZoneDelay = 100;
 constexpr Micros kCrossZoneDelay = 900;
 constexpr Micros kMaxWatchWait = 1 * kSecond;
+constexpr Micros kMaxDrainsWatchWait = 2500 * kMillisecond;
 constexpr Micros kFirstWatchWait = 20 * kMillisecond;
 // Pause of a watch for servers after a change, so that changes are batched.
 constexpr Micros kPauseAfterChange = 500 * kMillisecond;
 // Delay before a failed call is repeated; also the wait of a repeated watch.
 constexpr Micros kStoreRetryDelay = 400 * kMillisecond;
-// An instance counts for the propagation time this long after its start or the
-// last change of its access to the store.
-constexpr Micros kFaultFreePeriod = 4 * kSecond;
 
 }
 
@@ -82,6 +80,7 @@
     this->instances[this->instances.size() / 2].address
   };
   replicatorOptions.randomSeed = this->random();
+  replicatorOptions.drains = this->options.drains;
   instance.spread = std::make_unique<spread::Replicator>(replicatorOptions);
   instance.view = std::make_unique<steer::View>();
   instance.reading = false;
@@ -143,6 +142,7 @@
   while (this->Now() < end) {
     this->clock.RunUntil(std::min(end, this->Now() + kTick));
     this->RecordPropagation();
+    this->RecordDrains();
   }
 }
 
@@ -165,10 +165,13 @@
 SpreadFleet::ListStore(size_t aInstance, uint64_t aIncarnation)
 {
   SpreadInstance& instance = this->instances[aInstance];
-  if (instance.incarnation != aIncarnation || instance.spread->HasView()) {
+  spread::Replicator& spread = *instance.spread;
+  bool knowsDrains = !this->options.drains || spread.Drains().IsKnown();
+  if (instance.incarnation != aIncarnation ||
+      (spread.HasView() && knowsDrains)) {
     return;
   }
-  this->store.calls += 2;
+  this->store.calls += this->options.drains ? 3 : 2;
   if (!this->StoreAnswers(aInstance)) {
     this->clock.After(kStoreRetryDelay,
                       [=, this] { this->ListStore(aInstance, aIncarnation); });
@@ -183,6 +186,11 @@
   instance.spread->OnConfigResponse(
     this->store.configVersion, this->store.revision, this->Now());
   instance.spread->OnServersList(this->store.revision, this->Now());
+  if (this->options.drains) {
+    instance.spread->OnDrainsResponse(
+      this->store.ListDrains(), this->store.revision, true, this->Now());
+    instance.view->PutDrains(instance.spread->Drains());
+  }
 }
 
 void
@@ -195,32 +203,57 @@
   instance.reading = instance.spread->Reads();
   uint64_t watch = ++instance.latestWatch;
   if (instance.reading) {
-    this->StartWatch(aInstance, watch, true, kFirstWatchWait);
-    this->StartWatch(aInstance, watch, false, kFirstWatchWait);
+    this->StartWatch(aInstance, watch, SpreadKind::Servers, kFirstWatchWait);
+    this->StartWatch(aInstance, watch, SpreadKind::Config, kFirstWatchWait);
+    if (this->options.drains) {
+      this->StartWatch(aInstance, watch, SpreadKind::Drains, kFirstWatchWait);
+    }
   }
 }
 
 void
 SpreadFleet::StartWatch(size_t aInstance,
                         uint64_t aWatch,
-                        bool aServers,
+                        SpreadKind aKind,
                         Micros aWait)
 {
-  if (this->instances[aInstance].latestWatch != aWatch) {
+  SpreadInstance& instance = this->instances[aInstance];
+  if (instance.latestWatch != aWatch) {
     return;
   }
+  if (aKind == SpreadKind::Drains) {
+    instance.drainsFrom = instance.spread->Drains().revision;
+  }
   ++this->store.calls;
   Micros startedAt = this->Now();
   this->clock.After(kStoreDelay, [=, this] {
-    this->ContinueWatch(aInstance, aWatch, aServers, startedAt, aWait);
+    this->ContinueWatch(aInstance, aWatch, aKind, startedAt, aWait);
   });
 }
 
 bool
-SpreadFleet::ApplyReply(SpreadInstance& aInstance, bool aServers)
+SpreadFleet::HasUpdate(const SpreadInstance& aInstance, SpreadKind aKind) const
+{
+  if (aKind == SpreadKind::Config) {
+    return this->store.configVersion > aInstance.view->Version();
+  }
+  if (aKind == SpreadKind::Drains) {
+    return aInstance.drainsFrom < this->store.oldestRevision ||
+           (!this->store.drainHistory.empty() &&
+            this->store.drainHistory.back().revision > aInstance.drainsFrom);
+  }
+  return !this->store.history.empty() && this->store.history.back().revision >
+                                           aInstance.spread->Servers().revision;
+}
+
+bool
+SpreadFleet::ApplyReply(SpreadInstance& aInstance, SpreadKind aKind)
 {
   spread::Replicator& spread = *aInstance.spread;
-  if (!aServers) {
+  if (aKind == SpreadKind::Drains) {
+    return this->ApplyDrainsReply(aInstance);
+  }
+  if (aKind == SpreadKind::Config) {
     bool isNew =
       aInstance.view->PutConfig(MakeConfig(this->store.configVersion));
     spread.OnConfigResponse(
@@ -244,7 +277,7 @@
 void
 SpreadFleet::ContinueWatch(size_t aInstance,
                            uint64_t aWatch,
-                           bool aServers,
+                           SpreadKind aKind,
                            Micros aStartedAt,
                            Micros aWait)
 {
@@ -254,17 +287,13 @@
   }
   bool storeAnswers = this->StoreAnswers(aInstance);
   Micros waited = this->Now() - aStartedAt;
-  bool hasUpdate =
-    aServers
-      ? !this->store.history.empty() && this->store.history.back().revision >
-                                          instance.spread->Servers().revision
-      : this->store.configVersion > instance.view->Version();
+  bool hasUpdate = this->HasUpdate(instance, aKind);
   // A call that the store does not answer times out this long after its wait.
   constexpr Micros kTimeoutSlack = 700 * kMillisecond;
   bool expired = waited >= (storeAnswers ? aWait : aWait + kTimeoutSlack);
   if (!expired && !(storeAnswers && hasUpdate)) {
     this->clock.After(kStoreDelay, [=, this] {
-      this->ContinueWatch(aInstance, aWatch, aServers, aStartedAt, aWait);
+      this->ContinueWatch(aInstance, aWatch, aKind, aStartedAt, aWait);
     });
     return;
   }
@@ -272,15 +301,17 @@
     instance.spread->OnStoreLost(this->Now());
     this->UpdateWatches(aInstance);
     this->clock.After(kStoreRetryDelay, [=, this] {
-      this->StartWatch(aInstance, aWatch, aServers, kStoreRetryDelay);
+      this->StartWatch(aInstance, aWatch, aKind, kStoreRetryDelay);
     });
     return;
   }
-  bool changed = this->ApplyReply(instance, aServers);
-  Micros pause = changed && aServers ? kPauseAfterChange : 0;
-  this->clock.After(pause, [=, this] {
-    this->StartWatch(aInstance, aWatch, aServers, kMaxWatchWait);
-  });
+  bool changed = this->ApplyReply(instance, aKind);
+  Micros pause =
+    changed && aKind == SpreadKind::Servers ? kPauseAfterChange : 0;
+  Micros wait =
+    aKind == SpreadKind::Drains ? kMaxDrainsWatchWait : kMaxWatchWait;
+  this->clock.After(
+    pause, [=, this] { this->StartWatch(aInstance, aWatch, aKind, wait); });
   this->Exchange(aInstance);
 }
 
@@ -319,8 +350,8 @@
   // As a datagram carries it.
   received.cores =
     spread::FromMillicores(spread::ToMillicores(aHeartbeat.cores));
-  // Some datagrams are delayed by more than a tick, which reorders them.
-  Micros jitter = uniform(this->random) < 0.05 ? 60 * kMillisecond : 0;
+  Micros jitter =
+    uniform(this->random) < 0.05 ? this->options.lateness : Micros{ 0 };
   this->clock.After(
     (sameZone ? kSameZoneDelay : kCrossZoneDelay) + jitter, [=, this] {
       SpreadInstance& instance = this->instances[to];
@@ -331,6 +362,7 @@
         instance.spread->OnHeartbeat(
           this->instances[aFrom].address, received, this->Now()),
         this->Now());
+      instance.view->PutDrains(instance.spread->Drains());
       this->Exchange(to);
     });
 }
@@ -353,6 +385,8 @@
     instance.view->PutConfig(peer.view->CopyConfig());
     instance.spread->OnPeerConfig(instance.view->Version(),
                                   peer.spread->Config().revision);
+    instance.spread->OnPeerDrains(peer.spread->Drains(), spread::kNever);
+    instance.view->PutDrains(instance.spread->Drains());
     uint64_t revision = peer.spread->Servers().revision;
     if (!aRequest.servers || revision <= instance.spread->Servers().revision) {
       return;
--- a/tests/support/spread_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -1,5 +1,5 @@
-// A fleet of instances that replicate the configuration and the servers, with a
-// store and a network between them, in virtual time.
+// A fleet of instances that replicate the configuration, the servers and the
+// drained zones, with a store and a network between them, in virtual time.
 #pragma once
 
 #include "spread/spread.h"
@@ -11,6 +11,10 @@
 
 namespace gentianspindle {
 
+// An instance counts for the propagation time this long after its start or the
+// last change of its access to the store.
+constexpr Micros kFaultFreePeriod = 4 * kSecond;
+
 // The store with all its entries and the history of the changes of servers.
 struct SpreadStore
 {
@@ -19,6 +23,12 @@
   uint64_t configRevision = 100;
   std::map<std::string, steer::ServerChange> listed;
   std::vector<steer::ServerChange> history;
+  // Drained zones, with the time at which the store accepted that; the history
+  // of their changes, and the zones as of each of these revisions.
+  std::map<std::string, Micros> drained;
+  std::vector<steer::DrainChange> drainHistory;
+  std::map<uint64_t, std::vector<std::string>> drainedAsOf{ { 0, {} } };
+  uint64_t oldestRevision = 0; // a watch from before gets no changes
   // Instances that get no response.
   std::set<size_t> deniedInstances;
   bool down = false;
@@ -27,6 +37,22 @@
   void PutConfig();
   void PutServer(steer::ServerId aId);
   void RemoveServer(steer::ServerId aId);
+  void SetDrain(const std::string& aZone, bool aDrained, Micros aNow);
+  void ForgetHistory() { this->oldestRevision = ++this->revision; }
+  std::vector<steer::DrainChange> ListDrains() const;
+  // Returns the zones that were drained at a revision.
+  const std::vector<std::string>& DrainedAsOf(uint64_t aRevision) const
+  {
+    return std::prev(this->drainedAsOf.upper_bound(aRevision))->second;
+  }
+};
+
+// Kinds of objects in the store.
+enum class SpreadKind : uint8_t
+{
+  Servers,
+  Config,
+  Drains,
 };
 
 // Size of the fleet and faults of its network.
@@ -39,6 +65,10 @@
   std::optional<double> cores;
   // Probability that a datagram is lost.
   double loss = 0.01;
+  // By this time some datagrams are late; it is more than a tick, so that they
+  // overtake each other.
+  Micros lateness = 60 * kMillisecond;
+  bool drains = false; // the instances read the drains of zones
   uint32_t seed = 1;
 };
 
@@ -60,9 +90,10 @@
   bool reading = false;
   // A view request to a peer is under way.
   bool fetchingView = false;
-  // Number of the latest pair of watches, for the servers and the
-  // configuration. Events of earlier ones are ignored.
+  // Number of the latest set of watches, one for each kind. Events of earlier
+  // ones are ignored.
   uint64_t latestWatch = 0;
+  uint64_t drainsFrom = 0; // revision from which the drains are watched
 };
 
 // The simulation: starts and stops instances, injects faults, and measures how
@@ -79,6 +110,13 @@
   // Isolates a zone from the other zones, or connects it again. The store still
   // responds to it.
   void IsolateZone(size_t aZone, bool aIsolated);
+  // Makes the store unavailable to all instances, or available again.
+  void SetStoreDown(bool aDown);
+  // The store accepts that a zone is drained, or that it no longer is.
+  void SetDrain(const std::string& aZone, bool aDrained)
+  {
+    this->store.SetDrain(aZone, aDrained, this->Now());
+  }
   void Run(Micros aTime);
 
   Micros Now() const { return this->clock.Now(); }
@@ -99,6 +137,16 @@
   // yet.
   Micros MaxPropagationTime() const { return this->maxPropagationTime; }
 
+  // The longest time for which a zone was drained at the store but not at an
+  // instance, over all instances that had no fault of their own for a while,
+  // nor the store.
+  Micros MaxDrainTime() const { return this->maxDrainTime; }
+  // Number of running instances whose drained zones are not those that the
+  // store had at the revision up to which they know them.
+  size_t WrongDrains() const;
+  // Number of running instances whose drained zones are not the store's.
+  size_t OutdatedDrains() const;
+
   SpreadStore store;
   // The store accepts a new configuration now. Its propagation time counts from
   // here.
@@ -119,20 +167,23 @@
   void UpdateWatches(size_t aInstance);
   void StartWatch(size_t aInstance,
                   uint64_t aWatch,
-                  bool aServers,
+                  SpreadKind aKind,
                   Micros aWait);
   void ContinueWatch(size_t aInstance,
                      uint64_t aWatch,
-                     bool aServers,
+                     SpreadKind aKind,
                      Micros aStartedAt,
                      Micros aWait);
+  bool HasUpdate(const SpreadInstance& aInstance, SpreadKind aKind) const;
   // Applies the store's response to a watch. Returns whether it has changes.
-  bool ApplyReply(SpreadInstance& aInstance, bool aServers);
+  bool ApplyReply(SpreadInstance& aInstance, SpreadKind aKind);
+  bool ApplyDrainsReply(SpreadInstance& aInstance);
   // Sends the heartbeats and the view request that are due.
   void Exchange(size_t aInstance);
   void Deliver(size_t aFrom, Address aTo, const spread::Heartbeat& aHeartbeat);
   void FetchView(size_t aInstance, spread::ViewRequest aRequest);
   void RecordPropagation();
+  void RecordDrains();
 
   SpreadFleetOptions options;
   VirtualClock clock;
@@ -141,6 +192,8 @@
   std::set<size_t> isolatedZones;
   std::vector<PendingChange> pendingChanges;
   Micros maxPropagationTime = 0;
+  Micros maxDrainTime = 0;
+  Micros storeUpSince = 0;
   std::mt19937 random;
 };
 
--- a/tests/support/tagged_process.h
+++ b/tests/support/tagged_process.h
@@ -116,6 +116,7 @@
   Address address = LoopbackAddress();
   uint16_t peersPort = 0;
   std::vector<Address> seeds;
+  const char* extra = ""; // further sections of the settings
 };
 
 // One daemon process with its settings file. Its standard output, the log, is
@@ -142,7 +143,7 @@
     std::string name = std::filesystem::temp_directory_path() / "tagXXXXXX";
     REQUIRE(mkdtemp(name.data()) != nullptr);
     this->folder = name;
-    this->WriteSettings(200);
+    this->WriteSettings(200, this->options.extra);
     int pipeEnds[2];
     REQUIRE(pipe2(pipeEnds, O_CLOEXEC) == 0);
     this->output = pipeEnds[0];
--- a/tests/tagged/docs_test.cpp
+++ b/tests/tagged/docs_test.cpp
@@ -76,7 +76,8 @@
   CHECK(nameCount >= 20);
   std::string nodeSource = ReadSource("src/tagged/node_impl.h") +
                            ReadSource("src/tagged/node_packets.h") +
-                           ReadSource("src/tagged/sync.cpp");
+                           ReadSource("src/tagged/sync.cpp") +
+                           ReadSource("src/tagged/sync_log.cpp");
   // The first group is the other name of a conditional.
   std::regex eventPattern(
     "LogLine \\w+\\((?:\\w+ \\? \"(\\w+)\" : )?\"(\\w+)\"\\)");
--- a/tests/tagged/peer_codec_test.cpp
+++ b/tests/tagged/peer_codec_test.cpp
@@ -76,6 +76,31 @@
   CHECK(decoded->config.services == view.config.services);
 }
 
+TEST_CASE("Views and heartbeats pass on the drained zones")
+{
+  const steer::DrainState drains{ 90, 70, { "a", "b" } };
+  spread::Heartbeat heartbeat;
+  heartbeat.drains = drains;
+  heartbeat.drainsAge = 12;
+  heartbeat.drainsLeftOut = true;
+  tagged::PeerView view;
+  view.drains = drains;
+  auto decoded = tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat));
+  auto decodedView = tagged::DecodePeerView(tagged::EncodePeerView(view));
+  REQUIRE(decoded.ok());
+  REQUIRE(decodedView.ok());
+  for (const steer::DrainState& state :
+       { decoded->drains, decodedView->drains }) {
+    CHECK(state.revision == 90);
+    CHECK(state.changedRevision == 70);
+    CHECK(state.zones == drains.zones);
+  }
+  CHECK(decoded->drainsAge == 12);
+  CHECK(decoded->drainsLeftOut);
+  heartbeat.drainsAge = -1;
+  CHECK_FALSE(tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat)).ok());
+}
+
 TEST_CASE("A bit that changed in a message of a peer crashes no decoder")
 {
   spread::Heartbeat heartbeat;
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -300,4 +300,71 @@
     [&] { return second.Metric("gentianspindle_config_version") == 8; }));
 }
 
+// Guards against a drained zone that gets new flows, and against an instance
+// that starts during the drain and does not know of it.
+TEST_CASE("While its zone is drained a server gets no new flow, also after a "
+          "restart with the store away, and gets them again afterwards")
+{
+  Fixture fixture;
+  uint16_t port = NextPort();
+  auto options = [&](int aLast) {
+    std::vector<Address> seeds{ LoopbackAddress(1), LoopbackAddress(2) };
+    return DaemonOptions{ fixture.port,
+                          seeds[static_cast<size_t>(aLast) - 1],
+                          port,
+                          seeds,
+                          "[drain]\nbound_ms = 5000\n" };
+  };
+  auto opens = [&](const Daemon& aDaemon, uint16_t aPort) {
+    aDaemon.Send(MakePacket(aPort, true), fixture.fabricSocket);
+    return !fixture.serverSocket.Receive(300).empty();
+  };
+  auto drainedZones = [](const Daemon& aDaemon, double aCount) {
+    return Eventually(
+      [&] { return aDaemon.Metric("gentianspindle_drained_zones") == aCount; });
+  };
+  Daemon first(options(1));
+  REQUIRE(Eventually([&] { return first.ReadinessStatus() == 200; }));
+  CHECK(opens(first, 7000));
+  fixture.store.PutText("evacuations", "a", "{\"odd\":1e999}");
+  REQUIRE(drainedZones(first, 1));
+  CHECK_FALSE(opens(first, 7001));
+  CHECK(first.Metric(
+          "gentianspindle_decisions_total{reason=\"zone_drained\"}") == 1);
+  fixture.store.status = 503;
+  {
+    Daemon second(options(2));
+    REQUIRE(Eventually([&] { return second.ReadinessStatus() == 200; }));
+    CHECK_FALSE(opens(second, 7002));
+    CHECK(drainedZones(second, 1));
+  }
+  fixture.store.status = 200;
+  fixture.store.DropHistory();
+  fixture.store.Remove("evacuations", "a");
+  CHECK(drainedZones(first, 0));
+  CHECK(opens(first, 7003));
+  std::string logText = first.ReadOutput();
+  CHECK(logText.find(R"("event":"zone_drain","drained_zone":"a",)"
+                     R"("state":"in_force","source":"store")") !=
+        std::string::npos);
+}
+
+TEST_CASE(
+  "An instance that cannot learn of drains serves callers after a bounded "
+  "wait")
+{
+  Fixture fixture;
+  uint16_t port = NextPort();
+  std::vector<Address> seeds{ LoopbackAddress(1), LoopbackAddress(2) };
+  // A peer that does not read the drains, and then a store that is away.
+  Daemon peer({ fixture.port, seeds[0], port, seeds });
+  REQUIRE(Eventually([&] { return peer.ReadinessStatus() == 200; }));
+  fixture.store.status = 503;
+  Daemon daemon(
+    { fixture.port, seeds[1], port, seeds, "[drain]\nbound_ms = 5000\n" });
+  CHECK(Eventually([&] { return daemon.ReadinessStatus() == 200; }));
+  daemon.Send(MakePacket(7000, true), fixture.fabricSocket);
+  CHECK(fixture.serverSocket.Receive().size() == 40);
+}
+
 }
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -32,12 +32,30 @@
 
 namespace {
 
-// Fills in the platform's template with plain values, as the platform does.
+// Replaces a section of the template with what it renders.
+void
+FillSection(std::string& aText,
+            const std::string& aName,
+            const std::string& aRendered)
+{
+  std::string closing = "{{/" + aName + "}}";
+  size_t begin = aText.find("{{#" + aName + "}}");
+  size_t end = aText.find(closing);
+  REQUIRE(begin < end);
+  REQUIRE(end != std::string::npos);
+  aText.replace(begin, end + closing.size() - begin, aRendered);
+}
+
+// Fills in the platform's template with plain values, as the platform does;
+// aBound is empty where the platform hands out none.
 std::string
-FillTemplate(const std::string& aGraceSeconds)
+FillTemplate(const std::string& aGraceSeconds, const std::string& aBound = "")
 {
   std::string text = ReadSource("platform/settings.template");
   REQUIRE_FALSE(text.empty());
+  FillSection(text,
+              "policy_values.evacuate_ms",
+              aBound.empty() ? "" : "bound_ms = " + aBound + "\n");
   for (const auto& [name, value] :
        std::vector<std::pair<std::string, std::string>>{
          { "{{node_name}}", "frontend-1" },
@@ -82,6 +100,16 @@
   }
 }
 
+TEST_CASE("The platform's template takes the bound of drains, or none")
+{
+  auto none = ParseTaggedSettings(FillTemplate("6"), "file");
+  REQUIRE(none.ok());
+  CHECK(none->drain.boundMs == 0);
+  auto bound = ParseTaggedSettings(FillTemplate("6", "2500.5"), "file");
+  REQUIRE(bound.ok());
+  CHECK(bound->drain.boundMs == 2500.5);
+}
+
 TEST_CASE(
   "The list of seeds may have none, and cores may be a fraction but not a "
   "string")
--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -354,4 +354,33 @@
   }
 }
 
+// The operators' page says that the name of the object is the zone's.
+TEST_CASE("Each named request to drain a zone counts, whatever its content")
+{
+  std::string items =
+    absl::StrJoin({ MakeObject("jkt", "{}"),
+                    MakeObject("bdg", "{\"odd\":1e999}"),
+                    std::string(R"({"meta":{"revision":9},"spec":{}})"),
+                    std::string(R"({"meta":{"name":"smg"}})") },
+                  ",");
+  auto list = ObjectFormat::ParseDrainsList(MakeList(items));
+  REQUIRE(list.ok());
+  CHECK(list->revision == 530);
+  CHECK(list->unnamed == 1);
+  REQUIRE(list->changes.size() == 3);
+  CHECK(list->changes[0].zone == "jkt");
+  CHECK(list->changes[0].revision == 412);
+  CHECK(list->changes[1].zone == "bdg");
+  CHECK(list->changes[2].zone == "smg");
+  auto watch = ObjectFormat::ParseDrainsWatch(
+    R"({"events":[{"object":)" + MakeObject("jkt", "{}") +
+    R"(,"tombstone":true}],"as_of":531})");
+  REQUIRE(watch.ok());
+  REQUIRE(watch->changes.size() == 1);
+  CHECK(watch->changes[0].removed);
+  CHECK(ObjectFormat::DrainsListPath("") == "/-/objects/evacuations");
+  CHECK(ObjectFormat::DrainsWatchPath(7, 2500) ==
+        "/-/objects/evacuations?watch=7&wait_ms=2500");
+}
+
 }
