Track each request of a flow by its caller's packets

Cause: a flow's record has the state of its first request only, so that on a long flow an unanswered later request can't be told from an idle flow. Ruled out: to keep every packet's sequence number; the highest data and acknowledgement are enough, compared so that they may wrap around. Change: FlowProgress, updated by one function at one place of TrackProgress. Nothing uses its events yet.

--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "steer/admission.h"
+#include "steer/flow_progress.h"
 
 namespace gentianspindle::steer {
 
@@ -35,7 +36,8 @@
   // The flow can no longer make its server suspect: its opening packet went
   // unanswered already, or this process was paused before its handshake check.
   bool suspected = false;
-  bool answered = false;    // the response to the first request was seen
+  bool answered = false; // the response to the first request was seen
+  FlowProgress progress;
   Micros latencyTarget = 0; // of the route; 0 if another instance placed it
   // Limit that the flow counts against; null: it counts no more.
   ConcurrencyLimit* limit = nullptr;
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -88,6 +88,7 @@
     health.OnProgress(aNow);
     this->sample = { .handshake = true, .duration = aNow - record.placedAt };
   }
+  record.progress.OnCallerPacket(aPacket, aNow);
   if (aPacket.dataBytes > 0 && record.requestAt == 0) {
     record.requestAt = aNow;
     aDecision.firstRequest = true;
