Detect servers that are gone, and reset the flows that wait for them

Cause: a flow to a server that fell silent keeps its request until its caller's deadline, although the caller may repeat it. Ruled out: verdicts from repeated data alone (two lost packets would do it), from health checks (they may lie), and from unanswered probes alone (a network may filter them; a probe of another server is the control). Change: FailureDetector counts independent pieces of evidence: repeated data, unanswered openings, unanswered TCP probes. Flows of repeatable routes that wait are reset at once, idle ones with their next data, while the verdict is not older than a second. It is off by default (probesPerSecond 0).

--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -38,6 +38,7 @@
   HoldFull,      // the service's hold queue is full
   HeldTooLong,   // the flow was held for kMaxHoldTime
   OutOfDate,     // the opening packet waited beyond its UsableTime
+  ServerSilent,  // the flow's server is gone or out of reach
   Count,
 };
 
@@ -47,7 +48,7 @@
     "no_view",     "unknown_route",   "route_removed", "no_server",
     "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
     "held",        "held_again",      "hold_full",     "held_too_long",
-    "out_of_date",
+    "out_of_date", "server_silent",
   };
 
 constexpr std::string_view
@@ -79,7 +80,8 @@
 enum class Outcome : uint8_t
 {
   Closed,     // the caller sent a FIN
-  Reset,      // the caller sent a reset, or got one as the server was gone
+  Reset,      // the caller sent a reset, or got one as the server was gone or
+              // silent
   Unanswered, // the server did not answer the opening packet
   // No packets for kQuietTime, a new flow with the same ends, or
   // the opening packet again after the server's process was replaced.
@@ -97,6 +99,14 @@
   Decision decision;
 };
 
+// A probe to send: a TCP connection to a server's endpoint.
+struct Probe
+{
+  ServerIndex server = kNoServer;
+  uint32_t generation = 0;
+  Endpoint endpoint;
+};
+
 // Handshake or response time of one flow, for histograms. At most one of the
 // flags is set; if none is, there is no time.
 struct LatencySample
--- a/src/steer/evidence.h
+++ b/src/steer/evidence.h
@@ -52,6 +52,13 @@
       aNow + (backoff < kMaxServerBackoff ? backoff : kMaxServerBackoff);
   }
 
+  // The server is gone or out of reach; starts the longest backoff.
+  void OnVerdict(Micros aNow)
+  {
+    this->unanswered = kMaxBackoffDoublings;
+    this->backoffUntil = aNow + kMaxServerBackoff;
+  }
+
   // A request was answered after aDuration.
   void OnResponse(Micros aDuration)
   {
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -49,6 +49,12 @@
                      .server = index,
                      .tag = server.tag };
   this->TrackProgress(aPacket, index, decision, aNow);
+  if (this->AnswersWithReset(aPacket, index, aNow)) {
+    this->Erase(aPacket.flow, Outcome::Reset);
+    return { .action = Action::Reset,
+             .reason = Reason::ServerSilent,
+             .server = index };
+  }
   return decision;
 }
 
@@ -86,9 +92,13 @@
     record.ackBase = aPacket.ack;
     --health.opening;
     health.OnProgress(aNow);
+    this->detector.OnProgress(aServer, aNow);
     this->sample = { .handshake = true, .duration = aNow - record.placedAt };
   }
-  record.progress.OnCallerPacket(aPacket, aNow);
+  ProgressEvent event = record.progress.OnCallerPacket(aPacket, aNow);
+  if (isCurrent) {
+    this->OnFlowProgress(event, record, aPacket, aNow);
+  }
   if (aPacket.dataBytes > 0 && record.requestAt == 0) {
     record.requestAt = aNow;
     aDecision.firstRequest = true;
@@ -122,6 +132,10 @@
   if (health.lastProgress <= aRecord.sentAt) {
     health.OnUnanswered(aNow);
     ++this->counts.suspected;
+    // Without open flows the server's backoff is enough.
+    if (health.open > health.opening) {
+      this->detector.OnEvidence(aRecord.server, Evidence::Opening, aNow);
+    }
   }
 }
 
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -31,6 +31,7 @@
     if (this->generations[i] != generation) {
       this->generations[i] = generation;
       this->health[i] = {};
+      this->detector.OnReplaced(static_cast<ServerIndex>(i));
     }
   }
 }
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "steer/decision.h"
+#include "steer/failure_detector.h"
 #include "steer/flow_record.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -17,6 +18,7 @@
 {
   PlacerOptions placer;
   bool hold = true; // hold new flows while their service is at its limit
+  double probesPerSecond = 0; // bound of FailureDetector; 0: it is off
 };
 
 // Decides on each packet, and keeps the view, the servers' health, the flow
@@ -27,6 +29,7 @@
   explicit FlowSteering(const FlowSteeringOptions& aOptions)
     : options(aOptions)
     , placer(aOptions.placer)
+    , detector(aOptions.probesPerSecond)
   {
   }
 
@@ -56,6 +59,18 @@
   // about the servers, and servers in backoff may be tried again.
   void OnProcessPause(Micros aNow);
 
+  // Returns the probes to send now. Call it after each tick.
+  std::vector<Probe> TakeProbes(Micros aNow);
+  void OnProbeResult(const Probe& aProbe, ProbeResult aResult, Micros aNow);
+  // A peer's verdict of aAt on the server with aId whose process started at
+  // aStartedAt.
+  void OnPeerVerdict(ServerId aId, int64_t aStartedAt, Micros aAt, Micros aNow);
+  // Returns packets whose callers get a reset now, although they sent nothing:
+  // their requests wait for a silent server.
+  std::vector<Packet> TakeResets() { return std::exchange(this->resets, {}); }
+  FailureDetector& Detector() { return this->detector; }
+  const FailureDetector& Detector() const { return this->detector; }
+
   const FlowSteeringCounts& Counts() const { return this->counts; }
   size_t Flows() const { return this->flows.size(); }
   // Returns null before the first opening packet for aService.
@@ -98,6 +113,22 @@
                      Decision& aDecision,
                      Micros aNow);
   void SuspectServer(FlowRecord& aRecord, Micros aNow);
+  // Passes what a packet showed on to the detector.
+  void OnFlowProgress(const ProgressEvent& aEvent,
+                      const FlowRecord& aRecord,
+                      const Packet& aPacket,
+                      Micros aNow);
+  // Returns whether the flows to aTarget may be reset if their server is
+  // silent, and their callers have the time to try again.
+  bool MayReset(Endpoint aTarget) const;
+  bool AnswersWithReset(const Packet& aPacket,
+                        ServerIndex aServer,
+                        Micros aNow);
+  // Resets the flows of a silent server that wait for an answer.
+  void ResetFlows(ServerIndex aServer, Micros aNow);
+  void CheckRequests(Micros aNow);
+  // Returns whether the view has a later process at the server's endpoint.
+  bool IsEndpointReused(ServerIndex aServer) const;
   void Erase(const FlowId& aFlow, Outcome aOutcome);
   // Clears the health of servers whose process is new in the view.
   void SyncWithView();
@@ -147,6 +178,9 @@
   // Idle checks, roughly by due time: a check may run late, by up to
   // kQuietTime.
   std::deque<FlowTimer> idleTimers;
+  FailureDetector detector;
+  std::deque<FlowTimer> requestTimers; // of requests that wait, by due time
+  std::vector<Packet> resets;
   FlowSteeringCounts counts;
   LatencySample sample;
 };
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -60,6 +60,11 @@
       this->SuspectServer(known->second, aNow);
     }
   }
+  this->CheckRequests(aNow);
+  for (ServerIndex server : this->detector.Tick(aNow)) {
+    this->health[server].OnVerdict(aNow);
+    this->ResetFlows(server, aNow);
+  }
   this->ExpireFlows(aNow);
   this->UpdateLimits(aNow);
 }
@@ -108,6 +113,8 @@
     }
   }
   this->handshakeTimers.clear();
+  this->requestTimers.clear();
+  this->detector.OnProcessPause();
   for (ServerHealth& health : this->health) {
     health.backoffUntil = std::min(health.backoffUntil, aNow);
   }
--- /dev/null
+++ b/tests/steer/silence_test.cpp
@@ -0,0 +1,223 @@
+// Servers that fall silent, and what looks like it: what happens to the flows.
+#include "support/silence_world.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace gentianspindle {
+
+using namespace steer;
+
+namespace {
+
+constexpr size_t kServer = 1; // the one that fails
+constexpr size_t kFlows = kWorldCallers / kWorldServers;
+
+}
+
+TEST_CASE("The flows of a server that is silent for good are reset")
+{
+  SilenceWorld world(1);
+  world.Run(4 * kSecond);
+  world.SetReached(kServer, false);
+  world.Run(2 * kSecond);
+  CHECK(world.resets >= kFlows);
+  CHECK(world.Verdicts(VerdictChange::Unanswered) == 1);
+  CHECK(world.steer.Detector().IsSilent(kServer));
+}
+
+TEST_CASE("The flows of a crashed server are reset by refused probes")
+{
+  SilenceWorld world(1);
+  world.Run(4 * kSecond);
+  world.servers[kServer].refuses = true;
+  world.Run(2 * kSecond);
+  CHECK(world.resets >= kFlows);
+  CHECK(world.Verdicts(VerdictChange::Refused) == 1);
+}
+
+TEST_CASE("A verdict ends when its server, which was paused, answers again")
+{
+  SilenceWorld world(1);
+  world.Run(4 * kSecond);
+  world.SetReached(kServer, false);
+  world.Run(1500 * kMillisecond);
+  CHECK(world.steer.Detector().IsSilent(kServer));
+  world.SetReached(kServer, true);
+  world.Run(kVerdictLifetime + kSecond);
+  CHECK_FALSE(world.steer.Detector().IsSilent(kServer));
+  CHECK(world.falseResets == 0);
+}
+
+TEST_CASE("Servers that live but serve badly keep their flows")
+{
+  SilenceWorld world(1);
+  world.Run(4 * kSecond);
+  SECTION("slow")
+  {
+    world.servers[kServer].work = 400 * kMillisecond;
+  }
+  SECTION("a queue of seconds")
+  {
+    world.servers[kServer].freeAt = world.now + 2 * kSecond;
+  }
+  SECTION("grey: it acknowledges requests and answers none")
+  {
+    world.servers[kServer].grey = true;
+  }
+  SECTION("lossy links")
+  {
+    world.loss = 0.1;
+  }
+  SECTION("lossy links, and a network that drops all probes")
+  {
+    world.loss = 0.1;
+    world.probesPass = false;
+  }
+  SECTION("refused probes of a server that answers its flows")
+  {
+    world.servers[kServer].work = 400 * kMillisecond;
+    world.servers[kServer].refusesProbes = true;
+  }
+  world.Run(20 * kSecond);
+  CHECK(world.resets == 0);
+  CHECK(world.answers > 0);
+}
+
+TEST_CASE("An instance that reaches no server has no verdict")
+{
+  SilenceWorld world(1);
+  world.Run(4 * kSecond);
+  for (size_t i = 0; i < kWorldServers; ++i) {
+    world.SetReached(i, false);
+  }
+  world.Run(5 * kSecond);
+  CHECK(world.resets == 0);
+}
+
+TEST_CASE("An instance that wakes from a freeze has no verdict")
+{
+  for (Micros freeze : { 300, 700, 2000 }) {
+    INFO(freeze);
+    SilenceWorld world(1);
+    world.Run(4 * kSecond);
+    world.frozenUntil = world.now + freeze * kMillisecond;
+    world.Run(5 * kSecond);
+    CHECK(world.resets == 0);
+  }
+}
+
+TEST_CASE("In a zone cut the flows of the unreached servers end, and no others")
+{
+  SilenceWorld world(1);
+  world.Run(4 * kSecond);
+  world.SetReached(0, false);
+  world.SetReached(1, false);
+  world.Run(2 * kSecond);
+  CHECK(world.resets >= 2 * kFlows);
+  CHECK(world.falseResets == 0);
+  world.SetReached(0, true);
+  world.SetReached(1, true);
+  world.Run(10 * kSecond);
+  CHECK(world.steer.Detector().Verdicts().empty());
+  CHECK(world.falseResets == 0);
+}
+
+TEST_CASE("A process that took over a silent server's address is no life sign")
+{
+  SilenceWorld world(1);
+  world.Run(4 * kSecond);
+  ServerChange other = MakeServer(40, "archive", 20);
+  other.entry->endpoint = MakeServer(kServer + 1).entry->endpoint;
+  other.entry->startedAt = 2000;
+  world.steer.CurrentView().PutServer(other, world.now);
+  world.servers[kServer].reused = true;
+  world.Run(3 * kSecond);
+  CHECK(world.resets >= kFlows);
+}
+
+TEST_CASE("Requests that may not be repeated are left alone")
+{
+  SilenceWorld world(1, false);
+  world.Run(4 * kSecond);
+  world.SetReached(kServer, false);
+  world.Run(5 * kSecond);
+  CHECK(world.resets == 0);
+}
+
+TEST_CASE("A peer's verdict resets nothing, and lowers the evidence needed")
+{
+  SilenceWorld world(1);
+  world.Run(4 * kSecond);
+  world.steer.OnPeerVerdict(kServer + 1, 1000, world.now, world.now);
+  world.Run(2 * kSecond);
+  CHECK(world.resets == 0);
+  world.SetReached(kServer, false);
+  world.Run(10 * kMillisecond);
+  world.steer.OnPeerVerdict(kServer + 1, 1000, world.now, world.now);
+  world.Run(300 * kMillisecond);
+  CHECK(world.steer.Detector().IsSilent(kServer));
+}
+
+// The stated targets: half of the flows with a request in flight are reset
+// within 0.5 s of the silence, 99 % within 1 s.
+TEST_CASE("Flows with a request in flight are reset soon after the silence")
+{
+  std::vector<Micros> delays;
+  for (uint32_t seed = 1; seed <= 200; ++seed) {
+    SilenceWorld world(seed);
+    world.Run(4 * kSecond + world.Below(kSecond));
+    world.SetReached(kServer, false);
+    world.Run(4 * kSecond);
+    delays.insert(delays.end(), world.delays.begin(), world.delays.end());
+  }
+  REQUIRE(delays.size() >= 20);
+  std::sort(delays.begin(), delays.end());
+  INFO("resets " << delays.size() << ", p50 " << delays[delays.size() / 2]
+                 << " us, p99 " << delays[delays.size() * 99 / 100] << " us");
+  CHECK(delays[delays.size() / 2] <= 500 * kMillisecond);
+  CHECK(delays[delays.size() * 99 / 100] <= 1 * kSecond);
+}
+
+// Pauses of servers and of the instance, loss up to 10 %, reordering, long
+// requests and queues of seconds.
+TEST_CASE("In random histories no flow of a server in touch is reset")
+{
+  rc::check([](uint32_t aSeed) {
+    SilenceWorld world(aSeed);
+    world.loss = 0.01 * static_cast<double>(world.Below(11));
+    world.jitter = world.Below(20 * kMillisecond) + 1;
+    for (SilenceWorld::Server& server : world.servers) {
+      server.work = 5 * kMillisecond + world.Below(400 * kMillisecond);
+    }
+    for (int i = 0; i < 60; ++i) {
+      world.Run(world.Below(kSecond));
+      size_t index = static_cast<size_t>(world.Below(kWorldServers));
+      SilenceWorld::Server& server = world.servers[index];
+      switch (world.Below(6)) {
+        case 0:
+          world.SetReached(index, !server.reached);
+          break;
+        case 1:
+          server.freeAt = world.now + world.Below(3 * kSecond);
+          break;
+        case 2:
+          world.frozenUntil = world.now + world.Below(3 * kSecond);
+          break;
+        case 3:
+          server.work = 5 * kMillisecond + world.Below(kSecond);
+          break;
+        case 4:
+          server.grey = !server.grey;
+          break;
+        default:
+          world.SetReached(index, true);
+      }
+    }
+    RC_CLASSIFY(world.resets > 0, "with resets");
+    RC_ASSERT(world.falseResets == 0U);
+  });
+}
+
+}
