--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -173,6 +173,22 @@
   counter("servers_doubted_total",
           "Opening packets that a server left unanswered",
           aSource.steer.Counts().suspected);
+  const steer::DetectorCounts& detector = aSource.steer.Detector().Counts();
+  writer.Table("silence_evidence_total",
+               "Evidence of flows and peers that a server is silent",
+               "kind",
+               steer::kEvidenceNames,
+               detector.evidence);
+  writer.Table("probes_total",
+               "Results of probes of servers",
+               "result",
+               steer::kProbeResultNames,
+               detector.probes);
+  writer.Table("silence_verdicts_total",
+               "Verdicts that a server is silent, and ends of them, by cause",
+               "cause",
+               steer::kVerdictChangeNames,
+               detector.verdicts);
   gauge("flows",
         "Flows that this instance has a record of",
         static_cast<double>(aSource.steer.Flows()));
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -6,6 +6,7 @@
 #include "tagged/http_server.h"
 #include "tagged/log.h"
 #include "tagged/metrics.h"
+#include "tagged/prober.h"
 #include "tagged/settings.h"
 #include "tagged/sync.h"
 #include "tagged/udp.h"
@@ -73,6 +74,10 @@
                        const steer::Packet& aPacket,
                        std::span<uint8_t> aBytes);
   void ReleaseHeld();
+  // Sends the probes and resets that are due, and logs verdicts.
+  void DetectSilence();
+  void SendResets();
+  void LogVerdicts();
   void Send(std::span<uint8_t> aBytes, Endpoint aTo);
   void SendAll();
   void CheckSendDelay();
@@ -121,6 +126,7 @@
   // Held packets, each with its headroom.
   absl::flat_hash_map<steer::FlowId, std::vector<uint8_t>> held;
   steer::FlowSteering steer;
+  Prober prober;
   std::unique_ptr<Sync> sync;
   std::unique_ptr<HttpServer> httpServer;
   std::unique_ptr<Log> log;
@@ -150,5 +156,6 @@
 
 }
 
+#include "tagged/node_detect.h"
 #include "tagged/node_impl.h"
 #include "tagged/node_packets.h"
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -18,7 +18,12 @@
   , callerPort(EndpointOf(aSettings.fabric.packets).port)
   , socket(std::move(aSocket))
   , steer({ .placer = { .zone = aSettings.instance.zone,
-                        .randomSeed = RandomSeed(aSettings) } })
+                        .randomSeed = RandomSeed(aSettings) },
+            .probesPerSecond = aSettings.detect.probesPerS })
+  , prober(aBase,
+           [this](const steer::Probe& aProbe, steer::ProbeResult aResult) {
+             this->steer.OnProbeResult(aProbe, aResult, SteadyNow());
+           })
   , tickTimer(aBase, [this] { this->OnTick(); })
 {
 }
@@ -210,6 +215,7 @@
   this->sync->Tick(at);
   this->steer.SetInstanceCount(this->sync->FleetSize());
   this->steer.Tick(at);
+  this->DetectSilence();
   this->ReleaseHeld();
   this->CheckSendDelay();
   if (!this->log) {
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -51,6 +51,11 @@
   int64_t port = 0;
 };
 
+struct TaggedDetectSettings
+{
+  double probesPerS = 0;
+};
+
 struct TaggedLogSettings
 {
   int64_t linesPerS = 0;
@@ -65,10 +70,11 @@
   TaggedPeersSettings peers;
   TaggedStopSettings stop;
   TaggedMetricsSettings metrics;
+  TaggedDetectSettings detect;
   TaggedLogSettings log;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 14>
+inline constexpr std::array<SettingField<TaggedSettings>, 15>
   kTaggedSettingsFields{ {
     {
       { "instance", "name", SettingType::String,
@@ -174,6 +180,14 @@
         return &aSettings.metrics.port;
       },
     },
+    {
+      { "detect", "probes_per_s", SettingType::Real,
+      false, "", 0, 0, 1000,
+      "probes a second", "bound of the TCP connections with which the instance probes servers that leave flows unanswered; 0: silent servers are not detected" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.detect.probesPerS;
+      },
+    },
     {
       { "log", "lines_per_s", SettingType::Integer,
       false, "", 200, 0, 100000,
--- a/tests/tagged/docs_test.cpp
+++ b/tests/tagged/docs_test.cpp
@@ -44,6 +44,15 @@
   for (std::string_view name : tagged::kViewRequestFailureNames) {
     CheckPageNames(page, std::string(name));
   }
+  for (std::string_view name : steer::kEvidenceNames) {
+    CheckPageNames(page, std::string(name));
+  }
+  for (std::string_view name : steer::kProbeResultNames) {
+    CheckPageNames(page, std::string(name));
+  }
+  for (std::string_view name : steer::kVerdictChangeNames) {
+    CheckPageNames(page, std::string(name));
+  }
   for (std::string_view name : tagged::kEntryKindNames) {
     CheckPageNames(page, std::string(name));
   }
@@ -76,6 +85,7 @@
   CHECK(nameCount >= 20);
   std::string nodeSource = ReadSource("src/tagged/node_impl.h") +
                            ReadSource("src/tagged/node_packets.h") +
+                           ReadSource("src/tagged/node_detect.h") +
                            ReadSource("src/tagged/sync.cpp");
   // The first group is the other name of a conditional.
   std::regex eventPattern(
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -32,12 +32,29 @@
 
 namespace {
 
+// Replaces the template's section that the platform renders only where flows
+// are promised: by its text, or by nothing.
+void
+FillSection(std::string& aText, bool aPresent)
+{
+  const std::string start = "{{#policy_values.reorder_ms}}";
+  const std::string end = "{{/policy_values.reorder_ms}}";
+  size_t from = aText.find(start);
+  size_t to = aText.find(end);
+  REQUIRE(from != std::string::npos);
+  REQUIRE(to != std::string::npos);
+  std::string inside =
+    aText.substr(from + start.size(), to - from - start.size());
+  aText.replace(from, to + end.size() - from, aPresent ? inside : "");
+}
+
 // Fills in the platform's template with plain values, as the platform does.
 std::string
-FillTemplate(const std::string& aGraceSeconds)
+FillTemplate(const std::string& aGraceSeconds, bool aFlowsPromised = true)
 {
   std::string text = ReadSource("platform/settings.template");
   REQUIRE_FALSE(text.empty());
+  FillSection(text, aFlowsPromised);
   for (const auto& [name, value] :
        std::vector<std::pair<std::string, std::string>>{
          { "{{node_name}}", "frontend-1" },
@@ -82,6 +99,16 @@
   }
 }
 
+TEST_CASE("The platform's template probes servers where flows are promised")
+{
+  auto settings = ParseTaggedSettings(FillTemplate("6", true), "file");
+  REQUIRE(settings.ok());
+  CHECK(settings->detect.probesPerS > 0);
+  settings = ParseTaggedSettings(FillTemplate("6", false), "file");
+  REQUIRE(settings.ok());
+  CHECK(settings->detect.probesPerS == 0);
+}
+
 TEST_CASE(
   "The list of seeds may have none, and cores may be a fraction but not a "
   "string")
