Share verdicts on silent servers within a zone

Cause: each instance found out for itself that a server is gone, with seven probes each; about one flow in thirty of a server is at one instance. Ruled out: to act on a peer's verdict alone, since it may be cut off where this instance is not; to relay verdicts between zones, which a cut may separate; to count a verdict for longer than 1.5 s, as a server that returned would be reset. Change: heartbeats carry up to 16 verdicts with age and process start (field 25). A follower sends a hello at once for a new one, its zone's reader relays it. A peer's verdict counts as three of eight pieces of evidence, and an instance with flows at the server probes it at once.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -68,6 +68,13 @@
   2: string zone
 }
 
+// A verdict that a server is gone or out of reach.
+struct Verdict {
+  1: i64 server    // its id
+  2: i64 startedAt // of its process, milliseconds since 1970
+  3: i64 age       // microseconds from the last confirmation to the sending
+}
+
 // Heartbeat datagram: what one instance knows, and its freshness. configAge and
 // serversAge are microseconds from the store's response that last confirmed the
 // configuration and the servers to the sending of the heartbeat.
@@ -93,4 +100,5 @@
   17: list<Reader> readers // of other zones; in a reply also of the sender's
   18: i32 zoneSize  // instances in the sender's zone
   19: i32 fleetSize // instances in all zones
+  25: list<Verdict> verdicts // of the sender; from a reader, of its zone
 }
--- a/src/spread/beat.h
+++ b/src/spread/beat.h
@@ -4,6 +4,7 @@
 
 #include "base/address.h"
 #include "base/time.h"
+#include "spread/verdicts.h"
 #include "steer/view.h"
 
 #include <cstdint>
@@ -71,6 +72,8 @@
   std::vector<ReaderAddress> readers;
   uint32_t zoneSize = 0;  // instances of the sender's zone that it knows
   uint32_t fleetSize = 0; // of all zones
+  // Verdicts on servers: of the sender and, from a reader, of its zone.
+  std::vector<SentVerdict> verdicts;
 };
 
 }
--- a/src/spread/sending.cpp
+++ b/src/spread/sending.cpp
@@ -35,6 +35,7 @@
   heartbeat.recent = { this->servers.revision, this->servers.revision, {} };
   heartbeat.zoneSize = this->members.ZoneSize();
   heartbeat.fleetSize = this->fleetSize;
+  heartbeat.verdicts = this->verdicts.Newest(this->reads, aNow);
   return heartbeat;
 }
 
@@ -55,12 +56,13 @@
   Heartbeat heartbeat = this->MakeHeartbeat(aNow);
   heartbeat.members = this->members.SampleSameZone(kListedMembers);
   heartbeat.readers = std::move(remote);
-  // Only the first datagram lists members and readers.
+  // Only the first datagram lists members, readers and verdicts.
   for (ChangeRange& range : this->changeLog.RecentRanges(aNow)) {
     heartbeat.recent = std::move(range);
     aHeartbeats.push_back({ to, heartbeat });
     heartbeat.members.clear();
     heartbeat.readers.clear();
+    heartbeat.verdicts.clear();
   }
   ++this->heartbeatCount;
   if (this->heartbeatCount % kHeartbeatsPerSeedQuery == 0 &&
@@ -142,8 +144,11 @@
   }
   bool settled = this->HasView() && this->members.KnowsReader(aNow);
   Micros period = settled ? kHelloPeriod : kJoinHelloPeriod;
-  if (aNow - this->lastHelloAt >= period) {
+  Micros since = aNow - this->lastHelloAt;
+  bool early = this->verdictPending && since >= kMinHeartbeatGap;
+  if (since >= period || early) {
     this->lastHelloAt = aNow;
+    this->verdictPending = false;
     this->AppendHello(heartbeats, aNow);
   }
   return heartbeats;
--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -133,6 +133,11 @@
     this->fleetSize = aHeartbeat.fleetSize;
     this->heardReader = true;
   }
+  // A follower passes nothing on, but may become a reader.
+  if (aHeartbeat.zone == this->options.zone &&
+      this->verdicts.Hear(aHeartbeat.verdicts, aNow)) {
+    this->updatePending = true;
+  }
   if (!aHeartbeat.hasView) {
     return {};
   }
@@ -159,6 +164,15 @@
   return newChanges;
 }
 
+void
+Replicator::SetVerdicts(std::span<const Verdict> aVerdicts, Micros aNow)
+{
+  if (this->verdicts.SetOwn(aVerdicts, aNow)) {
+    this->updatePending = true;
+    this->verdictPending = true;
+  }
+}
+
 // Applies the peer's confirmations of the configuration and of the servers
 // where this instance is not behind the peer, and records the peer where it is.
 void
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -173,6 +173,10 @@
   // Returns the view request that is due, if any. It stays due until this
   // instance has caught up.
   std::optional<ViewRequest> NextViewRequest(Micros aNow) const;
+  // Sets the verdicts of this instance. A new one is sent at once.
+  void SetVerdicts(std::span<const Verdict> aVerdicts, Micros aNow);
+  // Returns the verdicts that peers of this zone sent since the last call.
+  std::vector<Verdict> TakeVerdicts() { return this->verdicts.TakeHeard(); }
   // Returns the heartbeats to send now.
   std::vector<OutgoingHeartbeat> TakeHeartbeats(Micros aNow);
 
@@ -238,6 +242,8 @@
   Address aheadPeer = 0;
   Micros behindSince = 0;     // when this instance last fell behind a peer
   bool updatePending = false; // a reader sends its next heartbeat early
+  VerdictBoard verdicts;
+  bool verdictPending = false; // a follower sends its next hello early
   Micros lastHeartbeatAt = kNever;
   Micros lastHelloAt = kNever;
   uint32_t heartbeatCount = 0;
--- a/src/steer/failure_detector.cpp
+++ b/src/steer/failure_detector.cpp
@@ -186,7 +186,9 @@
                                bool aHasFlows,
                                Micros aNow)
 {
-  if (!this->IsOn() || aNow - aAt >= kPeerVerdictLifetime) {
+  // Beside a verdict of its own, an instance may hear that one again.
+  bool isRecent = aNow - aAt < kPeerVerdictLifetime;
+  if (!this->IsOn() || !isRecent || this->IsSilent(aServer)) {
     return;
   }
   auto [entry, isNew] = this->peerVerdicts.try_emplace(aServer, aAt);
--- a/src/tagged/gen/peers_types.cpp
+++ b/src/tagged/gen/peers_types.cpp
@@ -1318,6 +1318,138 @@
 }
 
 
+Verdict::~Verdict() noexcept {
+}
+
+
+void Verdict::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void Verdict::__set_startedAt(const int64_t val) {
+  this->startedAt = val;
+}
+
+void Verdict::__set_age(const int64_t val) {
+  this->age = val;
+}
+std::ostream& operator<<(std::ostream& out, const Verdict& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Verdict::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAt);
+          this->__isset.startedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Verdict::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Verdict");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAt", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Verdict &a, Verdict &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.startedAt, b.startedAt);
+  swap(a.age, b.age);
+  swap(a.__isset, b.__isset);
+}
+
+Verdict::Verdict(const Verdict& other50) noexcept {
+  server = other50.server;
+  startedAt = other50.startedAt;
+  age = other50.age;
+  __isset = other50.__isset;
+}
+Verdict& Verdict::operator=(const Verdict& other51) noexcept {
+  server = other51.server;
+  startedAt = other51.startedAt;
+  age = other51.age;
+  __isset = other51.__isset;
+  return *this;
+}
+void Verdict::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Verdict(";
+  out << "server=" << to_string(server);
+  out << ", " << "startedAt=" << to_string(startedAt);
+  out << ", " << "age=" << to_string(age);
+  out << ")";
+}
+
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -1397,6 +1529,10 @@
 void Heartbeat::__set_fleetSize(const int32_t val) {
   this->fleetSize = val;
 }
+
+void Heartbeat::__set_verdicts(const std::vector<Verdict> & val) {
+  this->verdicts = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1541,14 +1677,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->changes.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->changes.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->changes[_i54].read(iprot);
+              xfer += this->changes[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1561,14 +1697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->members.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->members.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += iprot->readI32(this->members[_i59]);
+              xfer += iprot->readI32(this->members[_i61]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1581,14 +1717,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readers.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->readers.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->readers.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->readers[_i64].read(iprot);
+              xfer += this->readers[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1613,6 +1749,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->verdicts.clear();
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->verdicts.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
+            {
+              xfer += this->verdicts[_i71].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.verdicts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1689,10 +1845,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Change> ::const_iterator _iter65;
-    for (_iter65 = this->changes.begin(); _iter65 != this->changes.end(); ++_iter65)
+    std::vector<Change> ::const_iterator _iter72;
+    for (_iter72 = this->changes.begin(); _iter72 != this->changes.end(); ++_iter72)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1701,10 +1857,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter66;
-    for (_iter66 = this->members.begin(); _iter66 != this->members.end(); ++_iter66)
+    std::vector<int32_t> ::const_iterator _iter73;
+    for (_iter73 = this->members.begin(); _iter73 != this->members.end(); ++_iter73)
     {
-      xfer += oprot->writeI32((*_iter66));
+      xfer += oprot->writeI32((*_iter73));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1713,10 +1869,10 @@
   xfer += oprot->writeFieldBegin("readers", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readers.size()));
-    std::vector<Reader> ::const_iterator _iter67;
-    for (_iter67 = this->readers.begin(); _iter67 != this->readers.end(); ++_iter67)
+    std::vector<Reader> ::const_iterator _iter74;
+    for (_iter74 = this->readers.begin(); _iter74 != this->readers.end(); ++_iter74)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1730,6 +1886,18 @@
   xfer += oprot->writeI32(this->fleetSize);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 25);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
+    std::vector<Verdict> ::const_iterator _iter75;
+    for (_iter75 = this->verdicts.begin(); _iter75 != this->verdicts.end(); ++_iter75)
+    {
+      xfer += (*_iter75).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1756,52 +1924,55 @@
   swap(a.readers, b.readers);
   swap(a.zoneSize, b.zoneSize);
   swap(a.fleetSize, b.fleetSize);
+  swap(a.verdicts, b.verdicts);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other68) {
-  zone = other68.zone;
-  share = other68.share;
-  reads = other68.reads;
-  storeAnswers = other68.storeAnswers;
-  hasView = other68.hasView;
-  wantsAnswer = other68.wantsAnswer;
-  configVersion = other68.configVersion;
-  configRevision = other68.configRevision;
-  configAge = other68.configAge;
-  serversRevision = other68.serversRevision;
-  serversAge = other68.serversAge;
-  storeBackAge = other68.storeBackAge;
-  changesFrom = other68.changesFrom;
-  changesTo = other68.changesTo;
-  changes = other68.changes;
-  members = other68.members;
-  readers = other68.readers;
-  zoneSize = other68.zoneSize;
-  fleetSize = other68.fleetSize;
-  __isset = other68.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other69) {
-  zone = other69.zone;
-  share = other69.share;
-  reads = other69.reads;
-  storeAnswers = other69.storeAnswers;
-  hasView = other69.hasView;
-  wantsAnswer = other69.wantsAnswer;
-  configVersion = other69.configVersion;
-  configRevision = other69.configRevision;
-  configAge = other69.configAge;
-  serversRevision = other69.serversRevision;
-  serversAge = other69.serversAge;
-  storeBackAge = other69.storeBackAge;
-  changesFrom = other69.changesFrom;
-  changesTo = other69.changesTo;
-  changes = other69.changes;
-  members = other69.members;
-  readers = other69.readers;
-  zoneSize = other69.zoneSize;
-  fleetSize = other69.fleetSize;
-  __isset = other69.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other76) {
+  zone = other76.zone;
+  share = other76.share;
+  reads = other76.reads;
+  storeAnswers = other76.storeAnswers;
+  hasView = other76.hasView;
+  wantsAnswer = other76.wantsAnswer;
+  configVersion = other76.configVersion;
+  configRevision = other76.configRevision;
+  configAge = other76.configAge;
+  serversRevision = other76.serversRevision;
+  serversAge = other76.serversAge;
+  storeBackAge = other76.storeBackAge;
+  changesFrom = other76.changesFrom;
+  changesTo = other76.changesTo;
+  changes = other76.changes;
+  members = other76.members;
+  readers = other76.readers;
+  zoneSize = other76.zoneSize;
+  fleetSize = other76.fleetSize;
+  verdicts = other76.verdicts;
+  __isset = other76.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other77) {
+  zone = other77.zone;
+  share = other77.share;
+  reads = other77.reads;
+  storeAnswers = other77.storeAnswers;
+  hasView = other77.hasView;
+  wantsAnswer = other77.wantsAnswer;
+  configVersion = other77.configVersion;
+  configRevision = other77.configRevision;
+  configAge = other77.configAge;
+  serversRevision = other77.serversRevision;
+  serversAge = other77.serversAge;
+  storeBackAge = other77.storeBackAge;
+  changesFrom = other77.changesFrom;
+  changesTo = other77.changesTo;
+  changes = other77.changes;
+  members = other77.members;
+  readers = other77.readers;
+  zoneSize = other77.zoneSize;
+  fleetSize = other77.fleetSize;
+  verdicts = other77.verdicts;
+  __isset = other77.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1826,6 +1997,7 @@
   out << ", " << "readers=" << to_string(readers);
   out << ", " << "zoneSize=" << to_string(zoneSize);
   out << ", " << "fleetSize=" << to_string(fleetSize);
+  out << ", " << "verdicts=" << to_string(verdicts);
   out << ")";
 }
 
--- a/src/tagged/gen/peers_types.h
+++ b/src/tagged/gen/peers_types.h
@@ -35,6 +35,8 @@
 
 class Reader;
 
+class Verdict;
+
 class Heartbeat;
 
 typedef struct _Weight__isset {
@@ -520,8 +522,65 @@
 
 std::ostream& operator<<(std::ostream& out, const Reader& obj);
 
+typedef struct _Verdict__isset {
+  _Verdict__isset() : server(false), startedAt(false), age(false) {}
+  bool server :1;
+  bool startedAt :1;
+  bool age :1;
+} _Verdict__isset;
+
+class Verdict : public virtual ::apache::thrift::TBase {
+ public:
+
+  Verdict(const Verdict&) noexcept;
+  Verdict& operator=(const Verdict&) noexcept;
+  Verdict() noexcept
+          : server(0),
+            startedAt(0),
+            age(0) {
+  }
+
+  virtual ~Verdict() noexcept;
+  int64_t server;
+  int64_t startedAt;
+  int64_t age;
+
+  _Verdict__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_startedAt(const int64_t val);
+
+  void __set_age(const int64_t val);
+
+  bool operator == (const Verdict & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(startedAt == rhs.startedAt))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    return true;
+  }
+  bool operator != (const Verdict &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Verdict & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Verdict &a, Verdict &b);
+
+std::ostream& operator<<(std::ostream& out, const Verdict& obj);
+
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false) {}
+  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false), verdicts(false) {}
   bool zone :1;
   bool share :1;
   bool reads :1;
@@ -541,6 +600,7 @@
   bool readers :1;
   bool zoneSize :1;
   bool fleetSize :1;
+  bool verdicts :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -587,6 +647,7 @@
   std::vector<Reader>  readers;
   int32_t zoneSize;
   int32_t fleetSize;
+  std::vector<Verdict>  verdicts;
 
   _Heartbeat__isset __isset;
 
@@ -628,6 +689,8 @@
 
   void __set_fleetSize(const int32_t val);
 
+  void __set_verdicts(const std::vector<Verdict> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -668,6 +731,8 @@
       return false;
     if (!(fleetSize == rhs.fleetSize))
       return false;
+    if (!(verdicts == rhs.verdicts))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -78,6 +78,7 @@
   void DetectSilence();
   void SendResets();
   void LogVerdicts();
+  void ShareVerdicts();
   void Send(std::span<uint8_t> aBytes, Endpoint aTo);
   void SendAll();
   void CheckSendDelay();
--- a/src/tagged/node_detect.h
+++ b/src/tagged/node_detect.h
@@ -1,5 +1,5 @@
 // Definitions of Node's functions for servers that fall silent: probes, resets
-// of waiting flows, and the log of verdicts.
+// of waiting flows, and verdicts for the log and the peers.
 #pragma once
 
 #include "tagged/node.h"
@@ -15,6 +15,20 @@
   }
   this->SendResets();
   this->LogVerdicts();
+  this->ShareVerdicts();
+}
+
+template<Platform P>
+void
+Node<P>::ShareVerdicts()
+{
+  std::vector<spread::Verdict> verdicts;
+  for (const auto& [server, confirmedAt] : this->steer.Detector().Verdicts()) {
+    const steer::ServerEntry& entry =
+      this->steer.CurrentView().At(server).entry;
+    verdicts.push_back({ entry.id, entry.startedAt, confirmedAt });
+  }
+  this->sync->SetVerdicts(verdicts, this->now);
 }
 
 // The batch has room for kBatchSize packets, so it is sent after each.
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -126,6 +126,10 @@
   };
   SyncEvents events;
   events.onView = [this] { this->OnView(); };
+  events.onVerdict = [this](const spread::Verdict& aVerdict) {
+    this->steer.OnPeerVerdict(
+      aVerdict.server, aVerdict.startedAt, aVerdict.at, SteadyNow());
+  };
   events.log = [this](const LogLine& aLine) { this->Write(aLine); };
   this->sync = Sync::Make(this->base,
                           this->settings,
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -251,11 +251,16 @@
   }
 }
 
-// Checks the ages of the view and the change range only: a negative age would
-// make old knowledge look recently confirmed.
+// Checks the ages and the change range only: a negative age would make old
+// knowledge look recently confirmed.
 bool
 IsValid(const spread::Heartbeat& aHeartbeat)
 {
+  for (const spread::SentVerdict& verdict : aHeartbeat.verdicts) {
+    if (verdict.age < 0) {
+      return false;
+    }
+  }
   return aHeartbeat.configAge >= 0 && aHeartbeat.serversAge >= 0 &&
          aHeartbeat.recent.from <= aHeartbeat.recent.to;
 }
@@ -282,6 +287,13 @@
   }
   message.zoneSize = static_cast<int32_t>(aHeartbeat.zoneSize);
   message.fleetSize = static_cast<int32_t>(aHeartbeat.fleetSize);
+  for (const spread::SentVerdict& verdict : aHeartbeat.verdicts) {
+    msg::Verdict verdictMessage;
+    verdictMessage.server = static_cast<int64_t>(verdict.server);
+    verdictMessage.startedAt = verdict.startedAt;
+    verdictMessage.age = verdict.age;
+    message.verdicts.push_back(std::move(verdictMessage));
+  }
   return Encode(message);
 }
 
@@ -308,6 +320,11 @@
   }
   heartbeat.zoneSize = static_cast<uint32_t>(message->zoneSize);
   heartbeat.fleetSize = static_cast<uint32_t>(message->fleetSize);
+  for (const msg::Verdict& verdict : message->verdicts) {
+    heartbeat.verdicts.push_back({ static_cast<steer::ServerId>(verdict.server),
+                                   verdict.startedAt,
+                                   verdict.age });
+  }
   if (!IsValid(heartbeat)) {
     return absl::DataLossError(
       "read heartbeat of a peer: negative age, or change range with its end "
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -263,6 +263,9 @@
     this->events.onView();
     this->LogServers(newChanges, FormatAddress(aFrom));
   }
+  for (const spread::Verdict& verdict : this->spread.TakeVerdicts()) {
+    this->events.onVerdict(verdict);
+  }
   this->ExchangeWithPeers(now);
 }
 
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -38,6 +38,8 @@
   // Called when the view may have changed: also after a store response for
   // servers without changes, or a peer's view with nothing new.
   std::function<void()> onView;
+  // Called with each verdict on a server that a peer of this zone sent.
+  std::function<void(const spread::Verdict&)> onVerdict;
   std::function<void(const LogLine&)> log;
 };
 
@@ -58,6 +60,11 @@
   // the heartbeats that arrived meanwhile.
   void OnProcessPause();
 
+  // Sets this instance's verdicts on servers, for its peers.
+  void SetVerdicts(std::span<const spread::Verdict> aVerdicts, Micros aNow)
+  {
+    this->spread.SetVerdicts(aVerdicts, aNow);
+  }
   // Returns whether the configuration was confirmed recently enough.
   bool IsConfigFresh(Micros aNow) const
   {
--- a/tests/steer/silence_test.cpp
+++ b/tests/steer/silence_test.cpp
@@ -195,7 +195,7 @@
       world.Run(world.Below(kSecond));
       size_t index = static_cast<size_t>(world.Below(kWorldServers));
       SilenceWorld::Server& server = world.servers[index];
-      switch (world.Below(6)) {
+      switch (world.Below(7)) {
         case 0:
           world.SetReached(index, !server.reached);
           break;
@@ -211,6 +211,11 @@
         case 4:
           server.grey = !server.grey;
           break;
+        case 5:
+          if (!server.reached) {
+            world.steer.OnPeerVerdict(index + 1, 1000, world.now, world.now);
+          }
+          break;
         default:
           world.SetReached(index, true);
       }
--- a/tests/tagged/peer_codec_test.cpp
+++ b/tests/tagged/peer_codec_test.cpp
@@ -76,6 +76,20 @@
   CHECK(decoded->config.services == view.config.services);
 }
 
+TEST_CASE("A heartbeat passes on verdicts, and none from the future")
+{
+  spread::Heartbeat heartbeat;
+  heartbeat.verdicts = { { UINT64_MAX, 1000, 50 } };
+  auto decoded = tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat));
+  REQUIRE(decoded.ok());
+  REQUIRE(decoded->verdicts.size() == 1);
+  CHECK(decoded->verdicts[0].server == UINT64_MAX);
+  CHECK(decoded->verdicts[0].startedAt == 1000);
+  CHECK(decoded->verdicts[0].age == 50);
+  heartbeat.verdicts[0].age = -1;
+  CHECK_FALSE(tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat)).ok());
+}
+
 TEST_CASE("A bit that changed in a message of a peer crashes no decoder")
 {
   spread::Heartbeat heartbeat;
@@ -83,6 +97,7 @@
   heartbeat.members = { 1, 2, 3 };
   heartbeat.readers = { { 4, "b" } };
   heartbeat.recent = { 1, 9, { MakeServer(1), MakeServer(2) } };
+  heartbeat.verdicts = { { 7, 1000, 50 } };
   tagged::PeerView view;
   view.config = MakeConfig(5);
   view.servers = { MakeServer(1), { "i-2", 80, false, {} } };
