--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -40,6 +40,7 @@
   OutOfDate,     // the opening packet waited beyond its UsableTime
   // As NoServer, but there would be one without the drains of zones.
   ZoneDrained,
+  ServerSilent, // the flow's server is gone or out of reach
   Count,
 };
 
@@ -49,7 +50,7 @@
     "no_view",     "unknown_route",   "route_removed", "no_server",
     "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
     "held",        "held_again",      "hold_full",     "held_too_long",
-    "out_of_date", "zone_drained",
+    "out_of_date", "zone_drained",    "server_silent",
   };
 
 constexpr std::string_view
@@ -81,7 +82,8 @@
 enum class Outcome : uint8_t
 {
   Closed,     // the caller sent a FIN
-  Reset,      // the caller sent a reset, or got one as the server was gone
+  Reset,      // the caller sent a reset, or got one as the server was gone or
+              // silent
   Unanswered, // the server did not answer the opening packet
   // No packets for kQuietTime, a new flow with the same ends, or
   // the opening packet again after the server's process was replaced.
@@ -99,6 +101,14 @@
   Decision decision;
 };
 
+// A probe to send: a TCP connection to a server's endpoint.
+struct Probe
+{
+  ServerIndex server = kNoServer;
+  uint32_t generation = 0;
+  Endpoint endpoint;
+};
+
 // Handshake or response time of one flow, for histograms. At most one of the
 // flags is set; if none is, there is no time.
 struct LatencySample
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -44,6 +44,7 @@
     if (this->generations[i] != generation) {
       this->generations[i] = generation;
       this->health[i] = {};
+      this->detector.OnReplaced(static_cast<ServerIndex>(i));
     }
   }
 }
--- a/src/tagged/gen/peers_types.cpp
+++ b/src/tagged/gen/peers_types.cpp
@@ -1398,6 +1398,138 @@
 }
 
 
+Verdict::~Verdict() noexcept {
+}
+
+
+void Verdict::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void Verdict::__set_startedAt(const int64_t val) {
+  this->startedAt = val;
+}
+
+void Verdict::__set_age(const int64_t val) {
+  this->age = val;
+}
+std::ostream& operator<<(std::ostream& out, const Verdict& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Verdict::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAt);
+          this->__isset.startedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age);
+          this->__isset.age = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Verdict::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Verdict");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAt", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Verdict &a, Verdict &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.startedAt, b.startedAt);
+  swap(a.age, b.age);
+  swap(a.__isset, b.__isset);
+}
+
+Verdict::Verdict(const Verdict& other56) noexcept {
+  server = other56.server;
+  startedAt = other56.startedAt;
+  age = other56.age;
+  __isset = other56.__isset;
+}
+Verdict& Verdict::operator=(const Verdict& other57) noexcept {
+  server = other57.server;
+  startedAt = other57.startedAt;
+  age = other57.age;
+  __isset = other57.__isset;
+  return *this;
+}
+void Verdict::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Verdict(";
+  out << "server=" << to_string(server);
+  out << ", " << "startedAt=" << to_string(startedAt);
+  out << ", " << "age=" << to_string(age);
+  out << ")";
+}
+
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -1497,6 +1629,10 @@
 void Heartbeat::__set_drainsLeftOut(const bool val) {
   this->drainsLeftOut = val;
 }
+
+void Heartbeat::__set_verdicts(const std::vector<Verdict> & val) {
+  this->verdicts = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1641,14 +1777,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->changes.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->changes.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->changes[_i60].read(iprot);
+              xfer += this->changes[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1661,14 +1797,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->members.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->members.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += iprot->readI32(this->members[_i65]);
+              xfer += iprot->readI32(this->members[_i67]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1681,14 +1817,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readers.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->readers.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->readers.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->readers[_i70].read(iprot);
+              xfer += this->readers[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1741,14 +1877,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->drainedZones.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->drainedZones.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->drainedZones.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
             {
-              xfer += iprot->readString(this->drainedZones[_i75]);
+              xfer += iprot->readString(this->drainedZones[_i77]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1765,6 +1901,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->verdicts.clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->verdicts.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
+            {
+              xfer += this->verdicts[_i82].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.verdicts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1841,10 +1997,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Change> ::const_iterator _iter76;
-    for (_iter76 = this->changes.begin(); _iter76 != this->changes.end(); ++_iter76)
+    std::vector<Change> ::const_iterator _iter83;
+    for (_iter83 = this->changes.begin(); _iter83 != this->changes.end(); ++_iter83)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1853,10 +2009,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter77;
-    for (_iter77 = this->members.begin(); _iter77 != this->members.end(); ++_iter77)
+    std::vector<int32_t> ::const_iterator _iter84;
+    for (_iter84 = this->members.begin(); _iter84 != this->members.end(); ++_iter84)
     {
-      xfer += oprot->writeI32((*_iter77));
+      xfer += oprot->writeI32((*_iter84));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1865,10 +2021,10 @@
   xfer += oprot->writeFieldBegin("readers", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readers.size()));
-    std::vector<Reader> ::const_iterator _iter78;
-    for (_iter78 = this->readers.begin(); _iter78 != this->readers.end(); ++_iter78)
+    std::vector<Reader> ::const_iterator _iter85;
+    for (_iter85 = this->readers.begin(); _iter85 != this->readers.end(); ++_iter85)
     {
-      xfer += (*_iter78).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1897,10 +2053,10 @@
   xfer += oprot->writeFieldBegin("drainedZones", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->drainedZones.size()));
-    std::vector<std::string> ::const_iterator _iter79;
-    for (_iter79 = this->drainedZones.begin(); _iter79 != this->drainedZones.end(); ++_iter79)
+    std::vector<std::string> ::const_iterator _iter86;
+    for (_iter86 = this->drainedZones.begin(); _iter86 != this->drainedZones.end(); ++_iter86)
     {
-      xfer += oprot->writeString((*_iter79));
+      xfer += oprot->writeString((*_iter86));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1910,6 +2066,18 @@
   xfer += oprot->writeBool(this->drainsLeftOut);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 25);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
+    std::vector<Verdict> ::const_iterator _iter87;
+    for (_iter87 = this->verdicts.begin(); _iter87 != this->verdicts.end(); ++_iter87)
+    {
+      xfer += (*_iter87).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1941,62 +2109,65 @@
   swap(a.drainsChanged, b.drainsChanged);
   swap(a.drainedZones, b.drainedZones);
   swap(a.drainsLeftOut, b.drainsLeftOut);
+  swap(a.verdicts, b.verdicts);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other80) {
-  zone = other80.zone;
-  share = other80.share;
-  reads = other80.reads;
-  storeAnswers = other80.storeAnswers;
-  hasView = other80.hasView;
-  wantsAnswer = other80.wantsAnswer;
-  configVersion = other80.configVersion;
-  configRevision = other80.configRevision;
-  configAge = other80.configAge;
-  serversRevision = other80.serversRevision;
-  serversAge = other80.serversAge;
-  storeBackAge = other80.storeBackAge;
-  changesFrom = other80.changesFrom;
-  changesTo = other80.changesTo;
-  changes = other80.changes;
-  members = other80.members;
-  readers = other80.readers;
-  zoneSize = other80.zoneSize;
-  fleetSize = other80.fleetSize;
-  drainsRevision = other80.drainsRevision;
-  drainsAge = other80.drainsAge;
-  drainsChanged = other80.drainsChanged;
-  drainedZones = other80.drainedZones;
-  drainsLeftOut = other80.drainsLeftOut;
-  __isset = other80.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other81) {
-  zone = other81.zone;
-  share = other81.share;
-  reads = other81.reads;
-  storeAnswers = other81.storeAnswers;
-  hasView = other81.hasView;
-  wantsAnswer = other81.wantsAnswer;
-  configVersion = other81.configVersion;
-  configRevision = other81.configRevision;
-  configAge = other81.configAge;
-  serversRevision = other81.serversRevision;
-  serversAge = other81.serversAge;
-  storeBackAge = other81.storeBackAge;
-  changesFrom = other81.changesFrom;
-  changesTo = other81.changesTo;
-  changes = other81.changes;
-  members = other81.members;
-  readers = other81.readers;
-  zoneSize = other81.zoneSize;
-  fleetSize = other81.fleetSize;
-  drainsRevision = other81.drainsRevision;
-  drainsAge = other81.drainsAge;
-  drainsChanged = other81.drainsChanged;
-  drainedZones = other81.drainedZones;
-  drainsLeftOut = other81.drainsLeftOut;
-  __isset = other81.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other88) {
+  zone = other88.zone;
+  share = other88.share;
+  reads = other88.reads;
+  storeAnswers = other88.storeAnswers;
+  hasView = other88.hasView;
+  wantsAnswer = other88.wantsAnswer;
+  configVersion = other88.configVersion;
+  configRevision = other88.configRevision;
+  configAge = other88.configAge;
+  serversRevision = other88.serversRevision;
+  serversAge = other88.serversAge;
+  storeBackAge = other88.storeBackAge;
+  changesFrom = other88.changesFrom;
+  changesTo = other88.changesTo;
+  changes = other88.changes;
+  members = other88.members;
+  readers = other88.readers;
+  zoneSize = other88.zoneSize;
+  fleetSize = other88.fleetSize;
+  drainsRevision = other88.drainsRevision;
+  drainsAge = other88.drainsAge;
+  drainsChanged = other88.drainsChanged;
+  drainedZones = other88.drainedZones;
+  drainsLeftOut = other88.drainsLeftOut;
+  verdicts = other88.verdicts;
+  __isset = other88.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other89) {
+  zone = other89.zone;
+  share = other89.share;
+  reads = other89.reads;
+  storeAnswers = other89.storeAnswers;
+  hasView = other89.hasView;
+  wantsAnswer = other89.wantsAnswer;
+  configVersion = other89.configVersion;
+  configRevision = other89.configRevision;
+  configAge = other89.configAge;
+  serversRevision = other89.serversRevision;
+  serversAge = other89.serversAge;
+  storeBackAge = other89.storeBackAge;
+  changesFrom = other89.changesFrom;
+  changesTo = other89.changesTo;
+  changes = other89.changes;
+  members = other89.members;
+  readers = other89.readers;
+  zoneSize = other89.zoneSize;
+  fleetSize = other89.fleetSize;
+  drainsRevision = other89.drainsRevision;
+  drainsAge = other89.drainsAge;
+  drainsChanged = other89.drainsChanged;
+  drainedZones = other89.drainedZones;
+  drainsLeftOut = other89.drainsLeftOut;
+  verdicts = other89.verdicts;
+  __isset = other89.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -2026,6 +2197,7 @@
   out << ", " << "drainsChanged=" << to_string(drainsChanged);
   out << ", " << "drainedZones=" << to_string(drainedZones);
   out << ", " << "drainsLeftOut=" << to_string(drainsLeftOut);
+  out << ", " << "verdicts=" << to_string(verdicts);
   out << ")";
 }
 
--- a/src/tagged/gen/peers_types.h
+++ b/src/tagged/gen/peers_types.h
@@ -35,6 +35,8 @@
 
 class Reader;
 
+class Verdict;
+
 class Heartbeat;
 
 typedef struct _Weight__isset {
@@ -540,8 +542,65 @@
 
 std::ostream& operator<<(std::ostream& out, const Reader& obj);
 
+typedef struct _Verdict__isset {
+  _Verdict__isset() : server(false), startedAt(false), age(false) {}
+  bool server :1;
+  bool startedAt :1;
+  bool age :1;
+} _Verdict__isset;
+
+class Verdict : public virtual ::apache::thrift::TBase {
+ public:
+
+  Verdict(const Verdict&) noexcept;
+  Verdict& operator=(const Verdict&) noexcept;
+  Verdict() noexcept
+          : server(0),
+            startedAt(0),
+            age(0) {
+  }
+
+  virtual ~Verdict() noexcept;
+  int64_t server;
+  int64_t startedAt;
+  int64_t age;
+
+  _Verdict__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_startedAt(const int64_t val);
+
+  void __set_age(const int64_t val);
+
+  bool operator == (const Verdict & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(startedAt == rhs.startedAt))
+      return false;
+    if (!(age == rhs.age))
+      return false;
+    return true;
+  }
+  bool operator != (const Verdict &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Verdict & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Verdict &a, Verdict &b);
+
+std::ostream& operator<<(std::ostream& out, const Verdict& obj);
+
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false), drainsRevision(false), drainsAge(false), drainsChanged(false), drainedZones(false), drainsLeftOut(false) {}
+  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false), drainsRevision(false), drainsAge(false), drainsChanged(false), drainedZones(false), drainsLeftOut(false), verdicts(false) {}
   bool zone :1;
   bool share :1;
   bool reads :1;
@@ -566,6 +625,7 @@
   bool drainsChanged :1;
   bool drainedZones :1;
   bool drainsLeftOut :1;
+  bool verdicts :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -621,6 +681,7 @@
   int64_t drainsChanged;
   std::vector<std::string>  drainedZones;
   bool drainsLeftOut;
+  std::vector<Verdict>  verdicts;
 
   _Heartbeat__isset __isset;
 
@@ -672,6 +733,8 @@
 
   void __set_drainsLeftOut(const bool val);
 
+  void __set_verdicts(const std::vector<Verdict> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -722,6 +785,8 @@
       return false;
     if (!(drainsLeftOut == rhs.drainsLeftOut))
       return false;
+    if (!(verdicts == rhs.verdicts))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -18,7 +18,12 @@
   , callerPort(EndpointOf(aSettings.fabric.packets).port)
   , socket(std::move(aSocket))
   , steer({ .placer = { .zone = aSettings.instance.zone,
-                        .randomSeed = RandomSeed(aSettings) } })
+                        .randomSeed = RandomSeed(aSettings) },
+            .probesPerSecond = aSettings.detect.probesPerS })
+  , prober(aBase,
+           [this](const steer::Probe& aProbe, steer::ProbeResult aResult) {
+             this->steer.OnProbeResult(aProbe, aResult, SteadyNow());
+           })
   , tickTimer(aBase, [this] { this->OnTick(); })
 {
 }
@@ -125,6 +130,10 @@
   };
   SyncEvents events;
   events.onView = [this] { this->OnView(); };
+  events.onVerdict = [this](const spread::Verdict& aVerdict) {
+    this->steer.OnPeerVerdict(
+      aVerdict.server, aVerdict.startedAt, aVerdict.at, SteadyNow());
+  };
   events.log = [this](const LogLine& aLine) { this->Write(aLine); };
   this->sync = Sync::Make(this->base,
                           this->settings,
@@ -220,6 +229,7 @@
   this->OnView();
   this->steer.SetInstanceCount(this->sync->FleetSize());
   this->steer.Tick(at);
+  this->DetectSilence();
   this->ReleaseHeld();
   this->CheckSendDelay();
   if (!this->log) {
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <unistd.h>
 
 namespace gentianspindle {
@@ -32,30 +33,46 @@
 
 namespace {
 
-// Replaces a section of the template with what it renders.
+// Renders a section of the template as the platform does: once with its value,
+// or not at all if the platform hands out none.
 void
 FillSection(std::string& aText,
             const std::string& aName,
-            const std::string& aRendered)
+            const std::string& aValue)
 {
+  std::string opening = "{{#" + aName + "}}";
   std::string closing = "{{/" + aName + "}}";
-  size_t begin = aText.find("{{#" + aName + "}}");
-  size_t end = aText.find(closing);
-  REQUIRE(begin < end);
-  REQUIRE(end != std::string::npos);
-  aText.replace(begin, end + closing.size() - begin, aRendered);
+  std::string placeholder = "{{" + aName + "}}";
+  size_t from = aText.find(opening);
+  size_t to = aText.find(closing);
+  INFO(aName);
+  REQUIRE(from < to);
+  REQUIRE(to != std::string::npos);
+  size_t insideAt = from + opening.size();
+  std::string inside = aText.substr(insideAt, to - insideAt);
+  size_t at = inside.find(placeholder);
+  if (at != std::string::npos) {
+    inside.replace(at, placeholder.size(), aValue);
+  }
+  aText.replace(
+    from, to + closing.size() - from, aValue.empty() ? std::string() : inside);
 }
 
-// Fills in the platform's template with plain values, as the platform does;
-// aBound is empty where the platform hands out none.
+// Values that a platform may hand out or leave out, by name.
+using PlatformValues = std::map<std::string, std::string>;
+
+// Fills in the platform's template with plain values, as the platform does.
 std::string
-FillTemplate(const std::string& aGraceSeconds, const std::string& aBound = "")
+FillTemplate(const std::string& aGraceSeconds,
+             const PlatformValues& aValues = {})
 {
   std::string text = ReadSource("platform/settings.template");
   REQUIRE_FALSE(text.empty());
-  FillSection(text,
-              "policy_values.evacuate_ms",
-              aBound.empty() ? "" : "bound_ms = " + aBound + "\n");
+  for (const char* name :
+       { "policy_values.evacuate_ms", "policy_values.reorder_ms" }) {
+    auto value = aValues.find(name);
+    FillSection(text, name, value == aValues.end() ? "" : value->second);
+  }
   for (const auto& [name, value] :
        std::vector<std::pair<std::string, std::string>>{
          { "{{node_name}}", "frontend-1" },
@@ -105,9 +122,25 @@
   auto none = ParseTaggedSettings(FillTemplate("6"), "file");
   REQUIRE(none.ok());
   CHECK(none->drain.boundMs == 0);
-  auto bound = ParseTaggedSettings(FillTemplate("6", "2500.5"), "file");
-  REQUIRE(bound.ok());
-  CHECK(bound->drain.boundMs == 2500.5);
+  for (const auto& [text, milliseconds] :
+       std::vector<std::pair<std::string, double>>{ { "2500.5", 2500.5 },
+                                                    { "5000", 5000 } }) {
+    auto bound = ParseTaggedSettings(
+      FillTemplate("6", { { "policy_values.evacuate_ms", text } }), "file");
+    REQUIRE(bound.ok());
+    CHECK(bound->drain.boundMs == milliseconds);
+  }
+}
+
+TEST_CASE("The platform's template probes servers where flows are promised")
+{
+  auto settings = ParseTaggedSettings(
+    FillTemplate("6", { { "policy_values.reorder_ms", "2000" } }), "file");
+  REQUIRE(settings.ok());
+  CHECK(settings->detect.probesPerS > 0);
+  settings = ParseTaggedSettings(FillTemplate("6"), "file");
+  REQUIRE(settings.ok());
+  CHECK(settings->detect.probesPerS == 0);
 }
 
 TEST_CASE(
