Try a server less often if a peer has a verdict on it

Cause: without open flows at a silent server an instance has no verdict of its own, and tried it with a new flow after 0.3, 0.6, 1.2 s; each trial delays its caller by 200 ms. Ruled out: to avoid a server for a peer's verdict alone, which may come from the other side of a cut. Change: a peer's recent verdict and an unanswered opening packet of its own give the longest backoff (5 s). Log: server_back has no suspect_ms of a former round.

--- a/src/spread/verdicts.cpp
+++ b/src/spread/verdicts.cpp
@@ -83,6 +83,7 @@
             });
   newest.resize(std::min(newest.size(), kMaxVerdicts));
   std::vector<SentVerdict> sent;
+  sent.reserve(newest.size());
   for (const Verdict& verdict : newest) {
     sent.push_back({ verdict.server, verdict.startedAt, aNow - verdict.at });
   }
--- a/src/steer/failure_detector.cpp
+++ b/src/steer/failure_detector.cpp
@@ -234,10 +234,8 @@
                             const Suspect& aSuspect,
                             Micros aNow) const
 {
-  auto peer = this->peerVerdicts.find(aServer);
-  bool hasPeerVerdict = peer != this->peerVerdicts.end() &&
-                        aNow - peer->second < kPeerVerdictLifetime;
-  return aSuspect.FlowEvidence() + (hasPeerVerdict ? kPeerEvidence : 0);
+  return aSuspect.FlowEvidence() +
+         (this->HasPeerVerdict(aServer, aNow) ? kPeerEvidence : 0);
 }
 
 // Returns at least one for each step of the spread.
@@ -432,6 +430,14 @@
   return std::exchange(this->events, {});
 }
 
+bool
+FailureDetector::HasPeerVerdict(ServerIndex aServer, Micros aNow) const
+{
+  auto verdict = this->peerVerdicts.find(aServer);
+  return verdict != this->peerVerdicts.end() &&
+         aNow - verdict->second < kPeerVerdictLifetime;
+}
+
 bool
 FailureDetector::IsSilent(ServerIndex aServer) const
 {
--- a/src/steer/failure_detector.h
+++ b/src/steer/failure_detector.h
@@ -185,6 +185,8 @@
   // Returns for how long a request may wait before its server is suspect.
   Micros OverdueTime(double aServerResponseMicros) const;
   bool IsSilent(ServerIndex aServer) const;
+  // Returns whether a peer recently had a verdict on the server.
+  bool HasPeerVerdict(ServerIndex aServer, Micros aNow) const;
   // Returns whether a packet with data may be answered with a reset. If there
   // is a verdict that is too old for that, starts to confirm it.
   bool ConfirmsSilence(ServerIndex aServer, Micros aNow);
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -132,6 +132,9 @@
   if (health.lastProgress <= aRecord.sentAt) {
     health.OnUnanswered(aNow);
     ++this->counts.suspected;
+    if (this->detector.HasPeerVerdict(aRecord.server, aNow)) {
+      health.OnVerdict(aNow);
+    }
     // Without open flows the server's backoff is enough.
     if (health.open > health.opening) {
       this->detector.OnEvidence(aRecord.server, Evidence::Opening, aNow);
--- a/src/steer/silence.cpp
+++ b/src/steer/silence.cpp
@@ -175,13 +175,17 @@
     return;
   }
   const ServerEntry& entry = this->view.At(index).entry;
-  const ServerHealth& health = this->health[index];
+  ServerHealth& health = this->health[index];
   if (entry.id != aId || entry.startedAt != aStartedAt ||
       health.lastProgress >= aAt) {
     return;
   }
   bool hasFlows = health.open > health.opening;
   this->detector.OnPeerVerdict(index, aAt, hasFlows, aNow);
+  // With an unanswered opening packet here, it ends the trials for a while.
+  if (health.unanswered > 0 && this->detector.HasPeerVerdict(index, aNow)) {
+    health.OnVerdict(aNow);
+  }
 }
 
 }
--- a/src/tagged/node_detect.h
+++ b/src/tagged/node_detect.h
@@ -66,7 +66,8 @@
     }
     line.Number("probes", suspect.probes)
       .Number("refused", suspect.refused)
-      .Number("suspect_ms", (this->now - suspect.since) / kMillisecond)
+      .Number("suspect_ms",
+              ended ? 0 : (this->now - suspect.since) / kMillisecond)
       .Number("verdict_age_ms",
               ended ? (this->now - suspect.confirmedAt) / kMillisecond : 0);
     this->Write(line);
--- a/tests/steer/silence_test.cpp
+++ b/tests/steer/silence_test.cpp
@@ -160,6 +160,23 @@
   CHECK(world.steer.Detector().IsSilent(kServer));
 }
 
+TEST_CASE("With a peer's verdict one unanswered opening ends the trials")
+{
+  SteeringFixture fixture;
+  fixture.steer = FlowSteering{ FlowSteeringOptions{ .placer = { .zone = "a" },
+                                                     .probesPerSecond = 5 } };
+  fixture.steer.CurrentView().PutConfig(MakeConfig(1));
+  fixture.steer.CurrentView().PutServers(
+    std::vector{ MakeServer(1), MakeServer(2) }, fixture.now);
+  Decision opened = fixture.Open(7000);
+  ServerId id = fixture.steer.CurrentView().At(opened.server).entry.id;
+  fixture.now += kHandshakeTimeout;
+  fixture.steer.Tick(fixture.now);
+  fixture.steer.OnPeerVerdict(id, 1000, fixture.now, fixture.now);
+  CHECK(fixture.steer.HealthOf(opened.server).backoffUntil ==
+        fixture.now + kMaxServerBackoff);
+}
+
 // The stated targets: half of the flows with a request in flight are reset
 // within 0.5 s of the silence, 99 % within 1 s.
 TEST_CASE("Flows with a request in flight are reset soon after the silence")
