Soak servers that fall silent and come back

Cause: the soak had no server that takes neither packets nor connections, and its servers had no TCP port that probes could reach.

--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -185,9 +185,12 @@
   "action")
 {
   std::set<StepAction> seen;
-  for (uint32_t seed = 1; seed <= 40; ++seed) {
-    std::vector<Step> plan = MakePlan({ .seed = seed });
-    std::vector<Step> repeatedPlan = MakePlan({ .seed = seed });
+  for (uint32_t seed = 1; seed <= 80; ++seed) {
+    PlanOptions options{ .schedule =
+                           seed % 2 == 0 ? Schedule::Servers : Schedule::All,
+                         .seed = seed };
+    std::vector<Step> plan = MakePlan(options);
+    std::vector<Step> repeatedPlan = MakePlan(options);
     REQUIRE(plan.size() == repeatedPlan.size());
     for (size_t i = 0; i < plan.size(); ++i) {
       CHECK(Describe(plan[i]) == Describe(repeatedPlan[i]));
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -90,6 +90,9 @@
   add("rate",
       "flows opened per second",
       cxxopts::value<double>()->default_value("100"));
+  add("schedule",
+      "faults to inject: all, or servers for mostly those of servers",
+      cxxopts::value<std::string>()->default_value("all"));
   add("daemon", "path of the load balancer", cxxopts::value<std::string>());
   add("folder", "folder of the logs", cxxopts::value<std::string>());
   auto parsed = arguments.parse(aCount, aArguments);
@@ -99,6 +102,9 @@
   for (uint32_t i = 0; i < parsed["seeds"].as<uint32_t>(); ++i) {
     SoakOptions options;
     options.seed = first + i;
+    options.schedule = parsed["schedule"].as<std::string>() == "servers"
+                         ? Schedule::Servers
+                         : Schedule::All;
     options.length =
       static_cast<Micros>(parsed["minutes"].as<double>() * 60 * kSecond);
     options.instances = parsed["instances"].as<size_t>();
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -17,15 +17,27 @@
                 "make store unavailable", "store loses history",
                 "lose packets to",        "delay packets to",
                 "drain server",           "kill server",
-                "pause server",           "change configuration" };
+                "pause server",           "change configuration",
+                "silence server" };
 // Relative frequencies of the actions, in the order of StepAction.
-constexpr std::array<double, static_cast<size_t>(StepAction::Count)> kWeights{
+using Weights = std::array<double, static_cast<size_t>(StepAction::Count)>;
+constexpr Weights kWeights{
   4,   2,   2,   0.3, 1, // instances: stop, kill, pause, kill all, reload
   1,   1,   1,   1,      // links to the store: reset, silent, one way, slow
   0.5, 0.7, 0.7,         // store: silent, unavailable, without history
   1,   1,                // fabric: loss, delay
   3,   1,   1,           // servers: drain, kill, pause
-  5                      // change of the configuration
+  5,                     // change of the configuration
+  0                      // servers: silence
+};
+constexpr Weights kServerWeights{
+  1, 0.3, 1,   0, 0, // instances: stop, kill, pause
+  0, 0,   0,   0,    // links to the store
+  0, 0,   0,         // store
+  1, 1,              // fabric: loss, delay
+  1, 1.5, 1.5,       // servers: drain, kill, pause
+  1,                 // change of the configuration
+  5                  // servers: silence
 };
 // No step begins during these times at the start and end of the plan.
 constexpr Micros kQuietStart = 6 * kSecond;
@@ -55,7 +67,9 @@
 {
   std::mt19937 random(aOptions.seed);
   std::exponential_distribution<double> gap(1.0 / kMeanGap);
-  std::discrete_distribution<size_t> kind(kWeights.begin(), kWeights.end());
+  const Weights& weights =
+    aOptions.schedule == Schedule::Servers ? kServerWeights : kWeights;
+  std::discrete_distribution<size_t> kind(weights.begin(), weights.end());
   std::uniform_int_distribution<Micros> duration(200 * kMillisecond,
                                                  4 * kSecond);
   std::vector<Step> plan;
@@ -66,7 +80,8 @@
     Step step{ static_cast<StepAction>(kind(random)), at, duration(random), 0 };
     bool ofServer = step.action == StepAction::DrainServer ||
                     step.action == StepAction::KillServer ||
-                    step.action == StepAction::PauseServer;
+                    step.action == StepAction::PauseServer ||
+                    step.action == StepAction::SilenceServer;
     step.target = random() % (ofServer ? aOptions.servers : aOptions.instances);
     if (!onlyPlanned || IsPlanned(step.action)) {
       plan.push_back(step);
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -30,7 +30,8 @@
   DrainServer, // planned: it leaves, and another one replaces it
   KillServer,
   PauseServer,
-  ChangeConfig, // planned
+  ChangeConfig,  // planned
+  SilenceServer, // it takes no packets and no connections for a while
   Count,
 };
 
@@ -45,8 +46,16 @@
   size_t target = 0;
 };
 
+// Which steps are frequent.
+enum class Schedule : uint8_t
+{
+  All,
+  Servers, // mostly servers that fall silent, are paused or killed
+};
+
 struct PlanOptions
 {
+  Schedule schedule = Schedule::All;
   uint32_t seed = 1;
   Micros length = 60 * kSecond;
   size_t instances = 12;
--- a/tests/soak/prober.cpp
+++ b/tests/soak/prober.cpp
@@ -28,6 +28,7 @@
   return { { "name", FormatEndpoint(aTarget) },
            { "host", FormatAddress(aTarget.address) },
            { "path_prefix", "/" + std::to_string(aTarget.port) + "/" },
+           { "type", aTarget.port == 444 ? "non_idempotent" : "idempotent" },
            { "slo_ms", 300 },
            { "priority", 1 },
            { "service", aService } };
--- a/tests/soak/server.cpp
+++ b/tests/soak/server.cpp
@@ -2,6 +2,7 @@
 
 #include "soak/http.h"
 #include "soak/ledger.h"
+#include "soak/listener.h"
 #include "soak/packet.h"
 #include "soak/port.h"
 #include "tagged/loop.h"
@@ -39,6 +40,8 @@
 constexpr Micros kMaxServiceTime = 30 * kMillisecond;
 
 volatile std::sig_atomic_t stopping = 0;
+// The server takes no packets and no connections.
+volatile std::sig_atomic_t silent = 0;
 
 // Caller and target.
 using FlowKey = std::pair<InstanceId, InstanceId>;
@@ -86,6 +89,7 @@
 private:
   nlohmann::json MakeSpec(bool aDraining) const;
   void Heartbeat();
+  void Serve();
   void WriteRecord(const nlohmann::json& aLine);
   void OnDatagram(std::span<uint8_t> aBytes, Endpoint aFrom);
   void OnSyn(const Packet& aPacket, Flow* aFlow, Endpoint aFrom);
@@ -97,6 +101,8 @@
 
   ServerOptions options;
   DatagramSocket port;
+  Listener listener{ this->options.at };
+  bool wasSilent = false;
   std::ofstream record;
   std::mutex recordMutex; // the heartbeat thread writes too
   std::mt19937 random;
@@ -164,16 +170,34 @@
            kMaxDrainDelay + kDrainMargin) {
     pollfd ready{ this->port.Descriptor(), POLLIN, 0 };
     poll(&ready, 1, 5);
-    this->port.Receive([this](std::span<uint8_t> aBytes, Endpoint aFrom) {
-      this->OnDatagram(aBytes, aFrom);
-    });
-    this->SendDueResponses();
+    this->Serve();
   }
   httplib::Client client = ClientOf(this->options.store);
   client.Delete("/-/objects/servers/" + this->options.id);
   this->WriteRecord({ { "event", "gone" } });
 }
 
+// While the server is silent, what arrives is lost, as if it was cut off.
+void
+Server::Serve()
+{
+  bool isSilent = silent != 0;
+  if (isSilent != this->wasSilent) {
+    this->wasSilent = isSilent;
+    isSilent ? this->listener.FallSilent() : this->listener.Return();
+  }
+  this->port.Receive(
+    [this, isSilent](std::span<uint8_t> aBytes, Endpoint aFrom) {
+      if (!isSilent) {
+        this->OnDatagram(aBytes, aFrom);
+      }
+    });
+  if (!isSilent) {
+    this->listener.Accept();
+    this->SendDueResponses();
+  }
+}
+
 void
 Server::OnDatagram(std::span<uint8_t> aBytes, Endpoint aFrom)
 {
@@ -349,6 +373,8 @@
 RunServer(const ServerOptions& aOptions)
 {
   std::signal(SIGTERM, [](int) { stopping = 1; });
+  std::signal(SIGUSR1, [](int) { silent = 1; });
+  std::signal(SIGUSR2, [](int) { silent = 0; });
   absl::StatusOr<DatagramSocket> port = DatagramSocket::Bind(aOptions.at);
   if (!port.ok()) {
     std::cerr << "soak server: cannot bind its socket: " << port.status()
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -96,7 +96,8 @@
                      kStorePort,
                      kPeerPort,
                      seeds),
-    absl::Substitute("[stop]\ngrace_ms = $0\n[log]\nlines_per_s = $1\n",
+    absl::Substitute("[stop]\ngrace_ms = $0\n[log]\nlines_per_s = $1\n"
+                     "[detect]\nprobes_per_s = 5\n",
                      kStopGrace / kMillisecond,
                      instance.logLinesPerS));
   std::filesystem::rename(path + ".next", path);
@@ -407,9 +408,10 @@
     // It counts as gone from now on, and as draining from the end of the fault.
     this->ledger.OnGone(server.id, tagged::SteadyNow() + duration);
   } else {
-    server.process.Signal(SIGSTOP);
-    this->RunAfter(aStep.duration, [this, target = aStep.target] {
-      this->servers[target].process.Signal(SIGCONT);
+    bool silent = aStep.action == StepAction::SilenceServer;
+    server.process.Signal(silent ? SIGUSR1 : SIGSTOP);
+    this->RunAfter(aStep.duration, [this, silent, target = aStep.target] {
+      this->servers[target].process.Signal(silent ? SIGUSR2 : SIGCONT);
     });
   }
 }
@@ -441,6 +443,7 @@
     case StepAction::DrainServer:
     case StepAction::KillServer:
     case StepAction::PauseServer:
+    case StepAction::SilenceServer:
       this->ApplyServerStep(aStep);
       break;
     case StepAction::ChangeConfig:
@@ -628,7 +631,8 @@
               << this->options.folder.string() << std::endl;
     return false;
   }
-  std::vector<Step> plan = MakePlan({ .seed = this->options.seed,
+  std::vector<Step> plan = MakePlan({ .schedule = this->options.schedule,
+                                      .seed = this->options.seed,
                                       .length = this->options.length,
                                       .instances = this->options.instances,
                                       .servers = this->options.servers });
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,6 +27,7 @@
 struct SoakOptions
 {
   uint32_t seed = 1;
+  Schedule schedule = Schedule::All;
   Micros length = 60 * kSecond;
   size_t instances = 12;
   size_t zones = 3;
