Keep new flows of a route inside its regions

Cause: the regions that a route allows were read and passed on, and then ignored.

Ruled out: a region in each server's record (the registry has only the zone); to allow a zone whose region is not known (a flow in a wrong region cannot be taken back).

Change: the setting regions.zones, a list of zone=region that the template fills from the platform's table of zones, gives the region of each zone. Servers outside a route's regions are excluded from its new flows; with none left the opening is reset with the reason region_not_allowed. Open flows stay.

Conclusion: a route with regions opens flows only inside them; without regions nothing changes.

--- a/schema/settings.py
+++ b/schema/settings.py
@@ -11,6 +11,7 @@
     "endpoint": "std::string",
     "endpoints": "std::vector<std::string>",
     "addresses": "std::vector<std::string>",
+    "strings": "std::vector<std::string>",
     "integer": "int64_t",
     "real": "double",
 }
--- a/src/base/settings_reader.h
+++ b/src/base/settings_reader.h
@@ -26,6 +26,7 @@
   Endpoint,
   Endpoints,
   Addresses,
+  Strings,
   Integer,
   Real,
 };
--- a/src/steer/candidates.cpp
+++ b/src/steer/candidates.cpp
@@ -17,6 +17,9 @@
   if (server.tagConflict) {
     return Exclusion::TagConflict;
   }
+  if (!aView.AllowsRegion(aRequest.route, server)) {
+    return Exclusion::RegionNotAllowed;
+  }
   if (server.zoneDrained) {
     return Exclusion::ZoneDrained;
   }
--- a/src/steer/candidates.h
+++ b/src/steer/candidates.h
@@ -13,14 +13,17 @@
   None, // it is a candidate
   Unlisted,
   Draining,
-  TagConflict, // another server has its tag
-  ZoneDrained, // its zone is drained
-  Unanswered,  // it left this flow's opening packet unanswered
+  TagConflict,      // another server has its tag
+  RegionNotAllowed, // the route may not use the region of its zone
+  ZoneDrained,      // its zone is drained
+  Unanswered,       // it left this flow's opening packet unanswered
   Count,
 };
 
 constexpr std::array<std::string_view, static_cast<size_t>(Exclusion::Count)>
-  kExclusionNames{ "none", "unlisted", "draining", "unanswered" };
+  kExclusionNames{ "none",         "unlisted",           "draining",
+                   "tag_conflict", "region_not_allowed", "zone_drained",
+                   "unanswered" };
 
 constexpr std::string_view
 ExclusionName(Exclusion aExclusion)
--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -40,16 +40,19 @@
   OutOfDate,     // the opening packet waited beyond its UsableTime
   // As NoServer, but there would be one without the drains of zones.
   ZoneDrained,
+  // As NoServer, but there would be one in a region that the route does not
+  // allow.
+  RegionNotAllowed,
   Count,
 };
 
 constexpr std::array<std::string_view, static_cast<size_t>(Reason::Count)>
   kReasonNames{
-    "placed",      "placed_again",    "repeated",      "known",
-    "no_view",     "unknown_route",   "route_removed", "no_server",
-    "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
-    "held",        "held_again",      "hold_full",     "held_too_long",
-    "out_of_date", "zone_drained",
+    "placed",      "placed_again",    "repeated",           "known",
+    "no_view",     "unknown_route",   "route_removed",      "no_server",
+    "unknown_tag", "tag_not_allowed", "server_gone",        "no_tag",
+    "held",        "held_again",      "hold_full",          "held_too_long",
+    "out_of_date", "zone_drained",    "region_not_allowed",
   };
 
 constexpr std::string_view
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -11,13 +11,19 @@
 
 namespace {
 
-// ExclusionOf asks for drains last: servers that they exclude would otherwise
-// get the flow.
+// ExclusionOf asks for drains and regions last: servers that they exclude would
+// otherwise get the flow.
 Reason
 ReasonWithoutServer(const ExclusionCounts& aExcluded)
 {
-  bool drained = aExcluded[static_cast<size_t>(Exclusion::ZoneDrained)] > 0;
-  return drained ? Reason::ZoneDrained : Reason::NoServer;
+  auto count = [&aExcluded](Exclusion aExclusion) {
+    return aExcluded[static_cast<size_t>(aExclusion)];
+  };
+  if (count(Exclusion::ZoneDrained) > 0) {
+    return Reason::ZoneDrained;
+  }
+  return count(Exclusion::RegionNotAllowed) > 0 ? Reason::RegionNotAllowed
+                                                : Reason::NoServer;
 }
 
 }
@@ -137,7 +143,9 @@
   bool couldAnswer = arrivedAt - aRecord.sentAt >= kHandshakeTimeout;
   bool alive = !aRecord.opening || health.lastProgress > aRecord.sentAt;
   bool stays = alive || !couldAnswer;
-  if (stays && (server.AcceptsNewFlows() || !aRecord.opening)) {
+  bool mayOpen =
+    server.AcceptsNewFlows() && this->view.AllowsRegion(aRoute.entry, server);
+  if (stays && (mayOpen || !aRecord.opening)) {
     return { .action = Action::Forward,
              .reason = Reason::Repeated,
              .server = aRecord.server,
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -217,6 +217,19 @@
     this->drains.zones.begin(), this->drains.zones.end(), aZone);
 }
 
+bool
+View::AllowsRegion(const RouteEntry& aRoute, const Server& aServer) const
+{
+  if (aRoute.regions.empty()) {
+    return true;
+  }
+  auto region = this->regionOfZone.find(aServer.entry.zone);
+  return region != this->regionOfZone.end() &&
+         std::find(aRoute.regions.begin(),
+                   aRoute.regions.end(),
+                   region->second) != aRoute.regions.end();
+}
+
 // Of two servers with the same tag one gets it, and with it all packets that
 // carry the tag; the other takes no new flows. A gone server loses the tag to
 // the other, else the smaller id gets it. This is decided when a server is
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -127,6 +127,15 @@
   bool PutDrains(const DrainState& aState);
   const DrainState& Drains() const { return this->drains; }
 
+  // Sets the region of each zone, which the routes' regions refer to.
+  void SetRegions(absl::flat_hash_map<std::string, std::string> aRegionOfZone)
+  {
+    this->regionOfZone = std::move(aRegionOfZone);
+  }
+  // Returns whether the route may use the server's region. A route with regions
+  // uses no server whose region is not known.
+  bool AllowsRegion(const RouteEntry& aRoute, const Server& aServer) const;
+
   // Sets when the last store outage, in which entries may have expired, ended.
   // aNow is that time, not the present one.
   void SetStoreBackAt(Micros aNow) { this->storeBackAt = aNow; }
@@ -182,6 +191,7 @@
   absl::flat_hash_map<std::string, ServerIndex> byName;
   absl::flat_hash_map<Tag, ServerIndex> byTag;
   absl::flat_hash_map<std::string, std::vector<ServerIndex>> byService;
+  absl::flat_hash_map<std::string, std::string> regionOfZone;
   DrainState drains;
   uint64_t processCount = 0;
   bool hasServers = false;
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -123,6 +123,8 @@
                 P::ParseDrainsList,
                 P::ParseDrainsWatch },
   };
+  this->steer.CurrentView().SetRegions(
+    ParseRegions(this->settings.regions.zones).value());
   SyncEvents events;
   events.onView = [this] { this->OnView(); };
   events.log = [this](const LogLine& aLine) { this->Write(aLine); };
--- a/src/tagged/settings.cpp
+++ b/src/tagged/settings.cpp
@@ -1,11 +1,13 @@
 #include "tagged/settings.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace gentianspindle {
 
 namespace {
 
 // Checks rules that the type and range of a setting can't express: the zone
-// must not be empty.
+// must not be empty, and each zone has one region.
 void
 CheckConsistency(const TaggedSettings& aSettings,
                  std::vector<SettingFault>& aFaults)
@@ -13,8 +15,30 @@
   if (aSettings.instance.zone.empty()) {
     aFaults.push_back({ "instance", "zone", "must not be empty" });
   }
+  if (!ParseRegions(aSettings.regions.zones).ok()) {
+    aFaults.push_back(
+      { "regions", "zones", "must have entries zone=region, each zone once" });
+  }
+}
+
 }
 
+absl::StatusOr<absl::flat_hash_map<std::string, std::string>>
+ParseRegions(std::span<const std::string> aEntries)
+{
+  absl::flat_hash_map<std::string, std::string> regions;
+  for (const std::string& entry : aEntries) {
+    size_t split = entry.find('=');
+    bool isComplete =
+      split != std::string::npos && split > 0 && split + 1 < entry.size();
+    if (!isComplete ||
+        !regions.emplace(entry.substr(0, split), entry.substr(split + 1))
+           .second) {
+      return absl::InvalidArgumentError(
+        absl::StrCat("read region of a zone: '", entry, "'"));
+    }
+  }
+  return regions;
 }
 
 absl::StatusOr<TaggedSettings>
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -40,6 +40,11 @@
   double boundMs = 0;
 };
 
+struct TaggedRegionsSettings
+{
+  std::vector<std::string> zones;
+};
+
 struct TaggedPeersSettings
 {
   int64_t port = 0;
@@ -68,13 +73,14 @@
   TaggedReadySettings ready;
   TaggedStoreSettings store;
   TaggedDrainSettings drain;
+  TaggedRegionsSettings regions;
   TaggedPeersSettings peers;
   TaggedStopSettings stop;
   TaggedMetricsSettings metrics;
   TaggedLogSettings log;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 15>
+inline constexpr std::array<SettingField<TaggedSettings>, 16>
   kTaggedSettingsFields{ {
     {
       { "instance", "name", SettingType::String,
@@ -156,6 +162,14 @@
         return &aSettings.drain.boundMs;
       },
     },
+    {
+      { "regions", "zones", SettingType::Strings,
+      false, "", 0, 0, 0,
+      "", "zones and the region of each, zone=region; a route that is limited to regions uses no server of another zone" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.regions.zones;
+      },
+    },
     {
       { "peers", "port", SettingType::Integer,
       false, "", 0, 0, 65535,
--- a/tests/steer/drains_test.cpp
+++ b/tests/steer/drains_test.cpp
@@ -1,9 +1,10 @@
-// Drains of zones: which servers a new flow may get, and what becomes of flows
-// that are open already.
+// Drains of zones and regions of routes: which servers a new flow may get, and
+// what becomes of flows that are open already.
 #include "support/steering_fixture.h"
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 
 namespace gentianspindle {
 
@@ -150,4 +151,55 @@
   CHECK(fixture.steer.Counts().reasons[index] == 1);
 }
 
+TEST_CASE("A route uses only servers of its regions")
+{
+  struct Row
+  {
+    std::vector<std::string> regions;
+    std::set<ServerId> servers; // none: refused
+  };
+  Row row = GENERATE(values<Row>({
+    { {}, { 1, 2, 3 } },
+    { { "north" }, { 1, 2 } },
+    { { "south" }, {} }, // the region of zone "c" is not known
+    { { "north", "south" }, { 1, 2 } },
+    { { "elsewhere" }, {} },
+  }));
+  ZonesFixture fixture;
+  View& view = fixture.steer.CurrentView();
+  view.SetRegions({ { "a", "north" }, { "b", "north" }, { "x", "south" } });
+  Config config = MakeConfig(2);
+  config.routes[0].regions = row.regions;
+  view.PutConfig(config);
+  std::set<ServerId> used;
+  for (const auto& [server, count] : fixture.CountOpenings()) {
+    used.insert(server);
+  }
+  CHECK(used == row.servers);
+  if (row.servers.empty()) {
+    Decision refused = fixture.Open(6000);
+    CHECK(refused.action == Action::Reset);
+    CHECK(refused.reason == Reason::RegionNotAllowed);
+  }
+}
+
+TEST_CASE("A route that loses a region keeps its open flows there, but opens "
+          "none")
+{
+  ZonesFixture fixture;
+  View& view = fixture.steer.CurrentView();
+  view.SetRegions({ { "a", "north" }, { "b", "south" }, { "c", "south" } });
+  fixture.Drain({ "b", "c" });
+  Decision opened = fixture.Open(6000);
+  Decision opening = fixture.Open(6001);
+  fixture.SendData(6000, opened.tag);
+  fixture.Drain({});
+  Config config = MakeConfig(2);
+  config.routes[0].regions = { "south" };
+  view.PutConfig(config);
+  CHECK(fixture.SendData(6000, opened.tag, 2).server == opened.server);
+  fixture.now += kOpeningIntervals[0];
+  CHECK(fixture.Open(6001, 0, 1).server != opening.server);
+}
+
 }
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -47,15 +47,18 @@
 }
 
 // Fills in the platform's template with plain values, as the platform does;
-// aBound is empty where the platform hands out none.
+// aBound is empty where the platform hands out none, and so are aZones.
 std::string
-FillTemplate(const std::string& aGraceSeconds, const std::string& aBound = "")
+FillTemplate(const std::string& aGraceSeconds,
+             const std::string& aBound = "",
+             const std::string& aZones = "")
 {
   std::string text = ReadSource("platform/settings.template");
   REQUIRE_FALSE(text.empty());
   FillSection(text,
               "policy_values.evacuate_ms",
               aBound.empty() ? "" : "bound_ms = " + aBound + "\n");
+  FillSection(text, "zones", aZones);
   for (const auto& [name, value] :
        std::vector<std::pair<std::string, std::string>>{
          { "{{node_name}}", "frontend-1" },
@@ -100,14 +103,36 @@
   }
 }
 
-TEST_CASE("The platform's template takes the bound of drains, or none")
+TEST_CASE(
+  "The platform's template takes the bound of drains and the regions of "
+  "zones, or none")
 {
   auto none = ParseTaggedSettings(FillTemplate("6"), "file");
   REQUIRE(none.ok());
   CHECK(none->drain.boundMs == 0);
-  auto bound = ParseTaggedSettings(FillTemplate("6", "2500.5"), "file");
-  REQUIRE(bound.ok());
-  CHECK(bound->drain.boundMs == 2500.5);
+  CHECK(none->regions.zones.empty());
+  auto both = ParseTaggedSettings(
+    FillTemplate("6", "2500.5", R"("jkt=jawa","bdg=jawa")"), "file");
+  INFO(both.status().ToString());
+  REQUIRE(both.ok());
+  CHECK(both->drain.boundMs == 2500.5);
+  auto regions = ParseRegions(both->regions.zones);
+  REQUIRE(regions.ok());
+  CHECK(regions->size() == 2);
+  CHECK(regions->at("bdg") == "jawa");
+}
+
+TEST_CASE("A zone without a region, or with two, is refused")
+{
+  for (const char* entry :
+       { "jkt", "=jawa", "jkt=", "", "a=b\",\"a=c", "a=b\",\"a=b" }) {
+    INFO(entry);
+    std::string text = kValidSettings + "[regions]\nzones = [\"" + entry;
+    auto settings = ParseTaggedSettings(text + "\"]\n", "file");
+    REQUIRE_FALSE(settings.ok());
+    CHECK(std::string(settings.status().message()).find("regions.zones") !=
+          std::string::npos);
+  }
 }
 
 TEST_CASE(
