--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -41,6 +41,9 @@
   // As NoServer, but there would be one without the drains of zones.
   ZoneDrained,
   ServerSilent, // the flow's server is gone or out of reach
+  // As NoServer, but there would be one in a region that the route does not
+  // allow.
+  RegionNotAllowed,
   Count,
 };
 
@@ -50,7 +53,7 @@
     "no_view",     "unknown_route",   "route_removed", "no_server",
     "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
     "held",        "held_again",      "hold_full",     "held_too_long",
-    "out_of_date", "zone_drained",    "server_silent",
+    "out_of_date", "zone_drained",    "server_silent", "region_not_allowed",
   };
 
 constexpr std::string_view
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -128,6 +128,8 @@
                 P::ParseDrainsList,
                 P::ParseDrainsWatch },
   };
+  this->steer.CurrentView().SetRegions(
+    ParseRegions(this->settings.regions.zones).value());
   SyncEvents events;
   events.onView = [this] { this->OnView(); };
   events.onVerdict = [this](const spread::Verdict& aVerdict) {
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -53,6 +53,8 @@
   size_t at = inside.find(placeholder);
   if (at != std::string::npos) {
     inside.replace(at, placeholder.size(), aValue);
+  } else if (inside.find("{{") != std::string::npos) {
+    inside = aValue; // of a table, already rendered
   }
   aText.replace(
     from, to + closing.size() - from, aValue.empty() ? std::string() : inside);
@@ -69,7 +71,7 @@
   std::string text = ReadSource("platform/settings.template");
   REQUIRE_FALSE(text.empty());
   for (const char* name :
-       { "policy_values.evacuate_ms", "policy_values.reorder_ms" }) {
+       { "policy_values.evacuate_ms", "policy_values.reorder_ms", "zones" }) {
     auto value = aValues.find(name);
     FillSection(text, name, value == aValues.end() ? "" : value->second);
   }
@@ -117,7 +119,9 @@
   }
 }
 
-TEST_CASE("The platform's template takes the bound of drains, or none")
+TEST_CASE(
+  "The platform's template takes the bound of drains and the regions of "
+  "zones, or none")
 {
   auto none = ParseTaggedSettings(FillTemplate("6"), "file");
   REQUIRE(none.ok());
@@ -143,6 +147,34 @@
   CHECK(settings->detect.probesPerS == 0);
 }
 
+TEST_CASE("The platform's template takes the region of each zone, or none")
+{
+  auto none = ParseTaggedSettings(FillTemplate("6"), "file");
+  REQUIRE(none.ok());
+  CHECK(none->regions.zones.empty());
+  auto filled = ParseTaggedSettings(
+    FillTemplate("6", { { "zones", R"("jkt=jawa","bdg=jawa")" } }), "file");
+  INFO(filled.status().ToString());
+  REQUIRE(filled.ok());
+  auto regions = ParseRegions(filled->regions.zones);
+  REQUIRE(regions.ok());
+  CHECK(regions->size() == 2);
+  CHECK(regions->at("bdg") == "jawa");
+}
+
+TEST_CASE("A zone without a region, or with two, is refused")
+{
+  for (const char* entry :
+       { "jkt", "=jawa", "jkt=", "", "a=b\",\"a=c", "a=b\",\"a=b" }) {
+    INFO(entry);
+    std::string text = kValidSettings + "[regions]\nzones = [\"" + entry;
+    auto settings = ParseTaggedSettings(text + "\"]\n", "file");
+    REQUIRE_FALSE(settings.ok());
+    CHECK(std::string(settings.status().message()).find("regions.zones") !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE(
   "The list of seeds may have none, and cores may be a fraction but not a "
   "string")
