Bound what a cold server gets from all instances together

Cause: the warm-up quota of a service was read and passed on, and nothing used it; each instance opened flows at a cold server as it liked.

Ruled out: a split by count (at 840 instances a share is one opening in 84 s; rounding up breaks the bound, random starts vary by their root); owners by hashing over the members known (views without overlap give two owners); shares for each server in heartbeats (5,400 servers).

Change: a quota is divided into slots of one opening in 1.03 s, by rendezvous hashing over zones and then over the zone's holders, a list that the zone's best reader sends in its heartbeats (fields 30, 31). Leases, a settle time and a majority of the holders keep two instances from using one slot. A flow that only finds cold servers without a slot is refused as warmup_quota. Settings warmup.overage and warmup.slack; a service without a quota is as before.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -93,4 +93,7 @@
   17: list<Reader> readers // of other zones; in a reply also of the sender's
   18: i32 zoneSize  // instances in the sender's zone
   19: i32 fleetSize // instances in all zones
+  30: list<i32> quotaHolders // instances of the sender's zone that hold slots
+                             // of warm-up quotas, in ascending order
+  31: bool handsOutQuota     // the sender says that they hold them now
 }
--- a/src/spread/beat.h
+++ b/src/spread/beat.h
@@ -71,6 +71,10 @@
   std::vector<ReaderAddress> readers;
   uint32_t zoneSize = 0;  // instances of the sender's zone that it knows
   uint32_t fleetSize = 0; // of all zones
+  // Instances of the sender's zone that hold slots of warm-up quotas, in
+  // ascending order, in the first datagram of a heartbeat.
+  std::vector<Address> quotaHolders;
+  bool handsOutQuota = false; // the sender says that the list is in force
 };
 
 }
--- a/src/spread/sending.cpp
+++ b/src/spread/sending.cpp
@@ -35,6 +35,8 @@
   heartbeat.recent = { this->servers.revision, this->servers.revision, {} };
   heartbeat.zoneSize = this->members.ZoneSize();
   heartbeat.fleetSize = this->fleetSize;
+  heartbeat.quotaHolders = this->quotaSharing.List();
+  heartbeat.handsOutQuota = this->quotaSharing.HandsOut();
   return heartbeat;
 }
 
@@ -55,12 +57,13 @@
   Heartbeat heartbeat = this->MakeHeartbeat(aNow);
   heartbeat.members = this->members.SampleSameZone(kListedMembers);
   heartbeat.readers = std::move(remote);
-  // Only the first datagram lists members and readers.
+  // Only the first datagram lists members, readers and holders.
   for (ChangeRange& range : this->changeLog.RecentRanges(aNow)) {
     heartbeat.recent = std::move(range);
     aHeartbeats.push_back({ to, heartbeat });
     heartbeat.members.clear();
     heartbeat.readers.clear();
+    heartbeat.quotaHolders.clear();
   }
   ++this->heartbeatCount;
   if (this->heartbeatCount % kHeartbeatsPerSeedQuery == 0 &&
--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -15,6 +15,7 @@
 Replicator::Replicator(const ReplicatorOptions& aOptions)
   : options(aOptions)
   , members(aOptions.self, aOptions.zone, aOptions.randomSeed)
+  , quotaSharing(aOptions.self, aOptions.zone, aOptions.standalone)
   , random(aOptions.randomSeed)
 {
   std::erase(this->options.seeds, aOptions.self);
@@ -85,6 +86,7 @@
 {
   this->config.confirmedAt = kNever;
   this->servers.confirmedAt = kNever;
+  this->quotaSharing.OnProcessPause();
 }
 
 void
@@ -121,6 +123,7 @@
 {
   bool knewReader = this->members.KnowsReader(aNow);
   this->members.OnHeartbeat(aFrom, aHeartbeat, aNow);
+  this->quotaSharing.OnHeartbeat(aHeartbeat, aNow);
   if (!knewReader && this->members.KnowsReader(aNow)) {
     // Announces this instance to the reader at once.
     this->lastHelloAt = kNever;
@@ -269,6 +272,8 @@
   } else {
     this->CheckTakeover(aNow);
   }
+  bool leads = this->reads && !this->HasBetterReader(aNow);
+  this->quotaSharing.Tick(this->members, leads, aNow);
 }
 
 bool
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -8,6 +8,7 @@
 
 #include "spread/change_log.h"
 #include "spread/members.h"
+#include "spread/quota_sharing.h"
 
 #include <array>
 #include <optional>
@@ -187,6 +188,11 @@
   // Number of instances of all zones: a reader counts them, a follower has the
   // number from the readers of its zone.
   uint32_t FleetSize() const { return this->fleetSize; }
+  // Returns which instances hold slots of warm-up quotas.
+  steer::QuotaHolders QuotaHolders(Micros aNow) const
+  {
+    return this->quotaSharing.Holders(aNow);
+  }
 
 private:
   void OnStoreAnswer(Micros aNow);
@@ -215,6 +221,7 @@
 
   ReplicatorOptions options;
   Members members;
+  QuotaSharing quotaSharing;
   ChangeLog changeLog;
   Freshness config;
   Freshness servers;
--- a/src/steer/candidates.cpp
+++ b/src/steer/candidates.cpp
@@ -5,7 +5,8 @@
 Exclusion
 ExclusionOf(const View& aView,
             ServerIndex aServer,
-            const PlacementRequest& aRequest)
+            const PlacementRequest& aRequest,
+            Micros aNow)
 {
   const Server& server = aView.At(aServer);
   if (!server.IsAvailable()) {
@@ -17,8 +18,12 @@
   if (server.tagConflict) {
     return Exclusion::TagConflict;
   }
-  return aServer == aRequest.unanswered ? Exclusion::Unanswered
-                                        : Exclusion::None;
+  if (aServer == aRequest.unanswered) {
+    return Exclusion::Unanswered;
+  }
+  bool admitted = aRequest.warmupQuota == nullptr ||
+                  aRequest.warmupQuota->Admits(aView, aServer, aNow);
+  return admitted ? Exclusion::None : Exclusion::WarmupQuota;
 }
 
 }
--- a/src/steer/candidates.h
+++ b/src/steer/candidates.h
@@ -1,7 +1,7 @@
 // Which servers may get a new flow, and why the others may not.
 #pragma once
 
-#include "steer/view.h"
+#include "steer/warmup_quota.h"
 
 #include <array>
 
@@ -15,15 +15,13 @@
   Draining,
   TagConflict, // another server has its tag
   Unanswered,  // it left this flow's opening packet unanswered
+  WarmupQuota, // its warm-up quota gives this instance no flow now
   Count,
 };
 
 constexpr std::array<std::string_view, static_cast<size_t>(Exclusion::Count)>
-  kExclusionNames{ "none",
-                   "unlisted",
-                   "draining",
-                   "tag_conflict",
-                   "unanswered" };
+  kExclusionNames{ "none",         "unlisted",   "draining",
+                   "tag_conflict", "unanswered", "warmup_quota" };
 
 constexpr std::string_view
 ExclusionName(Exclusion aExclusion)
@@ -42,6 +40,7 @@
   const RouteEntry& route;
   // Server that left the flow's opening packet unanswered, if any.
   ServerIndex unanswered = kNoServer;
+  WarmupQuota* warmupQuota = nullptr; // null: no bound
 };
 
 // Returns why the server cannot get the flow. A suspect server is no exclusion:
@@ -49,6 +48,7 @@
 Exclusion
 ExclusionOf(const View& aView,
             ServerIndex aServer,
-            const PlacementRequest& aRequest);
+            const PlacementRequest& aRequest,
+            Micros aNow);
 
 }
--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -38,6 +38,8 @@
   HoldFull,      // the service's hold queue is full
   HeldTooLong,   // the flow was held for kMaxHoldTime
   OutOfDate,     // the opening packet waited beyond its UsableTime
+  WarmupQuota,   // only servers in their warm-up are left, and their quota is
+                 // used
   Count,
 };
 
@@ -47,7 +49,7 @@
     "no_view",     "unknown_route",   "route_removed", "no_server",
     "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
     "held",        "held_again",      "hold_full",     "held_too_long",
-    "out_of_date",
+    "out_of_date", "warmup_quota",
   };
 
 constexpr std::string_view
@@ -111,6 +113,9 @@
   std::array<uint64_t, static_cast<size_t>(Reason::Count)> reasons{};
   std::array<uint64_t, static_cast<size_t>(Outcome::Count)> outcomes{};
   uint64_t suspected = 0; // opening packets counted as unanswered by a server
+  // Flows that got another server or none as the quota of a server in its
+  // warm-up was used; once a flow and server.
+  uint64_t keptFromCold = 0;
 };
 
 }
--- a/src/steer/placer.cpp
+++ b/src/steer/placer.cpp
@@ -70,7 +70,7 @@
   Placement suspect;
   uint32_t tied = 0;
   for (ServerIndex index : indexes) {
-    Exclusion exclusion = ExclusionOf(aView, index, aRequest);
+    Exclusion exclusion = ExclusionOf(aView, index, aRequest, aNow);
     if (exclusion != Exclusion::None) {
       ++placement.excluded[static_cast<size_t>(exclusion)];
       continue;
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -151,12 +151,20 @@
                     Micros aNow)
 {
   Placement placement = this->placer.ChooseServer(
-    this->view, this->health, { aService, aRoute.entry, aExcluded }, aNow);
+    this->view,
+    this->health,
+    { aService, aRoute.entry, aExcluded, &this->warmupQuota },
+    aNow);
+  uint32_t keptFromCold =
+    placement.excluded[static_cast<size_t>(Exclusion::WarmupQuota)];
+  this->counts.keptFromCold += keptFromCold;
   if (placement.server == kNoServer) {
     return { .action = Action::Reset,
-             .reason = Reason::NoServer,
+             .reason =
+               keptFromCold > 0 ? Reason::WarmupQuota : Reason::NoServer,
              .placement = placement };
   }
+  this->warmupQuota.OnOpening(this->view, placement.server, aNow);
   const Server& server = this->view.At(placement.server);
   ServerHealth& health = this->health[placement.server];
   ++health.open;
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -17,6 +17,7 @@
 {
   PlacerOptions placer;
   bool hold = true; // hold new flows while their service is at its limit
+  WarmupQuotaOptions warmupQuota;
 };
 
 // Decides on each packet, and keeps the view, the servers' health, the flow
@@ -27,6 +28,7 @@
   explicit FlowSteering(const FlowSteeringOptions& aOptions)
     : options(aOptions)
     , placer(aOptions.placer)
+    , warmupQuota(aOptions.warmupQuota)
   {
   }
 
@@ -36,6 +38,12 @@
     this->instanceCount = aInstanceCount;
   }
 
+  // Sets which instances share the quotas of servers in their warm-up.
+  void SetQuotaHolders(const QuotaHolders& aHolders)
+  {
+    this->warmupQuota.SetHolders(aHolders);
+  }
+
   View& CurrentView() { return this->view; }
   const View& CurrentView() const { return this->view; }
 
@@ -133,6 +141,7 @@
   FlowSteeringOptions options;
   View view;
   Placer placer;
+  WarmupQuota warmupQuota;
   std::vector<ServerHealth> health;  // by index in the view
   std::vector<uint32_t> generations; // of the server processes in health
   // View::ProcessCount at the last SyncWithView.
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -49,6 +49,7 @@
 {
   this->view.Tick(aNow);
   this->SyncWithView();
+  this->warmupQuota.Tick(this->view, aNow);
   while (!this->handshakeTimers.empty() &&
          aNow - this->handshakeTimers.front().at >= kHandshakeTimeout) {
     FlowTimer timer = this->handshakeTimers.front();
@@ -86,6 +87,7 @@
 void
 FlowSteering::OnSendDelay(Micros aPlacedFrom, Micros aSentAt)
 {
+  this->warmupQuota.OnSendDelay(aPlacedFrom, aSentAt);
   for (auto timer = this->handshakeTimers.rbegin();
        timer != this->handshakeTimers.rend() && timer->at >= aPlacedFrom;
        ++timer) {
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -75,6 +75,17 @@
   return copy;
 }
 
+double
+View::WarmupQuotaOf(std::string_view aService) const
+{
+  for (const ServiceEntry& service : this->config.services) {
+    if (service.name == aService) {
+      return service.warmupQuota;
+    }
+  }
+  return 0;
+}
+
 const Route*
 View::FindRoute(Endpoint aTarget) const
 {
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -129,6 +129,8 @@
   bool Ready() const { return this->hasServers && this->config.version > 0; }
   bool HasServers() const { return this->hasServers; }
   int64_t Version() const { return this->config.version; }
+  // New flows a second for a server of aService in its warm-up; 0: no bound.
+  double WarmupQuotaOf(std::string_view aService) const;
 
   // Copies of the configuration in force and of the listed servers, for other
   // instances. Unreadable servers have no entry there.
--- a/src/tagged/gen/peers_types.cpp
+++ b/src/tagged/gen/peers_types.cpp
@@ -1397,6 +1397,14 @@
 void Heartbeat::__set_fleetSize(const int32_t val) {
   this->fleetSize = val;
 }
+
+void Heartbeat::__set_quotaHolders(const std::vector<int32_t> & val) {
+  this->quotaHolders = val;
+}
+
+void Heartbeat::__set_handsOutQuota(const bool val) {
+  this->handsOutQuota = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1613,6 +1621,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quotaHolders.clear();
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->quotaHolders.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
+            {
+              xfer += iprot->readI32(this->quotaHolders[_i69]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quotaHolders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->handsOutQuota);
+          this->__isset.handsOutQuota = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1689,10 +1725,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Change> ::const_iterator _iter65;
-    for (_iter65 = this->changes.begin(); _iter65 != this->changes.end(); ++_iter65)
+    std::vector<Change> ::const_iterator _iter70;
+    for (_iter70 = this->changes.begin(); _iter70 != this->changes.end(); ++_iter70)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1701,10 +1737,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter66;
-    for (_iter66 = this->members.begin(); _iter66 != this->members.end(); ++_iter66)
+    std::vector<int32_t> ::const_iterator _iter71;
+    for (_iter71 = this->members.begin(); _iter71 != this->members.end(); ++_iter71)
     {
-      xfer += oprot->writeI32((*_iter66));
+      xfer += oprot->writeI32((*_iter71));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1713,10 +1749,10 @@
   xfer += oprot->writeFieldBegin("readers", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readers.size()));
-    std::vector<Reader> ::const_iterator _iter67;
-    for (_iter67 = this->readers.begin(); _iter67 != this->readers.end(); ++_iter67)
+    std::vector<Reader> ::const_iterator _iter72;
+    for (_iter72 = this->readers.begin(); _iter72 != this->readers.end(); ++_iter72)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1730,6 +1766,22 @@
   xfer += oprot->writeI32(this->fleetSize);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quotaHolders", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->quotaHolders.size()));
+    std::vector<int32_t> ::const_iterator _iter73;
+    for (_iter73 = this->quotaHolders.begin(); _iter73 != this->quotaHolders.end(); ++_iter73)
+    {
+      xfer += oprot->writeI32((*_iter73));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("handsOutQuota", ::apache::thrift::protocol::T_BOOL, 31);
+  xfer += oprot->writeBool(this->handsOutQuota);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1756,52 +1808,58 @@
   swap(a.readers, b.readers);
   swap(a.zoneSize, b.zoneSize);
   swap(a.fleetSize, b.fleetSize);
+  swap(a.quotaHolders, b.quotaHolders);
+  swap(a.handsOutQuota, b.handsOutQuota);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other68) {
-  zone = other68.zone;
-  share = other68.share;
-  reads = other68.reads;
-  storeAnswers = other68.storeAnswers;
-  hasView = other68.hasView;
-  wantsAnswer = other68.wantsAnswer;
-  configVersion = other68.configVersion;
-  configRevision = other68.configRevision;
-  configAge = other68.configAge;
-  serversRevision = other68.serversRevision;
-  serversAge = other68.serversAge;
-  storeBackAge = other68.storeBackAge;
-  changesFrom = other68.changesFrom;
-  changesTo = other68.changesTo;
-  changes = other68.changes;
-  members = other68.members;
-  readers = other68.readers;
-  zoneSize = other68.zoneSize;
-  fleetSize = other68.fleetSize;
-  __isset = other68.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other69) {
-  zone = other69.zone;
-  share = other69.share;
-  reads = other69.reads;
-  storeAnswers = other69.storeAnswers;
-  hasView = other69.hasView;
-  wantsAnswer = other69.wantsAnswer;
-  configVersion = other69.configVersion;
-  configRevision = other69.configRevision;
-  configAge = other69.configAge;
-  serversRevision = other69.serversRevision;
-  serversAge = other69.serversAge;
-  storeBackAge = other69.storeBackAge;
-  changesFrom = other69.changesFrom;
-  changesTo = other69.changesTo;
-  changes = other69.changes;
-  members = other69.members;
-  readers = other69.readers;
-  zoneSize = other69.zoneSize;
-  fleetSize = other69.fleetSize;
-  __isset = other69.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other74) {
+  zone = other74.zone;
+  share = other74.share;
+  reads = other74.reads;
+  storeAnswers = other74.storeAnswers;
+  hasView = other74.hasView;
+  wantsAnswer = other74.wantsAnswer;
+  configVersion = other74.configVersion;
+  configRevision = other74.configRevision;
+  configAge = other74.configAge;
+  serversRevision = other74.serversRevision;
+  serversAge = other74.serversAge;
+  storeBackAge = other74.storeBackAge;
+  changesFrom = other74.changesFrom;
+  changesTo = other74.changesTo;
+  changes = other74.changes;
+  members = other74.members;
+  readers = other74.readers;
+  zoneSize = other74.zoneSize;
+  fleetSize = other74.fleetSize;
+  quotaHolders = other74.quotaHolders;
+  handsOutQuota = other74.handsOutQuota;
+  __isset = other74.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other75) {
+  zone = other75.zone;
+  share = other75.share;
+  reads = other75.reads;
+  storeAnswers = other75.storeAnswers;
+  hasView = other75.hasView;
+  wantsAnswer = other75.wantsAnswer;
+  configVersion = other75.configVersion;
+  configRevision = other75.configRevision;
+  configAge = other75.configAge;
+  serversRevision = other75.serversRevision;
+  serversAge = other75.serversAge;
+  storeBackAge = other75.storeBackAge;
+  changesFrom = other75.changesFrom;
+  changesTo = other75.changesTo;
+  changes = other75.changes;
+  members = other75.members;
+  readers = other75.readers;
+  zoneSize = other75.zoneSize;
+  fleetSize = other75.fleetSize;
+  quotaHolders = other75.quotaHolders;
+  handsOutQuota = other75.handsOutQuota;
+  __isset = other75.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1826,6 +1884,8 @@
   out << ", " << "readers=" << to_string(readers);
   out << ", " << "zoneSize=" << to_string(zoneSize);
   out << ", " << "fleetSize=" << to_string(fleetSize);
+  out << ", " << "quotaHolders=" << to_string(quotaHolders);
+  out << ", " << "handsOutQuota=" << to_string(handsOutQuota);
   out << ")";
 }
 
--- a/src/tagged/gen/peers_types.h
+++ b/src/tagged/gen/peers_types.h
@@ -521,7 +521,7 @@
 std::ostream& operator<<(std::ostream& out, const Reader& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false) {}
+  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false), quotaHolders(false), handsOutQuota(false) {}
   bool zone :1;
   bool share :1;
   bool reads :1;
@@ -541,6 +541,8 @@
   bool readers :1;
   bool zoneSize :1;
   bool fleetSize :1;
+  bool quotaHolders :1;
+  bool handsOutQuota :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -564,7 +566,8 @@
               changesFrom(0),
               changesTo(0),
               zoneSize(0),
-              fleetSize(0) {
+              fleetSize(0),
+              handsOutQuota(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -587,6 +590,8 @@
   std::vector<Reader>  readers;
   int32_t zoneSize;
   int32_t fleetSize;
+  std::vector<int32_t>  quotaHolders;
+  bool handsOutQuota;
 
   _Heartbeat__isset __isset;
 
@@ -628,6 +633,10 @@
 
   void __set_fleetSize(const int32_t val);
 
+  void __set_quotaHolders(const std::vector<int32_t> & val);
+
+  void __set_handsOutQuota(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -668,6 +677,10 @@
       return false;
     if (!(fleetSize == rhs.fleetSize))
       return false;
+    if (!(quotaHolders == rhs.quotaHolders))
+      return false;
+    if (!(handsOutQuota == rhs.handsOutQuota))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -173,6 +173,10 @@
   counter("servers_doubted_total",
           "Opening packets that a server left unanswered",
           aSource.steer.Counts().suspected);
+  counter("kept_from_cold_total",
+          "Servers in their warm-up that did not get a new flow as their quota "
+          "was used, once a flow and server",
+          aSource.steer.Counts().keptFromCold);
   gauge("flows",
         "Flows that this instance has a record of",
         static_cast<double>(aSource.steer.Flows()));
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -18,7 +18,9 @@
   , callerPort(EndpointOf(aSettings.fabric.packets).port)
   , socket(std::move(aSocket))
   , steer({ .placer = { .zone = aSettings.instance.zone,
-                        .randomSeed = RandomSeed(aSettings) } })
+                        .randomSeed = RandomSeed(aSettings) },
+            .warmupQuota = { .overage = aSettings.warmup.overage,
+                             .slack = aSettings.warmup.slack } })
   , tickTimer(aBase, [this] { this->OnTick(); })
 {
 }
@@ -209,6 +211,7 @@
   this->now = at;
   this->sync->Tick(at);
   this->steer.SetInstanceCount(this->sync->FleetSize());
+  this->steer.SetQuotaHolders(this->sync->QuotaHolders(at));
   this->steer.Tick(at);
   this->ReleaseHeld();
   this->CheckSendDelay();
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -282,6 +282,9 @@
   }
   message.zoneSize = static_cast<int32_t>(aHeartbeat.zoneSize);
   message.fleetSize = static_cast<int32_t>(aHeartbeat.fleetSize);
+  message.quotaHolders.assign(aHeartbeat.quotaHolders.begin(),
+                              aHeartbeat.quotaHolders.end());
+  message.handsOutQuota = aHeartbeat.handsOutQuota;
   return Encode(message);
 }
 
@@ -308,6 +311,10 @@
   }
   heartbeat.zoneSize = static_cast<uint32_t>(message->zoneSize);
   heartbeat.fleetSize = static_cast<uint32_t>(message->fleetSize);
+  heartbeat.quotaHolders.assign(message->quotaHolders.begin(),
+                                message->quotaHolders.end());
+  std::sort(heartbeat.quotaHolders.begin(), heartbeat.quotaHolders.end());
+  heartbeat.handsOutQuota = message->handsOutQuota;
   if (!IsValid(heartbeat)) {
     return absl::DataLossError(
       "read heartbeat of a peer: negative age, or change range with its end "
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -56,6 +56,12 @@
   int64_t linesPerS = 0;
 };
 
+struct TaggedWarmupSettings
+{
+  double overage = 0;
+  double slack = 0;
+};
+
 struct TaggedSettings
 {
   TaggedInstanceSettings instance;
@@ -66,9 +72,10 @@
   TaggedStopSettings stop;
   TaggedMetricsSettings metrics;
   TaggedLogSettings log;
+  TaggedWarmupSettings warmup;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 14>
+inline constexpr std::array<SettingField<TaggedSettings>, 16>
   kTaggedSettingsFields{ {
     {
       { "instance", "name", SettingType::String,
@@ -182,6 +189,22 @@
         return &aSettings.log.linesPerS;
       },
     },
+    {
+      { "warmup", "overage", SettingType::Real,
+      false, "", 1, 0, 1000,
+      "", "factor on the warm-up quota of a service: with it and warmup.slack, the most new flows in any second that all instances together open at one server in its warm-up" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.warmup.overage;
+      },
+    },
+    {
+      { "warmup", "slack", SettingType::Real,
+      false, "", 0, 0, 1000000,
+      "flows", "added to the warm-up quota times warmup.overage" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.warmup.slack;
+      },
+    },
   } };
 
 }
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -68,6 +68,10 @@
   // was never confirmed, or not since a process pause.
   Micros ViewAge(Micros aNow) const;
   uint32_t FleetSize() const { return this->spread.FleetSize(); }
+  steer::QuotaHolders QuotaHolders(Micros aNow) const
+  {
+    return this->spread.QuotaHolders(aNow);
+  }
   bool Reads() const { return this->spread.Reads(); }
   const ListWatcherCounts& ServersCounts() const
   {
--- a/tests/support/spread_fleet.cpp
+++ b/tests/support/spread_fleet.cpp
@@ -120,6 +120,17 @@
   }
 }
 
+void
+SpreadFleet::IsolateInstance(size_t aInstance, bool aIsolated)
+{
+  Address address = this->instances[aInstance].address;
+  if (aIsolated) {
+    this->isolatedInstances.insert(address);
+  } else {
+    this->isolatedInstances.erase(address);
+  }
+}
+
 bool
 SpreadFleet::Reaches(const SpreadInstance& aFrom,
                      const SpreadInstance& aTo) const
@@ -127,6 +138,8 @@
   bool isolated =
     aFrom.zone != aTo.zone && (this->isolatedZones.contains(aFrom.zone) ||
                                this->isolatedZones.contains(aTo.zone));
+  isolated = isolated || this->isolatedInstances.contains(aFrom.address) ||
+             this->isolatedInstances.contains(aTo.address);
   return aTo.alive && !isolated;
 }
 
--- a/tests/support/spread_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -79,6 +79,8 @@
   // Isolates a zone from the other zones, or connects it again. The store still
   // responds to it.
   void IsolateZone(size_t aZone, bool aIsolated);
+  // Isolates an instance from all others, or connects it again.
+  void IsolateInstance(size_t aInstance, bool aIsolated);
   void Run(Micros aTime);
 
   Micros Now() const { return this->clock.Now(); }
@@ -139,6 +141,7 @@
   std::vector<SpreadInstance> instances;
   std::map<Address, size_t> byAddress;
   std::set<size_t> isolatedZones;
+  std::set<Address> isolatedInstances;
   std::vector<PendingChange> pendingChanges;
   Micros maxPropagationTime = 0;
   std::mt19937 random;
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -32,9 +32,33 @@
 
 namespace {
 
+// Fills in the section of a value, or leaves it out if there is none.
+void
+FillSection(std::string& aText,
+            const std::string& aName,
+            const std::string& aValue)
+{
+  std::string start = "{{#" + aName + "}}";
+  std::string end = "{{/" + aName + "}}";
+  size_t from = aText.find(start);
+  size_t to = aText.find(end);
+  REQUIRE(from != std::string::npos);
+  REQUIRE(to != std::string::npos);
+  if (aValue.empty()) {
+    aText.erase(from, to + end.size() - from);
+    return;
+  }
+  aText.erase(to, end.size());
+  aText.erase(from, start.size());
+  std::string value = "{{" + aName + "}}";
+  aText.replace(aText.find(value), value.size(), aValue);
+}
+
 // Fills in the platform's template with plain values, as the platform does.
 std::string
-FillTemplate(const std::string& aGraceSeconds)
+FillTemplate(const std::string& aGraceSeconds,
+             const std::string& aOverage = "",
+             const std::string& aSlack = "")
 {
   std::string text = ReadSource("platform/settings.template");
   REQUIRE_FALSE(text.empty());
@@ -55,12 +79,26 @@
     REQUIRE(at != std::string::npos);
     text.replace(at, name.size(), value);
   }
+  FillSection(text, "policy_values.warmup_overage", aOverage);
+  FillSection(text, "policy_values.warmup_slack", aSlack);
   REQUIRE(text.find("{{") == std::string::npos);
   return text;
 }
 
 }
 
+TEST_CASE("The platform's template works with and without warm-up bounds")
+{
+  auto without = ParseTaggedSettings(FillTemplate("6"), "file");
+  REQUIRE(without.ok());
+  CHECK(without->warmup.overage == 1);
+  CHECK(without->warmup.slack == 0);
+  auto with = ParseTaggedSettings(FillTemplate("6", "1.5", "5"), "file");
+  REQUIRE(with.ok());
+  CHECK(with->warmup.overage == 1.5);
+  CHECK(with->warmup.slack == 5);
+}
+
 // Guards against a daemon that doesn't start: the template appended zeros to
 // the seconds, and a fraction of them was refused.
 TEST_CASE("The platform's template takes each grace period in seconds")
