--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -109,4 +109,7 @@
   23: list<string> drainedZones
   24: bool drainsLeftOut // the zones are too many for a heartbeat
   25: list<Verdict> verdicts // of the sender; from a reader, of its zone
+  30: list<i32> quotaHolders // instances of the sender's zone that hold slots
+                             // of warm-up quotas, in ascending order
+  31: bool handsOutQuota     // the sender says that they hold them now
 }
--- a/src/spread/beat.h
+++ b/src/spread/beat.h
@@ -79,6 +79,10 @@
   uint32_t fleetSize = 0; // of all zones
   // Verdicts on servers: of the sender and, from a reader, of its zone.
   std::vector<SentVerdict> verdicts;
+  // Instances of the sender's zone that hold slots of warm-up quotas, in
+  // ascending order, in the first datagram of a heartbeat.
+  std::vector<Address> quotaHolders;
+  bool handsOutQuota = false; // the sender says that the list is in force
 };
 
 }
--- a/src/spread/sending.cpp
+++ b/src/spread/sending.cpp
@@ -37,6 +37,8 @@
   heartbeat.zoneSize = this->members.ZoneSize();
   heartbeat.fleetSize = this->fleetSize;
   heartbeat.verdicts = this->verdicts.Newest(this->reads, aNow);
+  heartbeat.quotaHolders = this->quotaSharing.List();
+  heartbeat.handsOutQuota = this->quotaSharing.HandsOut();
   return heartbeat;
 }
 
@@ -74,13 +76,14 @@
   Heartbeat heartbeat = this->MakeHeartbeat(aNow);
   heartbeat.members = this->members.SampleSameZone(kListedMembers);
   heartbeat.readers = std::move(remote);
-  // Only the first datagram lists members, readers and verdicts.
+  // Only the first datagram lists members, readers, verdicts and holders.
   for (ChangeRange& range : this->changeLog.RecentRanges(aNow)) {
     heartbeat.recent = std::move(range);
     aHeartbeats.push_back({ to, heartbeat });
     heartbeat.members.clear();
     heartbeat.readers.clear();
     heartbeat.verdicts.clear();
+    heartbeat.quotaHolders.clear();
   }
   ++this->heartbeatCount;
   if (this->heartbeatCount % kHeartbeatsPerSeedQuery == 0 &&
--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -15,6 +15,7 @@
 Replicator::Replicator(const ReplicatorOptions& aOptions)
   : options(aOptions)
   , members(aOptions.self, aOptions.zone, aOptions.randomSeed)
+  , quotaSharing(aOptions.self, aOptions.zone, aOptions.standalone)
   , random(aOptions.randomSeed)
 {
   std::erase(this->options.seeds, aOptions.self);
@@ -129,6 +130,7 @@
   this->config.confirmedAt = kNever;
   this->servers.confirmedAt = kNever;
   this->drainsConfirmedAt = kNever;
+  this->quotaSharing.OnProcessPause();
 }
 
 void
@@ -165,6 +167,7 @@
 {
   bool knewReader = this->members.KnowsReader(aNow);
   this->members.OnHeartbeat(aFrom, aHeartbeat, aNow);
+  this->quotaSharing.OnHeartbeat(aHeartbeat, aNow);
   if (!knewReader && this->members.KnowsReader(aNow)) {
     // Announces this instance to the reader at once.
     this->lastHelloAt = kNever;
@@ -333,6 +336,8 @@
   } else {
     this->CheckTakeover(aNow);
   }
+  bool leads = this->reads && !this->HasBetterReader(aNow);
+  this->quotaSharing.Tick(this->members, leads, aNow);
 }
 
 bool
--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -44,16 +44,19 @@
   // As NoServer, but there would be one in a region that the route does not
   // allow.
   RegionNotAllowed,
+  WarmupQuota, // only servers in their warm-up are left, and their quota is
+               // used
   Count,
 };
 
 constexpr std::array<std::string_view, static_cast<size_t>(Reason::Count)>
   kReasonNames{
-    "placed",      "placed_again",    "repeated",      "known",
-    "no_view",     "unknown_route",   "route_removed", "no_server",
-    "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
-    "held",        "held_again",      "hold_full",     "held_too_long",
-    "out_of_date", "zone_drained",    "server_silent", "region_not_allowed",
+    "placed",       "placed_again",    "repeated",      "known",
+    "no_view",      "unknown_route",   "route_removed", "no_server",
+    "unknown_tag",  "tag_not_allowed", "server_gone",   "no_tag",
+    "held",         "held_again",      "hold_full",     "held_too_long",
+    "out_of_date",  "zone_drained",    "server_silent", "region_not_allowed",
+    "warmup_quota",
   };
 
 constexpr std::string_view
@@ -126,6 +129,9 @@
   std::array<uint64_t, static_cast<size_t>(Reason::Count)> reasons{};
   std::array<uint64_t, static_cast<size_t>(Outcome::Count)> outcomes{};
   uint64_t suspected = 0; // opening packets counted as unanswered by a server
+  // Flows that got another server or none as the quota of a server in its
+  // warm-up was used; once a flow and server.
+  uint64_t keptFromCold = 0;
 };
 
 }
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -19,6 +19,9 @@
   auto count = [&aExcluded](Exclusion aExclusion) {
     return aExcluded[static_cast<size_t>(aExclusion)];
   };
+  if (count(Exclusion::WarmupQuota) > 0) {
+    return Reason::WarmupQuota;
+  }
   if (count(Exclusion::ZoneDrained) > 0) {
     return Reason::ZoneDrained;
   }
@@ -173,12 +176,18 @@
                     Micros aNow)
 {
   Placement placement = this->placer.ChooseServer(
-    this->view, this->health, { aService, aRoute.entry, aExcluded }, aNow);
+    this->view,
+    this->health,
+    { aService, aRoute.entry, aExcluded, &this->warmupQuota },
+    aNow);
+  this->counts.keptFromCold +=
+    placement.excluded[static_cast<size_t>(Exclusion::WarmupQuota)];
   if (placement.server == kNoServer) {
     return { .action = Action::Reset,
              .reason = ReasonWithoutServer(placement.excluded),
              .placement = placement };
   }
+  this->warmupQuota.OnOpening(this->view, placement.server, aNow);
   const Server& server = this->view.At(placement.server);
   ServerHealth& health = this->health[placement.server];
   ++health.open;
--- a/src/tagged/gen/peers_types.cpp
+++ b/src/tagged/gen/peers_types.cpp
@@ -1633,6 +1633,14 @@
 void Heartbeat::__set_verdicts(const std::vector<Verdict> & val) {
   this->verdicts = val;
 }
+
+void Heartbeat::__set_quotaHolders(const std::vector<int32_t> & val) {
+  this->quotaHolders = val;
+}
+
+void Heartbeat::__set_handsOutQuota(const bool val) {
+  this->handsOutQuota = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1921,6 +1929,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quotaHolders.clear();
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->quotaHolders.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
+            {
+              xfer += iprot->readI32(this->quotaHolders[_i87]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quotaHolders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->handsOutQuota);
+          this->__isset.handsOutQuota = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1997,10 +2033,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<Change> ::const_iterator _iter83;
-    for (_iter83 = this->changes.begin(); _iter83 != this->changes.end(); ++_iter83)
+    std::vector<Change> ::const_iterator _iter88;
+    for (_iter88 = this->changes.begin(); _iter88 != this->changes.end(); ++_iter88)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2009,10 +2045,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter84;
-    for (_iter84 = this->members.begin(); _iter84 != this->members.end(); ++_iter84)
+    std::vector<int32_t> ::const_iterator _iter89;
+    for (_iter89 = this->members.begin(); _iter89 != this->members.end(); ++_iter89)
     {
-      xfer += oprot->writeI32((*_iter84));
+      xfer += oprot->writeI32((*_iter89));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2021,10 +2057,10 @@
   xfer += oprot->writeFieldBegin("readers", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readers.size()));
-    std::vector<Reader> ::const_iterator _iter85;
-    for (_iter85 = this->readers.begin(); _iter85 != this->readers.end(); ++_iter85)
+    std::vector<Reader> ::const_iterator _iter90;
+    for (_iter90 = this->readers.begin(); _iter90 != this->readers.end(); ++_iter90)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2053,10 +2089,10 @@
   xfer += oprot->writeFieldBegin("drainedZones", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->drainedZones.size()));
-    std::vector<std::string> ::const_iterator _iter86;
-    for (_iter86 = this->drainedZones.begin(); _iter86 != this->drainedZones.end(); ++_iter86)
+    std::vector<std::string> ::const_iterator _iter91;
+    for (_iter91 = this->drainedZones.begin(); _iter91 != this->drainedZones.end(); ++_iter91)
     {
-      xfer += oprot->writeString((*_iter86));
+      xfer += oprot->writeString((*_iter91));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2069,15 +2105,31 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 25);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<Verdict> ::const_iterator _iter87;
-    for (_iter87 = this->verdicts.begin(); _iter87 != this->verdicts.end(); ++_iter87)
+    std::vector<Verdict> ::const_iterator _iter92;
+    for (_iter92 = this->verdicts.begin(); _iter92 != this->verdicts.end(); ++_iter92)
+    {
+      xfer += (*_iter92).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quotaHolders", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->quotaHolders.size()));
+    std::vector<int32_t> ::const_iterator _iter93;
+    for (_iter93 = this->quotaHolders.begin(); _iter93 != this->quotaHolders.end(); ++_iter93)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += oprot->writeI32((*_iter93));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("handsOutQuota", ::apache::thrift::protocol::T_BOOL, 31);
+  xfer += oprot->writeBool(this->handsOutQuota);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2110,64 +2162,70 @@
   swap(a.drainedZones, b.drainedZones);
   swap(a.drainsLeftOut, b.drainsLeftOut);
   swap(a.verdicts, b.verdicts);
+  swap(a.quotaHolders, b.quotaHolders);
+  swap(a.handsOutQuota, b.handsOutQuota);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other88) {
-  zone = other88.zone;
-  share = other88.share;
-  reads = other88.reads;
-  storeAnswers = other88.storeAnswers;
-  hasView = other88.hasView;
-  wantsAnswer = other88.wantsAnswer;
-  configVersion = other88.configVersion;
-  configRevision = other88.configRevision;
-  configAge = other88.configAge;
-  serversRevision = other88.serversRevision;
-  serversAge = other88.serversAge;
-  storeBackAge = other88.storeBackAge;
-  changesFrom = other88.changesFrom;
-  changesTo = other88.changesTo;
-  changes = other88.changes;
-  members = other88.members;
-  readers = other88.readers;
-  zoneSize = other88.zoneSize;
-  fleetSize = other88.fleetSize;
-  drainsRevision = other88.drainsRevision;
-  drainsAge = other88.drainsAge;
-  drainsChanged = other88.drainsChanged;
-  drainedZones = other88.drainedZones;
-  drainsLeftOut = other88.drainsLeftOut;
-  verdicts = other88.verdicts;
-  __isset = other88.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other89) {
-  zone = other89.zone;
-  share = other89.share;
-  reads = other89.reads;
-  storeAnswers = other89.storeAnswers;
-  hasView = other89.hasView;
-  wantsAnswer = other89.wantsAnswer;
-  configVersion = other89.configVersion;
-  configRevision = other89.configRevision;
-  configAge = other89.configAge;
-  serversRevision = other89.serversRevision;
-  serversAge = other89.serversAge;
-  storeBackAge = other89.storeBackAge;
-  changesFrom = other89.changesFrom;
-  changesTo = other89.changesTo;
-  changes = other89.changes;
-  members = other89.members;
-  readers = other89.readers;
-  zoneSize = other89.zoneSize;
-  fleetSize = other89.fleetSize;
-  drainsRevision = other89.drainsRevision;
-  drainsAge = other89.drainsAge;
-  drainsChanged = other89.drainsChanged;
-  drainedZones = other89.drainedZones;
-  drainsLeftOut = other89.drainsLeftOut;
-  verdicts = other89.verdicts;
-  __isset = other89.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other94) {
+  zone = other94.zone;
+  share = other94.share;
+  reads = other94.reads;
+  storeAnswers = other94.storeAnswers;
+  hasView = other94.hasView;
+  wantsAnswer = other94.wantsAnswer;
+  configVersion = other94.configVersion;
+  configRevision = other94.configRevision;
+  configAge = other94.configAge;
+  serversRevision = other94.serversRevision;
+  serversAge = other94.serversAge;
+  storeBackAge = other94.storeBackAge;
+  changesFrom = other94.changesFrom;
+  changesTo = other94.changesTo;
+  changes = other94.changes;
+  members = other94.members;
+  readers = other94.readers;
+  zoneSize = other94.zoneSize;
+  fleetSize = other94.fleetSize;
+  drainsRevision = other94.drainsRevision;
+  drainsAge = other94.drainsAge;
+  drainsChanged = other94.drainsChanged;
+  drainedZones = other94.drainedZones;
+  drainsLeftOut = other94.drainsLeftOut;
+  verdicts = other94.verdicts;
+  quotaHolders = other94.quotaHolders;
+  handsOutQuota = other94.handsOutQuota;
+  __isset = other94.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other95) {
+  zone = other95.zone;
+  share = other95.share;
+  reads = other95.reads;
+  storeAnswers = other95.storeAnswers;
+  hasView = other95.hasView;
+  wantsAnswer = other95.wantsAnswer;
+  configVersion = other95.configVersion;
+  configRevision = other95.configRevision;
+  configAge = other95.configAge;
+  serversRevision = other95.serversRevision;
+  serversAge = other95.serversAge;
+  storeBackAge = other95.storeBackAge;
+  changesFrom = other95.changesFrom;
+  changesTo = other95.changesTo;
+  changes = other95.changes;
+  members = other95.members;
+  readers = other95.readers;
+  zoneSize = other95.zoneSize;
+  fleetSize = other95.fleetSize;
+  drainsRevision = other95.drainsRevision;
+  drainsAge = other95.drainsAge;
+  drainsChanged = other95.drainsChanged;
+  drainedZones = other95.drainedZones;
+  drainsLeftOut = other95.drainsLeftOut;
+  verdicts = other95.verdicts;
+  quotaHolders = other95.quotaHolders;
+  handsOutQuota = other95.handsOutQuota;
+  __isset = other95.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -2198,6 +2256,8 @@
   out << ", " << "drainedZones=" << to_string(drainedZones);
   out << ", " << "drainsLeftOut=" << to_string(drainsLeftOut);
   out << ", " << "verdicts=" << to_string(verdicts);
+  out << ", " << "quotaHolders=" << to_string(quotaHolders);
+  out << ", " << "handsOutQuota=" << to_string(handsOutQuota);
   out << ")";
 }
 
--- a/src/tagged/gen/peers_types.h
+++ b/src/tagged/gen/peers_types.h
@@ -600,7 +600,7 @@
 std::ostream& operator<<(std::ostream& out, const Verdict& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false), drainsRevision(false), drainsAge(false), drainsChanged(false), drainedZones(false), drainsLeftOut(false), verdicts(false) {}
+  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false), drainsRevision(false), drainsAge(false), drainsChanged(false), drainedZones(false), drainsLeftOut(false), verdicts(false), quotaHolders(false), handsOutQuota(false) {}
   bool zone :1;
   bool share :1;
   bool reads :1;
@@ -626,6 +626,8 @@
   bool drainedZones :1;
   bool drainsLeftOut :1;
   bool verdicts :1;
+  bool quotaHolders :1;
+  bool handsOutQuota :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -653,7 +655,8 @@
               drainsRevision(0),
               drainsAge(0),
               drainsChanged(0),
-              drainsLeftOut(0) {
+              drainsLeftOut(0),
+              handsOutQuota(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -682,6 +685,8 @@
   std::vector<std::string>  drainedZones;
   bool drainsLeftOut;
   std::vector<Verdict>  verdicts;
+  std::vector<int32_t>  quotaHolders;
+  bool handsOutQuota;
 
   _Heartbeat__isset __isset;
 
@@ -735,6 +740,10 @@
 
   void __set_verdicts(const std::vector<Verdict> & val);
 
+  void __set_quotaHolders(const std::vector<int32_t> & val);
+
+  void __set_handsOutQuota(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -787,6 +796,10 @@
       return false;
     if (!(verdicts == rhs.verdicts))
       return false;
+    if (!(quotaHolders == rhs.quotaHolders))
+      return false;
+    if (!(handsOutQuota == rhs.handsOutQuota))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -19,7 +19,9 @@
   , socket(std::move(aSocket))
   , steer({ .placer = { .zone = aSettings.instance.zone,
                         .randomSeed = RandomSeed(aSettings) },
-            .probesPerSecond = aSettings.detect.probesPerS })
+            .probesPerSecond = aSettings.detect.probesPerS,
+            .warmupQuota = { .overage = aSettings.warmup.overage,
+                             .slack = aSettings.warmup.slack } })
   , prober(aBase,
            [this](const steer::Probe& aProbe, steer::ProbeResult aResult) {
              this->steer.OnProbeResult(aProbe, aResult, SteadyNow());
@@ -230,6 +232,7 @@
   this->sync->Tick(at);
   this->OnView();
   this->steer.SetInstanceCount(this->sync->FleetSize());
+  this->steer.SetQuotaHolders(this->sync->QuotaHolders(at));
   this->steer.Tick(at);
   this->DetectSilence();
   this->ReleaseHeld();
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -326,6 +326,9 @@
     verdictMessage.age = verdict.age;
     message.verdicts.push_back(std::move(verdictMessage));
   }
+  message.quotaHolders.assign(aHeartbeat.quotaHolders.begin(),
+                              aHeartbeat.quotaHolders.end());
+  message.handsOutQuota = aHeartbeat.handsOutQuota;
   return Encode(message);
 }
 
@@ -360,6 +363,10 @@
                                    verdict.startedAt,
                                    verdict.age });
   }
+  heartbeat.quotaHolders.assign(message->quotaHolders.begin(),
+                                message->quotaHolders.end());
+  std::sort(heartbeat.quotaHolders.begin(), heartbeat.quotaHolders.end());
+  heartbeat.handsOutQuota = message->handsOutQuota;
   if (!IsValid(heartbeat)) {
     return absl::DataLossError(
       "read heartbeat of a peer: negative age, or change range with its end "
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -91,6 +91,10 @@
     return this->readsDrains ? aNow - this->spread.DrainsConfirmedAt() : 0;
   }
   uint32_t FleetSize() const { return this->spread.FleetSize(); }
+  steer::QuotaHolders QuotaHolders(Micros aNow) const
+  {
+    return this->spread.QuotaHolders(aNow);
+  }
   bool Reads() const { return this->spread.Reads(); }
   const ListWatcherCounts& ServersCounts() const
   {
--- a/tests/support/spread_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -117,6 +117,8 @@
   {
     this->store.SetDrain(aZone, aDrained, this->Now());
   }
+  // Isolates an instance from all others, or connects it again.
+  void IsolateInstance(size_t aInstance, bool aIsolated);
   void Run(Micros aTime);
 
   Micros Now() const { return this->clock.Now(); }
@@ -190,6 +192,7 @@
   std::vector<SpreadInstance> instances;
   std::map<Address, size_t> byAddress;
   std::set<size_t> isolatedZones;
+  std::set<Address> isolatedInstances;
   std::vector<PendingChange> pendingChanges;
   Micros maxPropagationTime = 0;
   Micros maxDrainTime = 0;
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -70,8 +70,11 @@
 {
   std::string text = ReadSource("platform/settings.template");
   REQUIRE_FALSE(text.empty());
-  for (const char* name :
-       { "policy_values.evacuate_ms", "policy_values.reorder_ms", "zones" }) {
+  for (const char* name : { "policy_values.evacuate_ms",
+                            "policy_values.reorder_ms",
+                            "policy_values.warmup_overage",
+                            "policy_values.warmup_slack",
+                            "zones" }) {
     auto value = aValues.find(name);
     FillSection(text, name, value == aValues.end() ? "" : value->second);
   }
@@ -98,6 +101,22 @@
 
 }
 
+TEST_CASE("The platform's template works with and without warm-up bounds")
+{
+  auto without = ParseTaggedSettings(FillTemplate("6"), "file");
+  REQUIRE(without.ok());
+  CHECK(without->warmup.overage == 1);
+  CHECK(without->warmup.slack == 0);
+  auto with = ParseTaggedSettings(
+    FillTemplate("6",
+                 { { "policy_values.warmup_overage", "1.5" },
+                   { "policy_values.warmup_slack", "5" } }),
+    "file");
+  REQUIRE(with.ok());
+  CHECK(with->warmup.overage == 1.5);
+  CHECK(with->warmup.slack == 5);
+}
+
 // Guards against a daemon that doesn't start: the template appended zeros to
 // the seconds, and a fraction of them was refused.
 TEST_CASE("The platform's template takes each grace period in seconds")
