Drain a zone in the soak

Cause: the soak never drained a zone. Ruled out: an action of the random plan with a weight of its own, as it would change the plans of all seeds. Change: one drain in the middle of each plan, and a check that no undisturbed instance opens a flow at the zone's servers from 5 s after the store recorded the request until it may be withdrawn.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -166,11 +166,24 @@
   this->servers[aServer].gone = true;
 }
 
+void
+Ledger::OnZoneDrain(const std::string& aServer, Micros aFrom, Micros aUntil)
+{
+  this->servers[aServer].zoneDrainFrom = aFrom;
+  this->servers[aServer].zoneDrainUntil = aUntil;
+}
+
 void
 Ledger::OnOpened(const std::string& aServer, size_t aInstance, Micros aAt)
 {
-  Micros drainStart = this->servers[aServer].drainStartedAt;
+  const Server& server = this->servers[aServer];
+  Micros drainStart = server.drainStartedAt;
   bool late = drainStart != INT64_MAX && aAt - drainStart > kMaxDrainDelay;
+  if (aAt - server.zoneDrainFrom > kMaxZoneDrainDelay &&
+      aAt < server.zoneDrainUntil) {
+    late = true;
+    drainStart = server.zoneDrainFrom;
+  }
   if (late && this->disruptionLog.IsUndisturbed(aInstance, aAt)) {
     this->Add(Violation::Drained,
               aAt,
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -19,6 +19,7 @@
 // puts an accepted configuration version in force.
 constexpr Micros kMaxDrainDelay = 3 * kSecond;
 constexpr Micros kMaxConfigDelay = 3 * kSecond;
+constexpr Micros kMaxZoneDrainDelay = 5 * kSecond;
 // An instance counts as undisturbed once this time has passed since the last
 // disruption of it or of the store.
 constexpr Micros kRecoveryTime = 4 * kSecond;
@@ -32,7 +33,7 @@
   Unasked,       // a request ran that no caller sent
   RefusedAndRan, // a request ran although its caller got a reset as refusal
   Changed,       // a packet was changed between sender and receiver
-  Drained,       // a new flow went to a draining server
+  Drained,       // a new flow went to a draining server or a drained zone
   Late,          // an accepted configuration was not in force in time
   WentBack,      // an older configuration replaced a newer one
   FlowBroken,    // an open flow was reset although there was no fault
@@ -115,6 +116,9 @@
   // which resets of its flows are no violations.
   void OnDraining(const std::string& aServer, Micros aAt);
   void OnGone(const std::string& aServer, Micros aAt);
+  // The store has recorded at aFrom that the server's zone is drained, until
+  // aUntil or later.
+  void OnZoneDrain(const std::string& aServer, Micros aFrom, Micros aUntil);
   // A server took a new flow, whose opening packet the instance forwarded.
   void OnOpened(const std::string& aServer, size_t aInstance, Micros aAt);
 
@@ -140,6 +144,8 @@
   {
     Micros drainStartedAt = INT64_MAX; // INT64_MAX: it doesn't drain
     bool gone = false;
+    Micros zoneDrainFrom = 0;
+    Micros zoneDrainUntil = 0; // 0: its zone was not drained
   };
   DisruptionLog disruptionLog;
   std::map<std::string, std::string> sent; // service by request id
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -83,6 +83,22 @@
   }
 }
 
+TEST_CASE(
+  "A new flow to a drained zone is a violation from the bound until the "
+  "request may be withdrawn")
+{
+  constexpr Micros kFrom = 10 * kSecond;
+  constexpr Micros kUntil = kFrom + kMaxZoneDrainDelay + 3;
+  Ledger ledger;
+  ledger.OnOpened("s1", 0, kFrom);
+  ledger.OnZoneDrain("s1", kFrom, kUntil);
+  ledger.OnOpened("s1", 0, kFrom + kMaxZoneDrainDelay);
+  ledger.OnOpened("s1", 0, kUntil);
+  CHECK(ledger.Findings().empty());
+  ledger.OnOpened("s1", 0, kUntil - 1);
+  CHECK(OnlyViolation(ledger) == Violation::Drained);
+}
+
 TEST_CASE("A late new flow to a draining server is a violation unless its "
           "instance is disturbed")
 {
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -1,5 +1,6 @@
 #include "soak/plan.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 #include <string_view>
@@ -17,7 +18,8 @@
                 "make store unavailable", "store loses history",
                 "lose packets to",        "delay packets to",
                 "drain server",           "kill server",
-                "pause server",           "change configuration" };
+                "pause server",           "change configuration",
+                "drain zone of server" };
 // Relative frequencies of the actions, in the order of StepAction.
 constexpr std::array<double, static_cast<size_t>(StepAction::Count)> kWeights{
   4,   2,   2,   0.3, 1, // instances: stop, kill, pause, kill all, reload
@@ -25,8 +27,11 @@
   0.5, 0.7, 0.7,         // store: silent, unavailable, without history
   1,   1,                // fabric: loss, delay
   3,   1,   1,           // servers: drain, kill, pause
-  5                      // change of the configuration
+  5,                     // change of the configuration
+  0                      // drain of a zone: once, see MakePlan
 };
+// Longer than the bound, so that its end is checked for a while.
+constexpr Micros kZoneDrainTime = 12 * kSecond;
 // No step begins during these times at the start and end of the plan.
 constexpr Micros kQuietStart = 6 * kSecond;
 constexpr Micros kQuietEnd = 10 * kSecond;
@@ -45,7 +50,8 @@
   return aAction == StepAction::StopInstance ||
          aAction == StepAction::ReloadInstance ||
          aAction == StepAction::DrainServer ||
-         aAction == StepAction::ChangeConfig;
+         aAction == StepAction::ChangeConfig ||
+         aAction == StepAction::DrainZone;
 }
 
 // Series with faults alternate with series of planned steps alone. Some checks
@@ -78,6 +84,13 @@
       onlyPlanned = !onlyPlanned;
     }
   }
+  // The zone of the first server: the prober's and others' services have
+  // servers elsewhere.
+  Step drain{ StepAction::DrainZone, aOptions.length / 2, kZoneDrainTime, 0 };
+  auto later = std::find_if(plan.begin(), plan.end(), [&](const Step& aStep) {
+    return aStep.at > drain.at;
+  });
+  plan.insert(later, drain);
   return plan;
 }
 
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -31,6 +31,7 @@
   KillServer,
   PauseServer,
   ChangeConfig, // planned
+  DrainZone,    // planned
   Count,
 };
 
@@ -54,7 +55,7 @@
 };
 
 // Returns the steps ordered by time. None begins in the first six and the last
-// ten seconds.
+// ten seconds. A zone is drained once, in the middle.
 std::vector<Step>
 MakePlan(const PlanOptions& aOptions);
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -96,9 +96,11 @@
                      kStorePort,
                      kPeerPort,
                      seeds),
-    absl::Substitute("[stop]\ngrace_ms = $0\n[log]\nlines_per_s = $1\n",
+    absl::Substitute("[drain]\nbound_ms = $2\n"
+                     "[stop]\ngrace_ms = $0\n[log]\nlines_per_s = $1\n",
                      kStopGrace / kMillisecond,
-                     instance.logLinesPerS));
+                     instance.logLinesPerS,
+                     kMaxZoneDrainDelay / kMillisecond));
   std::filesystem::rename(path + ".next", path);
 }
 
@@ -283,6 +285,24 @@
   }
 }
 
+void
+Soak::DrainZone(const Step& aStep)
+{
+  size_t zone = aStep.target % this->options.zones;
+  std::string path = "/-/objects/evacuations/z" + std::to_string(zone);
+  auto response =
+    ClientOf(this->storeEndpoint).Put(path, "{}", "application/json");
+  if (!response || response->status != 200) {
+    return;
+  }
+  Micros now = tagged::SteadyNow();
+  for (size_t i = zone; i < this->servers.size(); i += this->options.zones) {
+    this->ledger.OnZoneDrain(this->servers[i].id, now, now + aStep.duration);
+  }
+  this->RunAfter(aStep.duration,
+                 [this, path] { ClientOf(this->storeEndpoint).Delete(path); });
+}
+
 void
 Soak::Kill(size_t aInstance, Micros aDowntime)
 {
@@ -446,6 +466,9 @@
     case StepAction::ChangeConfig:
       this->ChangeConfig();
       break;
+    case StepAction::DrainZone:
+      this->DrainZone(aStep);
+      break;
     default:
       this->ApplyLinkStep(aStep);
   }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -100,6 +100,8 @@
   void RecordFault(const Step& aStep, std::optional<size_t> aInstance);
   void Kill(size_t aInstance, Micros aDowntime);
   void ChangeConfig();
+  // Drains the zone of the step's server.
+  void DrainZone(const Step& aStep);
   // Sets a fault of the stand-in store, or ends it.
   void SetStoreFault(const std::string& aName, int aValue) const;
 
