--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -1,5 +1,6 @@
 #include "soak/plan.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 #include <string_view>
@@ -18,7 +19,7 @@
                 "lose packets to",        "delay packets to",
                 "drain server",           "kill server",
                 "pause server",           "change configuration",
-                "silence server" };
+                "silence server",         "drain zone of server" };
 // Relative frequencies of the actions, in the order of StepAction.
 using Weights = std::array<double, static_cast<size_t>(StepAction::Count)>;
 constexpr Weights kWeights{
@@ -28,7 +29,8 @@
   1,   1,                // fabric: loss, delay
   3,   1,   1,           // servers: drain, kill, pause
   5,                     // change of the configuration
-  0                      // servers: silence
+  0,                     // servers: silence
+  0                      // drain of a zone: once, see MakePlan
 };
 constexpr Weights kServerWeights{
   1, 0.3, 1,   0, 0, // instances: stop, kill, pause
@@ -37,8 +39,11 @@
   1, 1,              // fabric: loss, delay
   1, 1.5, 1.5,       // servers: drain, kill, pause
   1,                 // change of the configuration
-  5                  // servers: silence
+  5,                 // servers: silence
+  0                  // drain of a zone
 };
+// Longer than the bound, so that its end is checked for a while.
+constexpr Micros kZoneDrainTime = 12 * kSecond;
 // No step begins during these times at the start and end of the plan.
 constexpr Micros kQuietStart = 6 * kSecond;
 constexpr Micros kQuietEnd = 10 * kSecond;
@@ -57,7 +62,8 @@
   return aAction == StepAction::StopInstance ||
          aAction == StepAction::ReloadInstance ||
          aAction == StepAction::DrainServer ||
-         aAction == StepAction::ChangeConfig;
+         aAction == StepAction::ChangeConfig ||
+         aAction == StepAction::DrainZone;
 }
 
 // Series with faults alternate with series of planned steps alone. Some checks
@@ -93,6 +99,13 @@
       onlyPlanned = !onlyPlanned;
     }
   }
+  // The zone of the first server: the prober's and others' services have
+  // servers elsewhere.
+  Step drain{ StepAction::DrainZone, aOptions.length / 2, kZoneDrainTime, 0 };
+  auto later = std::find_if(plan.begin(), plan.end(), [&](const Step& aStep) {
+    return aStep.at > drain.at;
+  });
+  plan.insert(later, drain);
   return plan;
 }
 
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -32,6 +32,7 @@
   PauseServer,
   ChangeConfig,  // planned
   SilenceServer, // it takes no packets and no connections for a while
+  DrainZone,     // planned
   Count,
 };
 
@@ -63,7 +64,7 @@
 };
 
 // Returns the steps ordered by time. None begins in the first six and the last
-// ten seconds.
+// ten seconds. A zone is drained once, in the middle.
 std::vector<Step>
 MakePlan(const PlanOptions& aOptions);
 
