Bound the probes of a large failure so that rounds end

Cause: when many servers fell silent at once, the bound of the probes was spread over all of them, and no round got the probes that a verdict needs. Ruled out: no bound; a larger one alone, which only moves the limit. Change: a round starts only if the unused probes suffice for it and those under way; suspicions by slow requests alone leave half of them, so that a peak load does not use them up. Choice of the probes in a file of its own.

--- a/src/steer/failure_detector.cpp
+++ b/src/steer/failure_detector.cpp
@@ -7,19 +7,9 @@
 
 namespace {
 
-// Calls of FailureDetector::TakeProbes over kProbeSpread, the first included.
-constexpr uint32_t kProbeSteps = 4;
-// Time between two of them.
-constexpr Micros kProbeStep = kProbeSpread / (kProbeSteps - 1);
 // At most so many verdict events wait for the log.
 constexpr size_t kMaxEvents = 100;
 
-uint32_t
-CountOf(const Suspect& aSuspect, Evidence aEvidence)
-{
-  return aSuspect.evidence[static_cast<size_t>(aEvidence)];
-}
-
 }
 
 // Requests that are overdue count as no piece: with a slow server that isn't
@@ -28,8 +18,8 @@
 Suspect::FlowEvidence() const
 {
   return std::min(kMaxFlowEvidence,
-                  CountOf(*this, Evidence::Repeat) +
-                    CountOf(*this, Evidence::Opening));
+                  this->CountOf(Evidence::Repeat) +
+                    this->CountOf(Evidence::Opening));
 }
 
 void
@@ -238,89 +228,6 @@
          (this->HasPeerVerdict(aServer, aNow) ? kPeerEvidence : 0);
 }
 
-// Returns at least one for each step of the spread.
-uint32_t
-FailureDetector::ProbesNeeded(ServerIndex aServer,
-                              const Suspect& aSuspect,
-                              Micros aNow) const
-{
-  uint32_t found = this->EvidenceOf(aServer, aSuspect, aNow);
-  auto mistake = this->mistakes.find(aServer);
-  bool lossy =
-    mistake != this->mistakes.end() && aNow - mistake->second < kLossMemory;
-  return std::max(kProbeSteps,
-                  (lossy ? kEvidenceOnLossyLinks : kEvidenceNeeded) - found);
-}
-
-// Returns how many probes to send now: the first alone, as most are answered,
-// the rest spread over kProbeSpread.
-uint32_t
-FailureDetector::ProbesDue(ServerIndex aServer,
-                           const Suspect& aSuspect,
-                           Micros aNow) const
-{
-  bool asks = aSuspect.since != 0 && aSuspect.state != Suspect::State::Answered;
-  if (!asks) {
-    return 0;
-  }
-  if (aSuspect.probes == 0) {
-    return 1;
-  }
-  if (aSuspect.refused > 0) {
-    Micros secondAt = aSuspect.firstRefusedAt + kRefusalGap;
-    return aSuspect.lastProbeAt < secondAt && aNow >= secondAt ? 1 : 0;
-  }
-  Micros elapsed = aNow - aSuspect.firstProbeAt;
-  uint32_t needed = this->ProbesNeeded(aServer, aSuspect, aNow);
-  auto step = static_cast<uint32_t>(
-    std::min<Micros>(kProbeSteps, elapsed / kProbeStep + 1));
-  uint32_t planned = needed * step / kProbeSteps;
-  return planned > aSuspect.probes ? planned - aSuspect.probes : 0;
-}
-
-std::vector<ServerIndex>
-FailureDetector::TakeProbes(Micros aNow)
-{
-  std::vector<ServerIndex> probes;
-  double earned = this->probesPerSecond *
-                  static_cast<double>(aNow - this->tokensAt) / kSecond;
-  this->tokens =
-    std::min(this->tokens + earned, this->probesPerSecond * kProbeBurstSeconds);
-  this->tokensAt = aNow;
-  for (auto& [server, suspect] : this->suspects) {
-    uint32_t due = this->ProbesDue(server, suspect, aNow);
-    for (; due > 0 && this->tokens >= 1; --due) {
-      this->tokens -= 1;
-      suspect.firstProbeAt = suspect.probes == 0 ? aNow : suspect.firstProbeAt;
-      suspect.lastProbeAt = aNow;
-      ++suspect.probes;
-      probes.push_back(server);
-    }
-  }
-  ServerIndex control = this->ControlDue(aNow);
-  if (control != kNoServer && this->tokens >= 1) {
-    this->tokens -= 1;
-    probes.push_back(control);
-  }
-  return probes;
-}
-
-ServerIndex
-FailureDetector::ControlDue(Micros aNow) const
-{
-  bool due = false;
-  for (const auto& [server, suspect] : this->suspects) {
-    bool unanswered = suspect.since != 0 && suspect.probes > 0 &&
-                      suspect.state != Suspect::State::Answered &&
-                      aNow - suspect.firstProbeAt >= kProbeStep;
-    due = due || (unanswered && this->lastAnswerAt < suspect.firstProbeAt);
-  }
-  if (!due) {
-    return kNoServer;
-  }
-  return this->suspects.contains(this->latest) ? this->before : this->latest;
-}
-
 // Unanswered probes count only if another was answered after the first of them,
 // the control: else this instance may be cut off, or its probes be filtered. A
 // refusal comes from the server's machine, so it needs no control.
--- a/src/steer/failure_detector.h
+++ b/src/steer/failure_detector.h
@@ -9,6 +9,7 @@
 
 #include "absl/container/flat_hash_map.h"
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <string_view>
@@ -65,6 +66,11 @@
 // Unused probes of so many seconds may be sent at once, as many servers may
 // fall silent together.
 constexpr double kProbeBurstSeconds = 20;
+// At least so many, enough for one verdict also with a small bound.
+constexpr double kMinProbeBurst = 24;
+// Probes for servers that are suspect for slow requests alone leave this share
+// of the unused ones, as a peak load may make many requests slow.
+constexpr double kSlowRequestReserve = 0.5;
 
 // What makes a server suspect.
 enum class Evidence : uint8_t
@@ -130,6 +136,10 @@
   Micros quietUntil = 0;  // no probe before this time
   uint32_t answers = 0;   // to probes, since the suspect is known
 
+  uint32_t CountOf(Evidence aEvidence) const
+  {
+    return this->evidence[static_cast<size_t>(aEvidence)];
+  }
   uint32_t FlowEvidence() const;
 };
 
@@ -154,7 +164,7 @@
   // aProbesPerSecond bounds the probes; 0 switches the detector off.
   explicit FailureDetector(double aProbesPerSecond)
     : probesPerSecond(aProbesPerSecond)
-    , tokens(aProbesPerSecond * kProbeBurstSeconds)
+    , tokens(this->MaxTokens())
   {
   }
 
@@ -204,6 +214,17 @@
   // Returns a server to probe as a control: it answered last and is not
   // suspect. kNoServer if a recent answer shows already that probes pass.
   ServerIndex ControlDue(Micros aNow) const;
+  double MaxTokens() const
+  {
+    return std::max(kMinProbeBurst, this->probesPerSecond * kProbeBurstSeconds);
+  }
+  // Returns the probes that the rounds under way may still need.
+  uint32_t ReservedProbes(Micros aNow) const;
+  // Returns whether the first probe of a round may be sent, if the rounds under
+  // way may still need aReserved probes.
+  bool MayStart(const Suspect& aSuspect,
+                uint32_t aNeeded,
+                uint32_t aReserved) const;
   void StartRound(Suspect& aSuspect, Micros aNow);
   // Returns the pieces of evidence from flows and from a peer's verdict.
   uint32_t EvidenceOf(ServerIndex aServer,
--- a/tests/soak/listener.h
+++ b/tests/soak/listener.h
@@ -19,9 +19,9 @@
   {
     int on = 1;
     setsockopt(this->descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    bind(this->descriptor,
-         reinterpret_cast<const sockaddr*>(&this->address),
-         sizeof this->address);
+    (void)bind(this->descriptor,
+               reinterpret_cast<const sockaddr*>(&this->address),
+               sizeof this->address);
     listen(this->descriptor, kBacklog);
   }
   Listener(const Listener&) = delete;
@@ -42,9 +42,9 @@
     listen(this->descriptor, 0);
     for (int i = 0; i < kFillers; ++i) {
       int one = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect(one,
-              reinterpret_cast<const sockaddr*>(&this->address),
-              sizeof this->address);
+      (void)connect(one,
+                    reinterpret_cast<const sockaddr*>(&this->address),
+                    sizeof this->address);
       this->fillers.push_back(one);
     }
   }
--- a/tests/steer/silence_test.cpp
+++ b/tests/steer/silence_test.cpp
@@ -177,6 +177,32 @@
         fixture.now + kMaxServerBackoff);
 }
 
+// Answers a load of silent servers that is larger than the bound of the probes.
+TEST_CASE("If many servers fall silent, the probes suffice for some of them")
+{
+  constexpr ServerIndex kLiving = 99;
+  FailureDetector detector(1);
+  Micros now = kStart;
+  detector.Tick(now);
+  detector.OnProgress(kLiving, now);
+  for (ServerIndex server = 0; server < 20; ++server) {
+    detector.OnEvidence(server, Evidence::Repeat, now);
+  }
+  size_t sent = 0;
+  for (int tick = 0; tick < 8; ++tick) {
+    for (ServerIndex server : detector.TakeProbes(now)) {
+      ++sent;
+      if (server == kLiving) {
+        detector.OnProbeResult(server, ProbeResult::Connected, now);
+      }
+    }
+    now += kWorldTick;
+    detector.Tick(now);
+  }
+  CHECK(detector.Verdicts().size() >= 2);
+  CHECK(sent <= kMinProbeBurst + 1);
+}
+
 // The stated targets: half of the flows with a request in flight are reset
 // within 0.5 s of the silence, 99 % within 1 s.
 TEST_CASE("Flows with a request in flight are reset soon after the silence")
