Send verdicts at most every 100 ms

Cause: in a large failure new verdicts come with each tick, and a reader would send its heartbeats to the whole zone every 50 ms over a small link. The least timeout of a route for resets was longer than a verdict needs. Change: a gap of their own for new verdicts; only a reader sends early for those that it heard. Routes with a timeout of 0.6 s or more take part.

--- a/src/spread/sending.cpp
+++ b/src/spread/sending.cpp
@@ -134,10 +134,12 @@
   if (this->reads) {
     Micros since = aNow - this->lastHeartbeatAt;
     bool due = since >= kHeartbeatPeriod ||
-               (this->updatePending && since >= kMinHeartbeatGap);
+               (this->updatePending && since >= kMinHeartbeatGap) ||
+               (this->verdictPending && since >= kMinVerdictGap);
     if (due) {
       this->lastHeartbeatAt = aNow;
       this->updatePending = false;
+      this->verdictPending = false;
       this->AppendReaderHeartbeats(heartbeats, aNow);
     }
     return heartbeats;
@@ -145,7 +147,7 @@
   bool settled = this->HasView() && this->members.KnowsReader(aNow);
   Micros period = settled ? kHelloPeriod : kJoinHelloPeriod;
   Micros since = aNow - this->lastHelloAt;
-  bool early = this->verdictPending && since >= kMinHeartbeatGap;
+  bool early = this->verdictPending && since >= kMinVerdictGap;
   if (since >= period || early) {
     this->lastHelloAt = aNow;
     this->verdictPending = false;
--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -133,11 +133,10 @@
     this->fleetSize = aHeartbeat.fleetSize;
     this->heardReader = true;
   }
-  // A follower passes nothing on, but may become a reader.
-  if (aHeartbeat.zone == this->options.zone &&
-      this->verdicts.Hear(aHeartbeat.verdicts, aNow)) {
-    this->updatePending = true;
-  }
+  bool newVerdict = aHeartbeat.zone == this->options.zone &&
+                    this->verdicts.Hear(aHeartbeat.verdicts, aNow);
+  // A follower passes on none, but may become a reader.
+  this->verdictPending = this->verdictPending || (newVerdict && this->reads);
   if (!aHeartbeat.hasView) {
     return {};
   }
@@ -168,7 +167,6 @@
 Replicator::SetVerdicts(std::span<const Verdict> aVerdicts, Micros aNow)
 {
   if (this->verdicts.SetOwn(aVerdicts, aNow)) {
-    this->updatePending = true;
     this->verdictPending = true;
   }
 }
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -22,6 +22,8 @@
 // A reader sends updates at once, but with at least this time between two
 // heartbeats.
 constexpr Micros kMinHeartbeatGap = 50 * kMillisecond;
+// The same for new verdicts on servers, of which many may come in a second.
+constexpr Micros kMinVerdictGap = 100 * kMillisecond;
 // A hello heartbeat is the one that a follower sends: to its zone's readers, or
 // to members and seeds while it lacks a view or knows no reader. These are the
 // times between two of them, the shorter one for the latter case.
@@ -243,7 +245,7 @@
   Micros behindSince = 0;     // when this instance last fell behind a peer
   bool updatePending = false; // a reader sends its next heartbeat early
   VerdictBoard verdicts;
-  bool verdictPending = false; // a follower sends its next hello early
+  bool verdictPending = false; // the next heartbeat or hello is sent early
   Micros lastHeartbeatAt = kNever;
   Micros lastHelloAt = kNever;
   uint32_t heartbeatCount = 0;
--- a/src/steer/silence.cpp
+++ b/src/steer/silence.cpp
@@ -8,7 +8,7 @@
 
 // Callers of a route with a shorter timeout give up before they could try
 // another server with profit.
-constexpr Micros kMinUsefulTimeout = 1 * kSecond;
+constexpr Micros kMinUsefulTimeout = 600 * kMillisecond;
 // A flow whose last answer is not older than this may wait for the rest of it.
 constexpr Micros kMaxAnswerGap = 1 * kSecond;
 
--- a/tests/spread/verdicts_test.cpp
+++ b/tests/spread/verdicts_test.cpp
@@ -45,7 +45,7 @@
 TEST_CASE("A follower sends a new verdict at once, and a known one not again")
 {
   Replicator follower = MakeReplicator(false);
-  Micros now = kStart + kMinHeartbeatGap;
+  Micros now = kStart + kMinVerdictGap;
   CHECK(follower.TakeHeartbeats(now).empty());
   Verdict verdict{ 7, 1000, now };
   follower.SetVerdicts(std::span(&verdict, 1), now);
@@ -54,7 +54,10 @@
   REQUIRE(sent[0].heartbeat.verdicts.size() == 1);
   CHECK(sent[0].heartbeat.verdicts[0].server == 7);
   follower.SetVerdicts(std::span(&verdict, 1), now);
-  CHECK(follower.TakeHeartbeats(now + kMinHeartbeatGap).empty());
+  Heartbeat heartbeat = MakeHeartbeat("a", true);
+  heartbeat.verdicts = { { 8, 1000, 0 } };
+  follower.OnHeartbeat(20, heartbeat, now);
+  CHECK(follower.TakeHeartbeats(now + kMinVerdictGap).empty());
 }
 
 TEST_CASE("A reader relays its zone's verdicts with their age, while recent")
@@ -63,7 +66,7 @@
   REQUIRE(reader.Reads());
   Heartbeat hello = MakeHeartbeat("a", false);
   hello.verdicts = { { 7, 1000, 30 * kMillisecond } };
-  Micros now = kStart + kMinHeartbeatGap;
+  Micros now = kStart + kMinVerdictGap;
   reader.OnHeartbeat(20, hello, now);
   CHECK(reader.TakeVerdicts().size() == 1);
   std::vector<OutgoingHeartbeat> sent = reader.TakeHeartbeats(now);
@@ -80,7 +83,7 @@
   Replicator reader = MakeReplicator(true);
   Heartbeat other = MakeHeartbeat("b", true);
   other.verdicts = { { 7, 1000, 0 } };
-  Micros now = kStart + kMinHeartbeatGap;
+  Micros now = kStart + kMinVerdictGap;
   reader.OnHeartbeat(30, other, now);
   CHECK(reader.TakeVerdicts().empty());
   std::vector<Verdict> many;
