--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -131,6 +131,7 @@
   if (!this->reads && aHeartbeat.reads &&
       aHeartbeat.zone == this->options.zone) {
     this->fleetSize = aHeartbeat.fleetSize;
+    this->zoneSize = aHeartbeat.zoneSize;
     this->heardReader = true;
   }
   if (!aHeartbeat.hasView) {
@@ -265,6 +266,7 @@
   this->members.Evict(aNow);
   if (this->reads) {
     this->fleetSize = this->members.FleetSize();
+    this->zoneSize = this->members.ZoneSize();
     this->CheckStepDown(aNow);
   } else {
     this->CheckTakeover(aNow);
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -187,6 +187,8 @@
   // Number of instances of all zones: a reader counts them, a follower has the
   // number from the readers of its zone.
   uint32_t FleetSize() const { return this->fleetSize; }
+  // The same for this instance's zone.
+  uint32_t ZoneSize() const { return this->zoneSize; }
 
 private:
   void OnStoreAnswer(Micros aNow);
@@ -242,6 +244,7 @@
   Micros lastHelloAt = kNever;
   uint32_t heartbeatCount = 0;
   uint32_t fleetSize = 1;
+  uint32_t zoneSize = 1;
   std::vector<Address> replyTo; // peers that asked for a heartbeat
   std::minstd_rand random;
 };
--- a/src/steer/candidates.h
+++ b/src/steer/candidates.h
@@ -42,6 +42,12 @@
   const RouteEntry& route;
   // Server that left the flow's opening packet unanswered, if any.
   ServerIndex unanswered = kNoServer;
+  // Compare servers by the requests in flight and the learned service times,
+  // in place of open flows and response times.
+  bool byRequests = false;
+  // Requests in flight to be expected of an open flow without one.
+  double idleLoad = 0;
+  double zoneLoad = 0; // see ServiceLoad
 };
 
 // Returns why the server cannot get the flow. A suspect server is no exclusion:
--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -3,6 +3,8 @@
 
 #include "steer/placer.h"
 
+#include "absl/container/flat_hash_map.h"
+
 #include <array>
 
 namespace gentianspindle::steer {
@@ -110,6 +112,8 @@
 {
   std::array<uint64_t, static_cast<size_t>(Reason::Count)> reasons{};
   std::array<uint64_t, static_cast<size_t>(Outcome::Count)> outcomes{};
+  // Flows that were placed in another zone, by the route's name.
+  absl::flat_hash_map<std::string, uint64_t> crossings;
   uint64_t suspected = 0; // opening packets counted as unanswered by a server
 };
 
--- a/src/steer/evidence.h
+++ b/src/steer/evidence.h
@@ -2,7 +2,7 @@
 // it answers, and how long its requests take.
 #pragma once
 
-#include "steer/types.h"
+#include "steer/server_load.h"
 
 namespace gentianspindle::steer {
 
@@ -31,6 +31,7 @@
   Micros lastProgress = 0;   // when the server was last seen to answer
   Micros backoffUntil = 0;   // no new flows before this time
   double responseMicros = 0; // moving average; 0 if unknown
+  ServerLoad load;
 
   // A caller's packet shows that the server answered; ends the backoff.
   void OnProgress(Micros aNow)
--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "steer/admission.h"
+#include "steer/request_tracker.h"
 
 namespace gentianspindle::steer {
 
@@ -37,6 +38,8 @@
   bool suspected = false;
   bool answered = false;    // the response to the first request was seen
   Micros latencyTarget = 0; // of the route; 0 if another instance placed it
+  RequestTracker requests;
+  bool busy = false; // counts in ServerLoad::inFlight, else as idle
   // Limit that the flow counts against; null: it counts no more.
   ConcurrencyLimit* limit = nullptr;
 };
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -75,6 +75,7 @@
                           .opening = false };
     known = this->flows.emplace(aPacket.flow, newRecord).first;
     ++this->health[aServer].open;
+    this->health[aServer].load.OnOpen(false);
     this->idleTimers.push_back({ aPacket.flow, aNow + kQuietTime });
   }
   FlowRecord& record = known->second;
@@ -87,6 +88,7 @@
     --health.opening;
     health.OnProgress(aNow);
     this->sample = { .handshake = true, .duration = aNow - record.placedAt };
+    this->times.OnHandshake(aNow - record.sentAt);
   }
   if (aPacket.dataBytes > 0 && record.requestAt == 0) {
     record.requestAt = aNow;
@@ -103,6 +105,9 @@
     }
     this->sample = { .response = true, .duration = aNow - record.requestAt };
   }
+  if (isCurrent && !aPacket.rst) {
+    this->TrackRequests(aPacket, record, aNow);
+  }
   if (aPacket.fin || aPacket.rst) {
     this->Erase(aPacket.flow, aPacket.rst ? Outcome::Reset : Outcome::Closed);
   }
@@ -137,6 +142,10 @@
     ServerHealth& health = this->health[record.server];
     --health.open;
     health.opening -= record.opening ? 1 : 0;
+    health.load.OnEnd(record.busy);
+    if (aOutcome == Outcome::Closed) {
+      this->ServiceLoadOf(record.server).OnClosed(record.requests.begun);
+    }
   }
   ++this->counts.outcomes[static_cast<size_t>(aOutcome)];
   this->flows.erase(known);
--- a/src/steer/placer.cpp
+++ b/src/steer/placer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace gentianspindle::steer {
 
@@ -12,6 +13,11 @@
 constexpr double kMinRelativeResponse = 0.7;
 // Scores that differ by less are equal; the choice between them is random.
 constexpr double kScoreTolerance = 1e-6;
+// Loads of this zone up to which it has room, and from which it is full.
+constexpr double kZoneWithRoom = 0.6;
+constexpr double kFullZone = 0.8;
+// Number of servers that are looked at to draw a sample.
+constexpr size_t kMaxVisited = 256;
 
 // Mean response time of the servers whose response time is known.
 double
@@ -29,6 +35,43 @@
   return count == 0 ? 0 : sum / count;
 }
 
+// Visits the numbers below a size in a scattered order, each once.
+class ScatteredOrder
+{
+public:
+  ScatteredOrder(size_t aSize, uint32_t aRandom)
+    : size(aSize)
+    , next(aSize == 0 ? 0 : aRandom % aSize)
+    , stride(Stride(aSize))
+  {
+  }
+
+  size_t Next()
+  {
+    size_t taken = this->next;
+    this->next = (this->next + this->stride) % this->size;
+    return taken;
+  }
+
+private:
+  // Multiples of the golden ratio spread evenly.
+  static size_t Stride(size_t aSize)
+  {
+    constexpr double kGoldenRatio = 0.618;
+    auto stride =
+      static_cast<size_t>(kGoldenRatio * static_cast<double>(aSize));
+    stride = std::max<size_t>(1, stride);
+    while (std::gcd(stride, aSize) > 1) {
+      ++stride;
+    }
+    return stride;
+  }
+
+  size_t size;
+  size_t next;
+  size_t stride;
+};
+
 }
 
 // Estimates when one more request would end, in units of the mean response
@@ -58,60 +101,142 @@
          (remote ? this->options.remotePenalty : 0);
 }
 
+// Estimates like Score when one more request would end, but from the requests
+// in flight and the learned service times. Open flows without a request count
+// by the requests to be expected of them.
+double
+Placer::Wait(const Server& aServer,
+             const ServerHealth& aHealth,
+             const PlacementRequest& aRequest,
+             Micros aNow) const
+{
+  const ServerLoad& load = aHealth.load;
+  double inFlight = load.inFlight + aRequest.idleLoad * load.idle;
+  double factor = load.factor;
+  if (aNow < aServer.warmupUntil) {
+    factor = std::max(factor, this->options.warmupFactor);
+  }
+  bool remote = aServer.entry.zone != this->options.zone;
+  return (inFlight + 1) / std::max(1U, aServer.entry.slots) * factor +
+         (remote ? this->RemotePenalty(aRequest.zoneLoad) : 0);
+}
+
+// With room in this zone the whole penalty applies. The more the zone's callers
+// ask of its servers, the less of it remains, down to that of a full zone.
+double
+Placer::RemotePenalty(double aZoneLoad) const
+{
+  double full = (aZoneLoad - kZoneWithRoom) / (kFullZone - kZoneWithRoom);
+  full = std::clamp(full, 0.0, 1.0);
+  return this->options.requestsPenalty * (1 - full) +
+         this->options.fullZonePenalty * full;
+}
+
+void
+Placer::Compare(ServerIndex aIndex,
+                const ServerHealth& aHealth,
+                double aScore,
+                Micros aNow,
+                Choice& aChoice)
+{
+  Placement& placement = aChoice.placement;
+  if (aHealth.IsSuspect(aNow)) {
+    ++placement.suspects;
+    // If all servers are suspect, the flow goes to the one whose backoff ends
+    // first. suspect.score has the time until then.
+    double wait = static_cast<double>(aHealth.backoffUntil - aNow);
+    if (aChoice.suspect.server == kNoServer || wait < aChoice.suspect.score) {
+      aChoice.suspect.server = aIndex;
+      aChoice.suspect.score = wait;
+    }
+    return;
+  }
+  ++placement.candidates;
+  bool equal = placement.server != kNoServer &&
+               std::abs(aScore - placement.score) < kScoreTolerance;
+  aChoice.tied = equal ? aChoice.tied + 1 : aChoice.tied;
+  bool better =
+    placement.server == kNoServer || aScore < placement.score - kScoreTolerance;
+  if (better) {
+    placement.nextScore =
+      placement.server == kNoServer ? aScore : placement.score;
+    placement.server = aIndex;
+    placement.score = aScore;
+    aChoice.tied = 1;
+  } else if (equal && this->random() % aChoice.tied == 0) {
+    placement.server = aIndex;
+    placement.nextScore = aScore;
+  } else if (placement.candidates == 2 || aScore < placement.nextScore) {
+    placement.nextScore = aScore;
+  }
+}
+
+// The sample bounds the cost; it has all servers of a small zone. Servers of
+// other zones are drawn too, as this zone's may be full.
+Placement
+Placer::ChooseFromSample(const View& aView,
+                         std::span<const ServerHealth> aHealth,
+                         const PlacementRequest& aRequest,
+                         Micros aNow)
+{
+  std::span<const ServerIndex> indexes = aView.ServersOf(aRequest.service);
+  Choice choice;
+  ScatteredOrder order(indexes.size(), this->random());
+  uint32_t local = 0;
+  uint32_t remote = 0;
+  for (size_t visited = 0; visited < indexes.size(); ++visited) {
+    bool enough = local >= this->options.localSample || visited >= kMaxVisited;
+    if (enough && choice.placement.server != kNoServer) {
+      break;
+    }
+    ServerIndex index = indexes[order.Next()];
+    Exclusion exclusion = ExclusionOf(aView, index, aRequest);
+    if (exclusion != Exclusion::None) {
+      ++choice.placement.excluded[static_cast<size_t>(exclusion)];
+      continue;
+    }
+    const Server& server = aView.At(index);
+    bool isRemote = server.entry.zone != this->options.zone;
+    uint32_t& drawn = isRemote ? remote : local;
+    if (isRemote && drawn >= this->options.remoteSample) {
+      continue;
+    }
+    ++drawn;
+    double wait = this->Wait(server, aHealth[index], aRequest, aNow);
+    this->Compare(index, aHealth[index], wait, aNow, choice);
+  }
+  if (choice.placement.server == kNoServer) {
+    choice.placement.server = choice.suspect.server;
+  }
+  return choice.placement;
+}
+
 Placement
 Placer::ChooseServer(const View& aView,
                      std::span<const ServerHealth> aHealth,
                      const PlacementRequest& aRequest,
                      Micros aNow)
 {
+  if (aRequest.byRequests) {
+    return this->ChooseFromSample(aView, aHealth, aRequest, aNow);
+  }
   std::span<const ServerIndex> indexes = aView.ServersOf(aRequest.service);
   double mean = MeanResponse(indexes, aHealth);
-  Placement placement;
-  Placement suspect;
-  uint32_t tied = 0;
+  Choice choice;
   for (ServerIndex index : indexes) {
     Exclusion exclusion = ExclusionOf(aView, index, aRequest);
     if (exclusion != Exclusion::None) {
-      ++placement.excluded[static_cast<size_t>(exclusion)];
+      ++choice.placement.excluded[static_cast<size_t>(exclusion)];
       continue;
     }
-    const Server& server = aView.At(index);
     const ServerHealth& health = aHealth[index];
-    double score = this->Score(server, health, mean, aNow);
-    if (health.IsSuspect(aNow)) {
-      ++placement.suspects;
-      // If all servers are suspect, the flow goes to the one whose backoff ends
-      // first. suspect.score has the time until then.
-      double wait = static_cast<double>(health.backoffUntil - aNow);
-      if (suspect.server == kNoServer || wait < suspect.score) {
-        suspect.server = index;
-        suspect.score = wait;
-      }
-      continue;
-    }
-    ++placement.candidates;
-    bool equal = placement.server != kNoServer &&
-                 std::abs(score - placement.score) < kScoreTolerance;
-    tied = equal ? tied + 1 : tied;
-    bool better = placement.server == kNoServer ||
-                  score < placement.score - kScoreTolerance;
-    if (better) {
-      placement.nextScore =
-        placement.server == kNoServer ? score : placement.score;
-      placement.server = index;
-      placement.score = score;
-      tied = 1;
-    } else if (equal && this->random() % tied == 0) {
-      placement.server = index;
-      placement.nextScore = score;
-    } else if (placement.candidates == 2 || score < placement.nextScore) {
-      placement.nextScore = score;
-    }
+    double score = this->Score(aView.At(index), health, mean, aNow);
+    this->Compare(index, health, score, aNow, choice);
   }
-  if (placement.server == kNoServer) {
-    placement.server = suspect.server;
+  if (choice.placement.server == kNoServer) {
+    choice.placement.server = choice.suspect.server;
   }
-  return placement;
+  return choice.placement;
 }
 
 }
--- a/src/steer/placer.h
+++ b/src/steer/placer.h
@@ -17,6 +17,14 @@
   double remotePenalty = 0.4;
   // Requests take this many times as long at a server that has just started.
   double warmupFactor = 1.6;
+  // The same for flows that are placed by requests, while this zone has room
+  // and while it is full.
+  double requestsPenalty = 0.4;
+  double fullZonePenalty = 0.1;
+  // Sizes of the sample that such a flow's servers are drawn from: servers of
+  // this instance's zone, and of others.
+  uint32_t localSample = 64;
+  uint32_t remoteSample = 16;
   // Must differ between instances: those that start together would otherwise
   // all choose the same servers one after the other.
   uint32_t randomSeed = 1;
@@ -52,6 +60,28 @@
                          Micros aNow);
 
 private:
+  // Servers that a choice compares, and the best so far.
+  struct Choice
+  {
+    Placement placement;
+    Placement suspect;
+    uint32_t tied = 0;
+  };
+  // Takes the server into the comparison.
+  void Compare(ServerIndex aIndex,
+               const ServerHealth& aHealth,
+               double aScore,
+               Micros aNow,
+               Choice& aChoice);
+  Placement ChooseFromSample(const View& aView,
+                             std::span<const ServerHealth> aHealth,
+                             const PlacementRequest& aRequest,
+                             Micros aNow);
+  double Wait(const Server& aServer,
+              const ServerHealth& aHealth,
+              const PlacementRequest& aRequest,
+              Micros aNow) const;
+  double RemotePenalty(double aZoneLoad) const;
   double Score(const Server& aServer,
                const ServerHealth& aHealth,
                double aMeanResponse,
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -150,17 +150,24 @@
                     ServerIndex aExcluded,
                     Micros aNow)
 {
-  Placement placement = this->placer.ChooseServer(
-    this->view, this->health, { aService, aRoute.entry, aExcluded }, aNow);
+  Placement placement =
+    this->placer.ChooseServer(this->view,
+                              this->health,
+                              this->RequestFor(aRoute, aService, aExcluded),
+                              aNow);
   if (placement.server == kNoServer) {
     return { .action = Action::Reset,
              .reason = Reason::NoServer,
              .placement = placement };
   }
   const Server& server = this->view.At(placement.server);
+  if (server.entry.zone != this->options.placer.zone) {
+    ++this->counts.crossings[aRoute.entry.name];
+  }
   ServerHealth& health = this->health[placement.server];
   ++health.open;
   ++health.opening;
+  health.load.OnOpen(true);
   ServiceAdmission& admission = this->AdmissionOf(aService);
   admission.limit.OnStart();
   admission.counted.push_back(
@@ -173,6 +180,7 @@
                                 .sentAt = aNow,
                                 .lastPacketAt = aNow,
                                 .latencyTarget = aRoute.entry.latencyTarget,
+                                .busy = true,
                                 .limit = &admission.limit };
   this->handshakeTimers.push_back({ aPacket.flow, aNow });
   this->idleTimers.push_back({ aPacket.flow, aNow + kQuietTime });
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -5,6 +5,8 @@
 
 #include "steer/decision.h"
 #include "steer/flow_record.h"
+#include "steer/request_times.h"
+#include "steer/service_load.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/node_hash_map.h"
@@ -13,10 +15,28 @@
 
 namespace gentianspindle::steer {
 
+// Services whose flows are placed by the requests in flight and the learned
+// service times of servers, and not by open flows.
+enum class ByRequests : uint8_t
+{
+  Never,
+  LongFlows, // services with flows of many requests
+  Always,
+};
+
+// What was learned of the servers' speeds.
+struct LearnedCapacity
+{
+  uint32_t servers = 0;      // whose speed was learned
+  double slots = 0;          // of these, weighted by the speed
+  double meanAgeSeconds = 0; // since a request of these servers was timed
+};
+
 struct FlowSteeringOptions
 {
   PlacerOptions placer;
   bool hold = true; // hold new flows while their service is at its limit
+  ByRequests byRequests = ByRequests::Never;
 };
 
 // Decides on each packet, and keeps the view, the servers' health, the flow
@@ -30,10 +50,12 @@
   {
   }
 
-  // Sets how many instances share the servers, this one included.
-  void SetInstanceCount(size_t aInstanceCount)
+  // Sets how many instances share the servers, and how many of them are in this
+  // one's zone, this one included.
+  void SetInstanceCount(size_t aInstanceCount, size_t aZoneCount = 1)
   {
     this->instanceCount = aInstanceCount;
+    this->zoneCount = aZoneCount;
   }
 
   View& CurrentView() { return this->view; }
@@ -56,6 +78,13 @@
   // about the servers, and servers in backoff may be tried again.
   void OnProcessPause(Micros aNow);
 
+  // At the last Tick.
+  LearnedCapacity Capacity() const;
+  const RequestTimes& Times() const { return this->times; }
+  const absl::flat_hash_map<std::string, ServiceLoad>& ServiceLoads() const
+  {
+    return this->serviceLoads;
+  }
   const FlowSteeringCounts& Counts() const { return this->counts; }
   size_t Flows() const { return this->flows.size(); }
   // Returns null before the first opening packet for aService.
@@ -97,12 +126,22 @@
                      ServerIndex aServer,
                      Decision& aDecision,
                      Micros aNow);
+  // Follows the flow's requests, and learns from their times.
+  void TrackRequests(const Packet& aPacket, FlowRecord& aRecord, Micros aNow);
   void SuspectServer(FlowRecord& aRecord, Micros aNow);
   void Erase(const FlowId& aFlow, Outcome aOutcome);
   // Clears the health of servers whose process is new in the view.
   void SyncWithView();
   bool SameProcess(const FlowRecord& aRecord) const;
   void ExpireFlows(Micros aNow);
+  void UpdateLoads(Micros aNow);
+  ServiceLoad& ServiceLoadOf(ServerIndex aServer)
+  {
+    return this->serviceLoads[this->view.At(aServer).entry.service];
+  }
+  PlacementRequest RequestFor(const Route& aRoute,
+                              std::string_view aService,
+                              ServerIndex aUnanswered);
   static void ReleaseFromLimit(FlowRecord& aRecord);
   void UpdateLimits(Micros aNow);
   double FlowLimitFloor(std::string_view aService) const;
@@ -143,10 +182,15 @@
   absl::node_hash_map<std::string, ServiceAdmission> admissions;
   size_t heldCount = 0; // held packets of all services
   size_t instanceCount = 1;
+  size_t zoneCount = 1;                  // instances of this one's zone
   std::deque<FlowTimer> handshakeTimers; // by the time of sending
   // Idle checks, roughly by due time: a check may run late, by up to
   // kQuietTime.
   std::deque<FlowTimer> idleTimers;
+  RequestTimes times;
+  Micros laterRequestTime = 0; // of flows that had a request before
+  Micros loadPeriodStart = 0;
+  absl::flat_hash_map<std::string, ServiceLoad> serviceLoads; // by service
   FlowSteeringCounts counts;
   LatencySample sample;
 };
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -62,6 +62,7 @@
   }
   this->ExpireFlows(aNow);
   this->UpdateLimits(aNow);
+  this->UpdateLoads(aNow);
 }
 
 void
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -119,6 +119,40 @@
                 aSource.unreadable);
 }
 
+void
+AddLoad(Writer& aWriter, const steer::FlowSteering& aSteer)
+{
+  MetricFamily& crossings = aWriter.Family(
+    "placed_remote_total", "Flows placed in another zone", MetricType::Counter);
+  for (const auto& [route, count] : aSteer.Counts().crossings) {
+    Writer::Put(crossings, { { "route", route } }, static_cast<double>(count));
+  }
+  MetricFamily& zoneLoad = aWriter.Family(
+    "zone_load",
+    "Demand of this zone's callers relative to the service's slots in the zone",
+    MetricType::Gauge);
+  for (const auto& [service, load] : aSteer.ServiceLoads()) {
+    Writer::Put(zoneLoad, { { "service", service } }, load.zoneLoad);
+  }
+  aWriter.Number("requests_rejected_total",
+                 "Responses that came too quickly for an executed request",
+                 MetricType::Counter,
+                 static_cast<double>(aSteer.Times().Rejections()));
+  steer::LearnedCapacity learned = aSteer.Capacity();
+  aWriter.Number("learned_servers",
+                 "Servers whose speed was learned",
+                 MetricType::Gauge,
+                 learned.servers);
+  aWriter.Number("learned_slots",
+                 "Slots of these servers, each weighted by its speed",
+                 MetricType::Gauge,
+                 learned.slots);
+  aWriter.Number("learned_age_seconds",
+                 "Mean time since a request of these servers was timed",
+                 MetricType::Gauge,
+                 learned.meanAgeSeconds);
+}
+
 }
 
 void
@@ -194,6 +228,7 @@
     "First data of a flow to the first acknowledgement of the response",
     aSource.response);
   AddStore(writer, aSource);
+  AddLoad(writer, aSource.steer);
   gauge(
     "reads_store", "1 if this instance reads the store", aSource.reads ? 1 : 0);
   counter("beats_in_total",
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -7,6 +7,22 @@
 
 namespace gentianspindle::tagged {
 
+inline steer::FlowSteeringOptions
+MakeSteeringOptions(const TaggedSettings& aSettings)
+{
+  constexpr double kPercent = 100;
+  const TaggedLoadSettings& load = aSettings.load;
+  return {
+    .placer = { .zone = aSettings.instance.zone,
+                .requestsPenalty =
+                  static_cast<double>(load.remotePenaltyPct) / kPercent,
+                .fullZonePenalty =
+                  static_cast<double>(load.fullZonePenaltyPct) / kPercent,
+                .randomSeed = RandomSeed(aSettings) },
+    .byRequests = static_cast<steer::ByRequests>(load.byRequests),
+  };
+}
+
 template<Platform P>
 Node<P>::Node(event_base* aBase,
               const TaggedSettings& aSettings,
@@ -17,8 +33,7 @@
   , settingsPath(aSettingsPath)
   , callerPort(EndpointOf(aSettings.fabric.packets).port)
   , socket(std::move(aSocket))
-  , steer({ .placer = { .zone = aSettings.instance.zone,
-                        .randomSeed = RandomSeed(aSettings) } })
+  , steer(MakeSteeringOptions(aSettings))
   , tickTimer(aBase, [this] { this->OnTick(); })
 {
 }
@@ -208,7 +223,7 @@
   }
   this->now = at;
   this->sync->Tick(at);
-  this->steer.SetInstanceCount(this->sync->FleetSize());
+  this->steer.SetInstanceCount(this->sync->FleetSize(), this->sync->ZoneSize());
   this->steer.Tick(at);
   this->ReleaseHeld();
   this->CheckSendDelay();
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -51,6 +51,13 @@
   int64_t port = 0;
 };
 
+struct TaggedLoadSettings
+{
+  int64_t byRequests = 0;
+  int64_t remotePenaltyPct = 0;
+  int64_t fullZonePenaltyPct = 0;
+};
+
 struct TaggedLogSettings
 {
   int64_t linesPerS = 0;
@@ -65,10 +72,11 @@
   TaggedPeersSettings peers;
   TaggedStopSettings stop;
   TaggedMetricsSettings metrics;
+  TaggedLoadSettings load;
   TaggedLogSettings log;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 14>
+inline constexpr std::array<SettingField<TaggedSettings>, 17>
   kTaggedSettingsFields{ {
     {
       { "instance", "name", SettingType::String,
@@ -174,6 +182,30 @@
         return &aSettings.metrics.port;
       },
     },
+    {
+      { "load", "by_requests", SettingType::Integer,
+      false, "", 0, 0, 2,
+      "", "place new flows by the requests in flight and the learned speed of servers: 0 never, 1 for services with flows of many requests, 2 always" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.load.byRequests;
+      },
+    },
+    {
+      { "load", "remote_penalty_pct", SettingType::Integer,
+      false, "", 40, 0, 10000,
+      "percent", "wait, in parts of a mean request, that a flow placed by requests accepts before it goes to another zone, while this zone's servers have room" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.load.remotePenaltyPct;
+      },
+    },
+    {
+      { "load", "full_zone_penalty_pct", SettingType::Integer,
+      false, "", 10, 0, 10000,
+      "percent", "the same while they are full" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.load.fullZonePenaltyPct;
+      },
+    },
     {
       { "log", "lines_per_s", SettingType::Integer,
       false, "", 200, 0, 100000,
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -68,6 +68,7 @@
   // was never confirmed, or not since a process pause.
   Micros ViewAge(Micros aNow) const;
   uint32_t FleetSize() const { return this->spread.FleetSize(); }
+  uint32_t ZoneSize() const { return this->spread.ZoneSize(); }
   bool Reads() const { return this->spread.Reads(); }
   const ListWatcherCounts& ServersCounts() const
   {
--- a/tests/support/load_servers.h
+++ b/tests/support/load_servers.h
@@ -53,6 +53,13 @@
     this->StartJobs(aServer);
   }
 
+  // Requests that the server works on or queues.
+  size_t InFlight(size_t aServer) const
+  {
+    const Server& server = this->servers[aServer];
+    return server.busy + server.queue.size();
+  }
+
 private:
   struct Server
   {
--- a/tests/support/steering_fixture.h
+++ b/tests/support/steering_fixture.h
@@ -12,11 +12,11 @@
 // "web", two slots each, and one of the service "archive".
 struct SteeringFixture
 {
-  steer::FlowSteering steer{ steer::FlowSteeringOptions{
-    .placer = { .zone = "a" } } };
+  steer::FlowSteering steer;
   Micros now = kStart;
 
-  SteeringFixture()
+  explicit SteeringFixture(steer::FlowSteeringOptions aOptions = {})
+    : steer(InZone(std::move(aOptions)))
   {
     steer::View& view = this->steer.CurrentView();
     view.PutConfig(MakeConfig(1));
@@ -69,6 +69,12 @@
     return this->steer.OnPacket(packet, true, this->now);
   }
 
+  static steer::FlowSteeringOptions InZone(steer::FlowSteeringOptions aOptions)
+  {
+    aOptions.placer.zone = "a";
+    return aOptions;
+  }
+
   steer::ServerIndex IndexOf(steer::ServerId aId) const
   {
     return this->steer.CurrentView().FindTag(steer::TagOf(aId));
--- a/tests/support/tagged_load.cpp
+++ b/tests/support/tagged_load.cpp
@@ -1,7 +1,6 @@
 #include "support/tagged_load.h"
 
-#include "support/load_servers.h"
-#include "support/tagged_load_parts.h"
+#include "support/tagged_load_knowledge.h"
 
 #include <algorithm>
 #include <cmath>
@@ -71,7 +70,8 @@
       }
       this->instances.push_back(
         std::make_unique<FlowSteering>(steeringOptions));
-      this->instances.back()->SetInstanceCount(aOptions.instances);
+      this->instances.back()->SetInstanceCount(
+        aOptions.instances, aOptions.instances / aOptions.zones);
       FillLoadView(this->options,
                    this->clock.Now(),
                    this->instances.back()->CurrentView());
@@ -111,21 +111,6 @@
                       });
   }
 
-  // Returns the zone of the next caller.
-  size_t PickZone()
-  {
-    if (!this->options.zoneDemand) {
-      return this->random() % this->options.zones;
-    }
-    std::vector<double> shares;
-    for (size_t zone = 0; zone < this->options.zones; ++zone) {
-      Micros since = this->clock.Now() - this->start;
-      shares.push_back(this->options.zoneDemand(zone, since));
-    }
-    return std::discrete_distribution<size_t>(shares.begin(),
-                                              shares.end())(this->random);
-  }
-
   // Returns the index + 1 of a random idle caller that keeps its flow, or 0.
   uint64_t PickLongCaller(size_t aKind, size_t aZone)
   {
@@ -152,7 +137,8 @@
     request.startedAt = this->clock.Now();
     request.work = static_cast<Micros>(static_cast<double>(kind.work) *
                                        factor(this->random));
-    request.zone = this->options.zones > 1 ? this->PickZone() : 0;
+    request.zone =
+      PickZone(this->options, this->clock.Now() - this->start, this->random);
     ++this->result.requestCount;
     ++this->result.kinds[aKind].requestCount;
     ++this->result.zones[request.zone].requestCount;
@@ -185,7 +171,7 @@
     uint64_t key = ++this->lastFlow;
     LoadFlow& flow = this->flows[key];
     flow.request = aRequest;
-    flow.instance = this->PickInstance(request.zone);
+    flow.instance = PickInstance(this->options, request.zone, this->random);
     flow.id = { { static_cast<Address>(0x64400000 + (key >> 14)),
                   static_cast<uint16_t>(1024 + (key & 0x3FFF)) },
                 LoadTarget(request.kind) };
@@ -203,19 +189,6 @@
     });
   }
 
-  // Instances are in the zones in turn, so those of a zone have indexes that
-  // differ by the number of zones.
-  size_t PickInstance(size_t aZone)
-  {
-    size_t count = this->instances.size();
-    if (this->options.zones == 1 || count < this->options.zones) {
-      return this->random() % count;
-    }
-    size_t inZone =
-      (count - aZone + this->options.zones - 1) / this->options.zones;
-    return aZone + this->options.zones * (this->random() % inZone);
-  }
-
   // The caller that keeps its flow may start its next request.
   void EndLongRequest(const LoadRequest& aRequest)
   {
@@ -271,16 +244,36 @@
     });
   }
 
-  void DeliverToInstance(uint64_t aFlow, const Packet& aPacket)
+  // Returns the server of a new flow without asking an instance.
+  size_t ChooseFreely(const LoadFlow& aFlow)
   {
-    size_t index = this->flows[aFlow].instance;
     if (this->options.policy == TaggedPolicy::Random) {
-      bool opens = aPacket.syn;
-      size_t server =
-        opens ? this->random() % this->options.servers : aPacket.tag - 1;
+      return this->random() % this->options.servers;
+    }
+    std::vector<double> slowdown;
+    for (size_t i = 0; i < this->options.servers; ++i) {
+      slowdown.push_back(this->Slowdown(i));
+    }
+    const LoadRequest& request = this->requests[aFlow.request];
+    return this->whole.Choose(
+      this->servers, slowdown, request.kind, request.zone);
+  }
+
+  void DeliverToInstance(uint64_t aFlow, const Packet& aPacket)
+  {
+    LoadFlow& flow = this->flows[aFlow];
+    size_t index = flow.instance;
+    if (this->options.policy == TaggedPolicy::Random ||
+        this->options.policy == TaggedPolicy::LeastWait) {
+      size_t server = aPacket.syn ? this->ChooseFreely(flow) : aPacket.tag - 1;
       this->DeliverToServer(aFlow, aPacket, server);
       return;
     }
+    while (!IsUp(this->options, index, this->clock.Now() - this->start)) {
+      index =
+        PickInstance(this->options, index % this->options.zones, this->random);
+      flow.instance = index;
+    }
     FlowSteering& instance = *this->instances[index];
     Micros now = this->clock.Now();
     this->CarryOut(aFlow, aPacket, instance.OnPacket(aPacket, true, now));
@@ -340,6 +333,10 @@
       this->clock.After(this->DelayFrom(aFlow, aServer),
                         [this, aFlow, tag] { this->OnSynAck(aFlow, tag); });
     } else if (aPacket.dataBytes > 0) {
+      if (this->flows[aFlow].requests == 1) {
+        this->whole.OnRequest(aServer,
+                              this->requests[this->flows[aFlow].request].kind);
+      }
       this->servers.OnRequest({ aFlow, this->flows[aFlow].request }, aServer);
     }
   }
@@ -410,6 +407,8 @@
     LoadRequest& request = this->requests[aJob.request];
     ++request.executions;
     ++this->result.perServer[aServer];
+    this->result.crossedZones +=
+      aServer % this->options.zones != request.zone ? 1 : 0;
     double slowdown = this->Slowdown(aServer);
     return static_cast<Micros>(static_cast<double>(request.work) *
                                (slowdown > 0 ? slowdown : 1));
@@ -472,6 +471,7 @@
   std::mt19937_64 random;
   std::vector<std::unique_ptr<FlowSteering>> instances;
   LoadServers servers;
+  WholeKnowledge whole{ this->options };
   std::vector<LongCaller> callers;
   std::map<uint64_t, LoadRequest> requests;
   std::map<uint64_t, LoadFlow> flows;
--- a/tests/support/tagged_load.h
+++ b/tests/support/tagged_load.h
@@ -24,6 +24,9 @@
   // A random listed server; a repeated opening packet picks again, so it
   // usually goes to another one.
   Random,
+  // The listed server with the least expected wait, with knowledge of all
+  // requests, speeds and flows, and without delay.
+  LeastWait,
 };
 
 // One kind of request. Each has a route of its own to the one service.
@@ -82,6 +85,9 @@
   // start, relative to the others; without it all are alike. Callers use the
   // instances of their zone.
   std::function<double(size_t, Micros)> zoneDemand;
+  // Whether the instance with this index is up, by the time since the start;
+  // without it all are. Callers of one that is down use another of its zone.
+  std::function<bool(size_t, Micros)> instanceUp;
   // Changes the options of each instance's flow steering.
   std::function<void(steer::FlowSteeringOptions&)> steering;
 };
@@ -134,6 +140,7 @@
   std::map<size_t, uint64_t> perServer;
   std::vector<TaggedLoadShare> kinds; // as in the options
   std::vector<TaggedLoadShare> zones;
+  uint64_t crossedZones = 0; // executions at a server of another zone
 
   double ShareWithinTarget() const
   {
@@ -151,6 +158,28 @@
   }
 };
 
+// Share of the requests in time in the zone where it is lowest, and where it is
+// highest.
+inline double
+WorstZone(const TaggedLoadResult& aResult)
+{
+  double worst = 1;
+  for (const TaggedLoadShare& zone : aResult.zones) {
+    worst = std::min(worst, zone.WithinTarget());
+  }
+  return worst;
+}
+
+inline double
+BestZone(const TaggedLoadResult& aResult)
+{
+  double best = 0;
+  for (const TaggedLoadShare& zone : aResult.zones) {
+    best = std::max(best, zone.WithinTarget());
+  }
+  return best;
+}
+
 // Runs one simulation to its end.
 TaggedLoadResult
 RunTaggedLoad(const TaggedLoadOptions& aOptions);
--- a/tests/support/tagged_load_parts.h
+++ b/tests/support/tagged_load_parts.h
@@ -24,6 +24,48 @@
   return "zone-" + std::to_string(aIndex % aOptions.zones);
 }
 
+// Returns whether the instance with this index is up.
+inline bool
+IsUp(const TaggedLoadOptions& aOptions, size_t aIndex, Micros aSince)
+{
+  return !aOptions.instanceUp || aOptions.instanceUp(aIndex, aSince);
+}
+
+// Returns the zone of the next caller.
+inline size_t
+PickZone(const TaggedLoadOptions& aOptions,
+         Micros aSince,
+         std::mt19937_64& aRandom)
+{
+  if (aOptions.zones == 1) {
+    return 0;
+  }
+  if (!aOptions.zoneDemand) {
+    return aRandom() % aOptions.zones;
+  }
+  std::vector<double> shares;
+  for (size_t zone = 0; zone < aOptions.zones; ++zone) {
+    shares.push_back(aOptions.zoneDemand(zone, aSince));
+  }
+  return std::discrete_distribution<size_t>(shares.begin(),
+                                            shares.end())(aRandom);
+}
+
+// Returns an instance of the zone. Instances are in the zones in turn, so those
+// of a zone have indexes that differ by the number of zones.
+inline size_t
+PickInstance(const TaggedLoadOptions& aOptions,
+             size_t aZone,
+             std::mt19937_64& aRandom)
+{
+  size_t count = aOptions.instances;
+  if (aOptions.zones == 1 || count < aOptions.zones) {
+    return aRandom() % count;
+  }
+  size_t inZone = (count - aZone + aOptions.zones - 1) / aOptions.zones;
+  return aZone + aOptions.zones * (aRandom() % inZone);
+}
+
 // Fills in the servers and a route for each kind.
 inline void
 FillLoadView(const TaggedLoadOptions& aOptions, Micros aNow, steer::View& aView)
