--- a/src/steer/placer.cpp
+++ b/src/steer/placer.cpp
@@ -13,9 +13,10 @@
 constexpr double kMinRelativeResponse = 0.7;
 // Scores that differ by less are equal; the choice between them is random.
 constexpr double kScoreTolerance = 1e-6;
-// Loads of this zone up to which it has room, and from which it is full.
-constexpr double kZoneWithRoom = 0.6;
-constexpr double kFullZone = 0.8;
+// Zone loads up to which this zone has room, and from which it is full. They
+// include the time that requests wait at servers.
+constexpr double kZoneWithRoom = 0.8;
+constexpr double kFullZone = 1.1;
 // Number of servers that are looked at to draw a sample.
 constexpr size_t kMaxVisited = 256;
 
--- a/tests/steer/requests_test.cpp
+++ b/tests/steer/requests_test.cpp
@@ -116,4 +116,56 @@
   CHECK_FALSE(load.IsLearned());
 }
 
+TEST_CASE("The choice among thousands of servers compares a bounded number")
+{
+  std::vector<ServerChange> list;
+  for (ServerId id = 1; id <= 5400; ++id) {
+    list.push_back(MakeServer(id));
+    list.back().entry->zone = id % 3 == 0 ? "a" : "b";
+    // The few that take new flows are found all the same.
+    list.back().entry->draining = id > 2700 && id != 5000;
+  }
+  View view;
+  view.PutServers(list, kStart);
+  std::vector<ServerHealth> health(view.Size());
+  Placer placer({ .zone = "a" });
+  RouteEntry route;
+  PlacementRequest request{ .service = "web",
+                            .route = route,
+                            .byRequests = true };
+  Placement placement = placer.ChooseServer(view, health, request, kStart);
+  CHECK(placement.candidates > 40);
+  CHECK(placement.candidates <= 80);
+  CHECK(view.At(placement.server).entry.zone == "a");
+  for (ServerChange& change : list) {
+    change.entry->draining = change.entry->id != 5000;
+    ++change.revision;
+  }
+  view.PutServers(list, kStart);
+  placement = placer.ChooseServer(view, health, request, kStart);
+  CHECK(view.At(placement.server).entry.id == 5000);
+}
+
+TEST_CASE("What was learned of a server ends with its process")
+{
+  SteeringFixture fixture({ .byRequests = ByRequests::Always });
+  Tag tag = fixture.Open(7000).tag;
+  ServerIndex index = fixture.IndexOf(tag);
+  fixture.SendData(7000, tag);
+  fixture.now += 20 * kMillisecond;
+  fixture.SendData(7000, tag, 2);
+  CHECK(fixture.steer.HealthOf(index).load.time.weight == 1);
+  ServerChange restarted = MakeServer(tag, "web", 2);
+  restarted.entry->startedAt += 1;
+  fixture.steer.CurrentView().PutServer(restarted, fixture.now);
+  fixture.steer.Tick(fixture.now);
+  CHECK(fixture.steer.HealthOf(index).load.time.weight == 0);
+  // Packets of the flow to the former process show nothing of the new one.
+  fixture.SendData(7000, tag, 3);
+  fixture.SendFin(7000, tag);
+  CHECK(fixture.steer.HealthOf(index).load.time.weight == 0);
+  CHECK(fixture.steer.HealthOf(index).load.inFlight == 0);
+  CHECK(fixture.steer.HealthOf(index).load.idle == 0);
+}
+
 }
