--- a/src/steer/placer.h
+++ b/src/steer/placer.h
@@ -15,14 +15,14 @@
   // Added to the score of servers in another availability zone, in the unit of
   // the score: requests per slot at a server with the mean response time.
   double remotePenalty = 0.4;
-  // Requests take this many times as long at a server that has just started.
-  double warmupFactor = 1.6;
   // The same for flows that are placed by requests, while this zone has room
   // and while it is full.
   double requestsPenalty = 0.4;
   double fullZonePenalty = 0.1;
-  // Sizes of the sample that such a flow's servers are drawn from: servers of
-  // this instance's zone, and of others.
+  // Requests take this many times as long at a server that has just started.
+  double warmupFactor = 1.6;
+  // Numbers of servers that are compared for a flow that is placed by requests:
+  // of this instance's zone, and of others.
   uint32_t localSample = 64;
   uint32_t remoteSample = 16;
   // Must differ between instances: those that start together would otherwise
