--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -178,6 +178,7 @@
   if (!this->reads && aHeartbeat.reads &&
       aHeartbeat.zone == this->options.zone) {
     this->fleetSize = aHeartbeat.fleetSize;
+    this->zoneSize = aHeartbeat.zoneSize;
     this->heardReader = true;
   }
   this->OnHeartbeatDrains(aHeartbeat, aNow);
@@ -330,6 +331,7 @@
   this->members.Evict(aNow);
   if (this->reads) {
     this->fleetSize = this->members.FleetSize();
+    this->zoneSize = this->members.ZoneSize();
     this->CheckStepDown(aNow);
   } else {
     this->CheckTakeover(aNow);
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -218,6 +218,8 @@
   {
     return this->quotaSharing.Holders(aNow);
   }
+  // The same for this instance's zone.
+  uint32_t ZoneSize() const { return this->zoneSize; }
 
 private:
   void OnStoreAnswer(Micros aNow);
@@ -283,6 +285,7 @@
   Micros lastHelloAt = kNever;
   uint32_t heartbeatCount = 0;
   uint32_t fleetSize = 1;
+  uint32_t zoneSize = 1;
   std::vector<Address> replyTo; // peers that asked for a heartbeat
   std::minstd_rand random;
 };
--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -3,6 +3,7 @@
 
 #include "steer/admission.h"
 #include "steer/flow_progress.h"
+#include "steer/request_tracker.h"
 
 namespace gentianspindle::steer {
 
@@ -39,6 +40,8 @@
   bool answered = false; // the response to the first request was seen
   FlowProgress progress;
   Micros latencyTarget = 0; // of the route; 0 if another instance placed it
+  RequestTracker requests;
+  bool busy = false; // counts in ServerLoad::inFlight, else as idle
   // Limit that the flow counts against; null: it counts no more.
   ConcurrencyLimit* limit = nullptr;
 };
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -81,6 +81,7 @@
                           .opening = false };
     known = this->flows.emplace(aPacket.flow, newRecord).first;
     ++this->health[aServer].open;
+    this->health[aServer].load.OnOpen(false);
     this->idleTimers.push_back({ aPacket.flow, aNow + kQuietTime });
   }
   FlowRecord& record = known->second;
@@ -94,6 +95,7 @@
     health.OnProgress(aNow);
     this->detector.OnProgress(aServer, aNow);
     this->sample = { .handshake = true, .duration = aNow - record.placedAt };
+    this->times.OnHandshake(aNow - record.sentAt);
   }
   ProgressEvent event = record.progress.OnCallerPacket(aPacket, aNow);
   if (isCurrent) {
@@ -114,6 +116,9 @@
     }
     this->sample = { .response = true, .duration = aNow - record.requestAt };
   }
+  if (isCurrent && !aPacket.rst) {
+    this->TrackRequests(aPacket, record, aNow);
+  }
   if (aPacket.fin || aPacket.rst) {
     this->Erase(aPacket.flow, aPacket.rst ? Outcome::Reset : Outcome::Closed);
   }
@@ -155,6 +160,10 @@
     ServerHealth& health = this->health[record.server];
     --health.open;
     health.opening -= record.opening ? 1 : 0;
+    health.load.OnEnd(record.busy);
+    if (aOutcome == Outcome::Closed) {
+      this->ServiceLoadOf(record.server).OnClosed(record.requests.begun);
+    }
   }
   ++this->counts.outcomes[static_cast<size_t>(aOutcome)];
   this->flows.erase(known);
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -7,6 +7,25 @@
 
 namespace gentianspindle::tagged {
 
+inline steer::FlowSteeringOptions
+MakeSteeringOptions(const TaggedSettings& aSettings)
+{
+  constexpr double kPercent = 100;
+  const TaggedLoadSettings& load = aSettings.load;
+  return {
+    .placer = { .zone = aSettings.instance.zone,
+                .requestsPenalty =
+                  static_cast<double>(load.remotePenaltyPct) / kPercent,
+                .fullZonePenalty =
+                  static_cast<double>(load.fullZonePenaltyPct) / kPercent,
+                .randomSeed = RandomSeed(aSettings) },
+    .probesPerSecond = aSettings.detect.probesPerS,
+    .warmupQuota = { .overage = aSettings.warmup.overage,
+                     .slack = aSettings.warmup.slack },
+    .byRequests = static_cast<steer::ByRequests>(load.byRequests),
+  };
+}
+
 template<Platform P>
 Node<P>::Node(event_base* aBase,
               const TaggedSettings& aSettings,
@@ -17,11 +36,7 @@
   , settingsPath(aSettingsPath)
   , callerPort(EndpointOf(aSettings.fabric.packets).port)
   , socket(std::move(aSocket))
-  , steer({ .placer = { .zone = aSettings.instance.zone,
-                        .randomSeed = RandomSeed(aSettings) },
-            .probesPerSecond = aSettings.detect.probesPerS,
-            .warmupQuota = { .overage = aSettings.warmup.overage,
-                             .slack = aSettings.warmup.slack } })
+  , steer(MakeSteeringOptions(aSettings))
   , prober(aBase,
            [this](const steer::Probe& aProbe, steer::ProbeResult aResult) {
              this->steer.OnProbeResult(aProbe, aResult, SteadyNow());
@@ -231,7 +246,7 @@
   this->now = at;
   this->sync->Tick(at);
   this->OnView();
-  this->steer.SetInstanceCount(this->sync->FleetSize());
+  this->steer.SetInstanceCount(this->sync->FleetSize(), this->sync->ZoneSize());
   this->steer.SetQuotaHolders(this->sync->QuotaHolders(at));
   this->steer.Tick(at);
   this->DetectSilence();
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -95,6 +95,7 @@
   {
     return this->spread.QuotaHolders(aNow);
   }
+  uint32_t ZoneSize() const { return this->spread.ZoneSize(); }
   bool Reads() const { return this->spread.Reads(); }
   const ListWatcherCounts& ServersCounts() const
   {
