Keep a flow at the server that its caller took when another answers late

Cause: a retransmitted opening packet may go to a second server while the first one still answers. The caller returns the last tag that it received, so after the second answer the flow's packets went to a server at which it never opened.

Ruled out: telling the servers by the acknowledgement (no instance sees a server's sequence number); no second server (a silent one would cost its callers the whole opening).

Change: the record keeps the servers that got the opening packet before. The caller's next packet, which it sends at once, decides among them; later packets with a tag of another of these servers go to that one, with its tag, which the server's answer then returns to the caller. The record and the counts of open flows move along.

Limit: if the caller's first packet is lost or overtaken and a second answer arrives before the next one, that packet may have the wrong tag.

--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -2,6 +2,10 @@
 #pragma once
 
 #include "steer/admission.h"
+#include "steer/opening.h"
+
+#include <algorithm>
+#include <array>
 
 namespace gentianspindle::steer {
 
@@ -32,6 +36,10 @@
   Micros requestAt = 0;    // when the first data was seen; 0: not yet
   Micros lastPacketAt = 0; // when a packet last updated the record
   bool opening = true;     // the handshake is not yet answered
+  // Servers that got the opening packet before and may still answer it, newest
+  // first. Until the caller's next packet any of them can be the flow's server.
+  std::array<ServerIndex, kOpeningIntervals.size() - 1> earlier{ kNoServer,
+                                                                 kNoServer };
   // The flow can no longer make its server suspect: its opening packet went
   // unanswered already, or this process was paused before its handshake check.
   bool suspected = false;
@@ -39,6 +47,14 @@
   Micros latencyTarget = 0; // of the route; 0 if another instance placed it
   // Limit that the flow counts against; null: it counts no more.
   ConcurrencyLimit* limit = nullptr;
+
+  // Returns whether aServer got the opening packet before the present server.
+  bool WasSentTo(ServerIndex aServer) const
+  {
+    return aServer != kNoServer &&
+           std::find(this->earlier.begin(), this->earlier.end(), aServer) !=
+             this->earlier.end();
+  }
 };
 
 }
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -16,6 +16,34 @@
   return this->view.At(aRecord.server).generation == aRecord.generation;
 }
 
+// An opening packet that went to several servers may be answered by each, and
+// the caller returns the last tag that it received. The flow opens at the
+// server whose answer came first: the caller's next packet has the tag of that
+// answer, as it is sent at once, and later ones may have another server's.
+ServerIndex
+FlowSteering::ServerOf(const Packet& aPacket, ServerIndex aTagged) const
+{
+  const FlowRecord* record = this->FindFlow(aPacket.flow);
+  bool isLateAnswer = record != nullptr && !record->opening &&
+                      record->WasSentTo(aTagged) && this->SameProcess(*record);
+  return isLateAnswer ? record->server : aTagged;
+}
+
+void
+FlowSteering::MoveTo(ServerIndex aServer, FlowRecord& aRecord)
+{
+  if (this->SameProcess(aRecord)) {
+    --this->health[aRecord.server].open;
+    --this->health[aRecord.server].opening;
+  }
+  std::replace(
+    aRecord.earlier.begin(), aRecord.earlier.end(), aServer, aRecord.server);
+  aRecord.server = aServer;
+  aRecord.generation = this->view.At(aServer).generation;
+  ++this->health[aServer].open;
+  ++this->health[aServer].opening;
+}
+
 Decision
 FlowSteering::OnFlow(const Packet& aPacket, const Route* aRoute, Micros aNow)
 {
@@ -32,6 +60,7 @@
     }
     index = record->server;
   }
+  index = this->ServerOf(aPacket, index);
   if (index == kNoServer) {
     return { .reason = Reason::UnknownTag };
   }
@@ -79,6 +108,9 @@
   }
   FlowRecord& record = known->second;
   record.lastPacketAt = aNow;
+  if (record.opening && !aPacket.rst && record.WasSentTo(aServer)) {
+    this->MoveTo(aServer, record);
+  }
   ServerHealth& health = this->health[record.server];
   bool isCurrent = record.server == aServer && this->SameProcess(record);
   if (record.opening && isCurrent && !aPacket.rst) {
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -134,11 +134,15 @@
     this->SuspectServer(aRecord, aNow);
   }
   ServerIndex excluded = aRecord.server;
+  auto earlier = aRecord.earlier;
+  std::rotate(earlier.begin(), earlier.end() - 1, earlier.end());
+  earlier.front() = excluded;
   this->Erase(aPacket.flow, Outcome::Unanswered);
   std::string_view service = PickService(aRoute, aPacket.flow);
   Decision decision = this->Place(aPacket, aRoute, service, excluded, aNow);
   if (decision.action == Action::Forward) {
     decision.reason = Reason::PlacedAgain;
+    this->flows.at(aPacket.flow).earlier = earlier;
   }
   return decision;
 }
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -101,6 +101,10 @@
                  Micros aNow);
   // Decides on a packet that is not an opening packet.
   Decision OnFlow(const Packet& aPacket, const Route* aRoute, Micros aNow);
+  // Returns the server of a packet whose tag leads to aTagged.
+  ServerIndex ServerOf(const Packet& aPacket, ServerIndex aTagged) const;
+  // The flow opened at an earlier server than the record has.
+  void MoveTo(ServerIndex aServer, FlowRecord& aRecord);
   void TrackProgress(const Packet& aPacket,
                      ServerIndex aServer,
                      Decision& aDecision,
