--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -188,6 +188,11 @@
   // Number of instances of all zones: a reader counts them, a follower has the
   // number from the readers of its zone.
   uint32_t FleetSize() const { return this->fleetSize; }
+  // Instances of this zone on the list of holders that this one knows.
+  const std::vector<Address>& QuotaList() const
+  {
+    return this->quotaSharing.List();
+  }
   // Returns which instances hold slots of warm-up quotas.
   steer::QuotaHolders QuotaHolders(Micros aNow) const
   {
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -374,6 +374,22 @@
   this->events.log(line);
 }
 
+void
+Sync::CheckQuotaList()
+{
+  if (this->quotaList == this->spread.QuotaList()) {
+    return;
+  }
+  this->quotaList = this->spread.QuotaList();
+  Address self = this->spread.QuotaHolders(SteadyNow()).self;
+  bool listed =
+    std::binary_search(this->quotaList.begin(), this->quotaList.end(), self);
+  LogLine line("quota_holders");
+  line.Number("holders", static_cast<int64_t>(this->quotaList.size()))
+    .Number("listed", listed ? 1 : 0);
+  this->events.log(line);
+}
+
 // Sends the heartbeats that are due, and requests a view from a peer that knows
 // more.
 void
@@ -407,6 +423,7 @@
   this->spread.Tick(aNow);
   this->ApplyReaderRole();
   this->CheckStaleness(aNow);
+  this->CheckQuotaList();
   this->ExchangeWithPeers(aNow);
 }
 
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -114,6 +114,7 @@
   void OnPeerView(const PeerView& aView, const std::string& aPeer);
   void ApplyReaderRole();
   void CheckStaleness(Micros aNow);
+  void CheckQuotaList();
   void ExchangeWithPeers(Micros aNow);
   void LogServers(std::span<const steer::ServerChange> aChanges,
                   std::string_view aSource);
@@ -132,9 +133,10 @@
   std::unique_ptr<Peers> peers;
   Timer firstListTimer;
   bool firstListStarted = false;
-  bool peerViewPending = false; // a first view was requested from a peer
-  bool isReader = false;        // the list watchers watch the store
-  bool stale = false;           // the view was stale at the last check
+  bool peerViewPending = false;   // a first view was requested from a peer
+  bool isReader = false;          // the list watchers watch the store
+  bool stale = false;             // the view was stale at the last check
+  std::vector<Address> quotaList; // at the last check
 };
 
 }
--- a/tests/tagged/peer_codec_test.cpp
+++ b/tests/tagged/peer_codec_test.cpp
@@ -76,11 +76,24 @@
   CHECK(decoded->config.services == view.config.services);
 }
 
+TEST_CASE("The holders of quotas come through to a peer, in order")
+{
+  spread::Heartbeat heartbeat;
+  heartbeat.quotaHolders = { 0xC0000001, 0x0A000001 };
+  heartbeat.handsOutQuota = true;
+  auto decoded = tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->quotaHolders ==
+        std::vector<Address>{ 0x0A000001, 0xC0000001 });
+  CHECK(decoded->handsOutQuota);
+}
+
 TEST_CASE("A bit that changed in a message of a peer crashes no decoder")
 {
   spread::Heartbeat heartbeat;
   heartbeat.zone = "a";
   heartbeat.members = { 1, 2, 3 };
+  heartbeat.quotaHolders = { 1, 2 };
   heartbeat.readers = { { 4, "b" } };
   heartbeat.recent = { 1, 9, { MakeServer(1), MakeServer(2) } };
   tagged::PeerView view;
