--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -3,8 +3,12 @@
 
 #include "steer/admission.h"
 #include "steer/flow_progress.h"
+#include "steer/opening.h"
 #include "steer/request_tracker.h"
 
+#include <algorithm>
+#include <array>
+
 namespace gentianspindle::steer {
 
 // The record of a flow without packets for this time is erased, so that the
@@ -34,6 +38,10 @@
   Micros requestAt = 0;    // when the first data was seen; 0: not yet
   Micros lastPacketAt = 0; // when a packet last updated the record
   bool opening = true;     // the handshake is not yet answered
+  // Servers that got the opening packet before and may still answer it, newest
+  // first. Until the caller's next packet any of them can be the flow's server.
+  std::array<ServerIndex, kOpeningIntervals.size() - 1> earlier{ kNoServer,
+                                                                 kNoServer };
   // The flow can no longer make its server suspect: its opening packet went
   // unanswered already, or this process was paused before its handshake check.
   bool suspected = false;
@@ -44,6 +52,14 @@
   bool busy = false; // counts in ServerLoad::inFlight, else as idle
   // Limit that the flow counts against; null: it counts no more.
   ConcurrencyLimit* limit = nullptr;
+
+  // Returns whether aServer got the opening packet before the present server.
+  bool WasSentTo(ServerIndex aServer) const
+  {
+    return aServer != kNoServer &&
+           std::find(this->earlier.begin(), this->earlier.end(), aServer) !=
+             this->earlier.end();
+  }
 };
 
 }
