Continue a watch from a peer's view that comes between the pages of a list

Cause: the first page of a list sets the revision from which the watch continues. If a peer's view arrived before the last page, ListWatcher kept the higher of the two revisions, so the watch skipped the changes between the view and the first page.

Ruled out: a lost heartbeat; followers fetch a view if a range is missing, and this instance read the store itself.

Change: if the list was not finished, the revision is the peer's. The test of the full log pipe waits until the daemon serves its metrics, as the log opens with the same tick: its 4,000 packets could pass before that, so that nothing was logged and nothing dropped (9 of 15 runs on failed).

--- a/src/tagged/list_watcher.h
+++ b/src/tagged/list_watcher.h
@@ -151,14 +151,15 @@
 
   // Records that everything up to aRevision is known, as from a peer. The next
   // watch continues from there, or from the present revision if that is later.
-  // No list is needed then, so one that is under way is stopped.
+  // No list is needed then, so one that is under way is stopped; the revision
+  // of its first page is not kept, as the rest of it is not known.
   void AdvanceTo(uint64_t aRevision)
   {
     if (!this->listed) {
       this->Stop();
+      this->ResetList();
       this->listed = true;
-      this->collected.clear();
-      this->lastName.clear();
+      this->revision = aRevision;
       this->requestTimer.Start(0);
     }
     this->revision = std::max(this->revision, aRevision);
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -203,6 +203,9 @@
   REQUIRE(Eventually([&] { return daemon.ReadinessStatus() == 200; }));
   daemon.WriteSettings(100'000);
   kill(daemon.pid, SIGHUP);
+  // The daemon opens its log and the metrics port some time after it is ready.
+  REQUIRE(
+    Eventually([&] { return daemon.Metric("gentianspindle_ready") == 1; }));
   // Nobody reads the pipe: log lines of about 400 bytes fill it and the buffer
   // of the daemon.
   size_t forwarded = 0;
