Bound what a full hold queue costs each packet

Cause: HoldQueue looked at each held opening with every packet and every release, up to 4,096 of them, and an opening could only wait for the longest time. Ruled out: a shorter queue, which refuses callers that could be answered. Change: the queue keeps openings by flow, and the usable ones by priority and age; each changes its place when a moment comes at which it may. An opening may have a time of its own after which its caller is refused; such a moment between two copies of the packet is moved before the gap, where the truth can be told. What is taken out and in which order stays; a random history compares it with a look at each opening.

--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -23,10 +23,6 @@
 constexpr double kGrowthFlows = 0.2;
 // A limit that was not reached for this time is removed.
 constexpr Micros kLimitExpiry = 1500 * kMillisecond;
-// Fraction of the latency target that one request is assumed to need at a
-// server without a queue.
-constexpr double kServiceTimeFraction = 0.3;
-
 }
 
 void
@@ -83,75 +79,4 @@
     reached ? this->limit * kGrowthFactor + kGrowthFlows : this->limit;
 }
 
-bool
-HoldQueue::OnRetransmission(const Packet& aPacket, Micros aArrivedAt)
-{
-  auto known = std::find_if(
-    this->held.begin(), this->held.end(), [&](const HeldOpening& aHeld) {
-      return aHeld.packet.flow == aPacket.flow;
-    });
-  if (known == this->held.end()) {
-    return false;
-  }
-  if (known->packet.seq == aPacket.seq) {
-    known->packet = aPacket;
-    known->arrivedAt = aArrivedAt;
-  }
-  return true;
-}
-
-bool
-HoldQueue::Put(const HeldOpening& aOpening)
-{
-  if (this->held.size() >= kMaxHeldOpenings) {
-    return false;
-  }
-  this->held.push_back(aOpening);
-  return true;
-}
-
-// Takes the most urgent opening. Among equally urgent ones those that can still
-// be answered in time come first, newest first: at peak load the oldest would
-// take the capacity and be late all the same. Those that are already late
-// follow, oldest first, as the oldest's caller is the next to give up.
-std::optional<HeldOpening>
-HoldQueue::Take(Micros aNow)
-{
-  auto isLate = [aNow](const HeldOpening& aHeld) {
-    auto left =
-      static_cast<double>(aHeld.latencyTarget - (aNow - aHeld.heldAt));
-    return left <
-           kServiceTimeFraction * static_cast<double>(aHeld.latencyTarget);
-  };
-  auto best = this->held.end();
-  for (auto next = this->held.begin(); next != this->held.end(); ++next) {
-    if (!next->IsUsable(aNow)) {
-      continue;
-    }
-    if (best == this->held.end() || next->priority < best->priority) {
-      best = next;
-      continue;
-    }
-    bool replaces = next->priority == best->priority && !isLate(*next);
-    best = replaces ? next : best;
-  }
-  if (best == this->held.end()) {
-    return std::nullopt;
-  }
-  HeldOpening taken = *best;
-  this->held.erase(best);
-  return taken;
-}
-
-std::optional<HeldOpening>
-HoldQueue::TakeExpired(Micros aNow)
-{
-  if (this->held.empty() || aNow - this->held.front().heldAt < kMaxHoldTime) {
-    return std::nullopt;
-  }
-  HeldOpening taken = this->held.front();
-  this->held.pop_front();
-  return taken;
-}
-
 }
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -5,20 +5,13 @@
 // a little late or refused.
 #pragma once
 
-#include "steer/opening.h"
-
-#include <deque>
-#include <optional>
+#include "steer/hold_queue.h"
 
 namespace gentianspindle::steer {
 
 // If the average response time exceeds this fraction of the latency target, the
 // servers' queues are too long.
 constexpr double kTargetResponseFraction = 0.6;
-// A caller gives up its opening after 1.4 s; this leaves time for the answer.
-constexpr Micros kMaxHoldTime = 1300 * kMillisecond;
-// Limit for one service; further opening packets are refused with a reset.
-constexpr size_t kMaxHeldOpenings = 4096;
 // A flow counts against the limit for this multiple of its latency target (a
 // factor, of type Micros only for the multiplication); without a latency target
 // it counts until the next tick. After that its caller has given up, or the
@@ -65,41 +58,4 @@
   Micros limitReachedAt = 0;
 };
 
-// Opening packet of a caller that waits until the limit admits it.
-struct HeldOpening
-{
-  Packet packet;         // the last one that this instance received
-  uint32_t priority = 0; // 0 goes first
-  Micros latencyTarget = 0;
-  Micros heldAt = 0;
-  Micros arrivedAt = 0; // of that packet
-
-  // Returns whether the packet may be sent to a server at aNow. A
-  // retransmission that did not come here may have opened the flow through
-  // another instance.
-  bool IsUsable(Micros aNow) const
-  {
-    return aNow - this->arrivedAt < UsableTime(this->packet);
-  }
-};
-
-// Held openings of one service.
-class HoldQueue
-{
-public:
-  // Returns whether the flow of aPacket is held. If aPacket is a retransmission
-  // of the held packet, it takes its place.
-  bool OnRetransmission(const Packet& aPacket, Micros aArrivedAt);
-  // Returns false if the queue is full.
-  bool Put(const HeldOpening& aOpening);
-  // Takes out the opening that is to be placed next, if one is usable.
-  std::optional<HeldOpening> Take(Micros aNow);
-  // Takes out an opening that has waited for kMaxHoldTime.
-  std::optional<HeldOpening> TakeExpired(Micros aNow);
-  size_t Size() const { return this->held.size(); }
-
-private:
-  std::deque<HeldOpening> held; // oldest first
-};
-
 }
