Give the routes of a service shares of its room (daemon path works)

Cause: one limit for a service lets a burst of one kind of request take the room of the others; servers that reject arrivals when their queue is full don't raise response times to the limit's threshold, so the limit did not act at all; a caller without room waited up to 1.3 s whatever its target. Change, with admission.shares = 0 as before: each route may place what it usually places, times 1.25; the usual rate is learned while the service has room. What the limit admits beyond that goes to routes below their least share, then to those below their share, the most urgent first, then to the rest. An opening that finds no room is refused at once if it would wait for more than a quarter of its latency target (share_full) or could not be answered within it (too_late). Requests that servers seem to reject lower the limit.

--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -17,6 +17,11 @@
 constexpr Micros kSettleTime = 200 * kMillisecond;
 // Smallest factor by which one review lowers the limit (see Shrink).
 constexpr double kMinShrinkFactor = 0.9;
+// If servers reject a greater part of the requests, the limit is lowered.
+constexpr double kMaxRejected = 0.02;
+// A review lowers it by this factor then: a full queue is several times the
+// room that the servers need.
+constexpr double kRejectionShrinkFactor = 0.8;
 // One review raises the limit by this factor, and then by this many flows,
 // which make up most of the growth of a small limit.
 constexpr double kGrowthFactor = 1.04;
@@ -38,6 +43,20 @@
   fraction = std::min(fraction, kMaxResponseFraction);
   this->responseFraction +=
     kSmoothingWeight * (fraction - this->responseFraction);
+  this->rejected -= kSmoothingWeight * this->rejected;
+  this->Review(aNow);
+}
+
+void
+ConcurrencyLimit::OnRejection(Micros aNow)
+{
+  this->rejected += kSmoothingWeight * (1 - this->rejected);
+  this->Review(aNow);
+}
+
+void
+ConcurrencyLimit::Review(Micros aNow)
+{
   if (this->limiting && this->open + 1 >= this->limit) {
     this->limitReachedAt = aNow;
   }
@@ -47,7 +66,12 @@
   this->reviewedAt = aNow;
   if (this->responseFraction > kTargetResponseFraction) {
     this->limitReachedAt = this->limiting ? this->limitReachedAt : aNow;
-    this->Shrink();
+    this->Shrink(std::max(kMinShrinkFactor,
+                          kTargetResponseFraction / this->responseFraction),
+                 this->floor);
+  } else if (this->rejected > kMaxRejected) {
+    this->limitReachedAt = this->limiting ? this->limitReachedAt : aNow;
+    this->Shrink(kRejectionShrinkFactor, this->floor / kFloorFraction);
   } else if (this->limiting && aNow - this->limitReachedAt > kLimitExpiry) {
     this->limiting = false;
   } else if (this->limiting) {
@@ -60,13 +84,11 @@
 // the response time, but at most to kMinShrinkFactor. It ends at the floor or
 // above, so a limit below the floor is raised.
 void
-ConcurrencyLimit::Shrink()
+ConcurrencyLimit::Shrink(double aFactor, double aLeast)
 {
-  double factor = std::max(kMinShrinkFactor,
-                           kTargetResponseFraction / this->responseFraction);
   double base =
     this->limiting ? std::min<double>(this->limit, this->open) : this->open;
-  this->limit = std::max(this->floor, base * factor);
+  this->limit = std::max(aLeast, base * aFactor);
   this->limiting = true;
 }
 
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -12,6 +12,8 @@
 // If the average response time exceeds this fraction of the latency target, the
 // servers' queues are too long.
 constexpr double kTargetResponseFraction = 0.6;
+// The floor of the limit in parts of this instance's share of the slots.
+constexpr double kFloorFraction = 0.75;
 // A flow counts against the limit for this multiple of its latency target (a
 // factor, of type Micros only for the multiplication); without a latency target
 // it counts until the next tick. After that its caller has given up, or the
@@ -28,6 +30,10 @@
   // A request was answered after aDuration. aLatencyTarget is that of its
   // route; the response is ignored if it is 0.
   void OnResponse(Micros aDuration, Micros aLatencyTarget, Micros aNow);
+  // The same for a request that a server rejected, as its queue was full. Only
+  // where this is called do rejections lower the limit, and not below the
+  // instance's share of the slots: servers that are not full reject none.
+  void OnRejection(Micros aNow);
   // The limit never shrinks below aFloor, 3/4 of this instance's share of the
   // slots. A limit that is lower already is raised to aFloor by the next review
   // that finds slow responses, not at once.
@@ -44,14 +50,17 @@
   double ResponseFraction() const { return this->responseFraction; }
 
 private:
-  void Shrink();
+  // Lowers the limit by aFactor, but not below aLeast.
+  void Shrink(double aFactor, double aLeast);
   void Grow();
+  void Review(Micros aNow);
 
   uint32_t open = 0;     // flows that count against the limit
   bool limiting = false; // false: there is no limit
   double limit = 0;
   double floor = 1;
   double responseFraction = 0; // moving average of time / target
+  double rejected = 0;         // moving average: part of the requests
   Micros reviewedAt = 0;       // when the limit was last reviewed
   // When a response last found the open flows at the limit or one below, or
   // when the limit was set.
--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -38,6 +38,8 @@
   HoldFull,      // the service's hold queue is full
   HeldTooLong,   // the flow was held for kMaxHoldTime
   OutOfDate,     // the opening packet waited beyond its UsableTime
+  TooLate,       // it would have to wait, and then be answered too late
+  ShareFull,     // its route's share of the service's room is taken
   Count,
 };
 
@@ -47,7 +49,7 @@
     "no_view",     "unknown_route",   "route_removed", "no_server",
     "unknown_tag", "tag_not_allowed", "server_gone",   "no_tag",
     "held",        "held_again",      "hold_full",     "held_too_long",
-    "out_of_date",
+    "out_of_date", "too_late",        "share_full",
   };
 
 constexpr std::string_view
--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "steer/admission.h"
+#include "steer/route_rooms.h"
 
 namespace gentianspindle::steer {
 
@@ -29,6 +30,7 @@
   // When the opening packet was sent to the server: at placedAt, or later if
   // the process was stopped in between.
   Micros sentAt = 0;
+  Micros handshake = 0;    // from sentAt to its answer; 0: not seen
   Micros requestAt = 0;    // when the first data was seen; 0: not yet
   Micros lastPacketAt = 0; // when a packet last updated the record
   bool opening = true;     // the handshake is not yet answered
@@ -39,6 +41,8 @@
   Micros latencyTarget = 0; // of the route; 0 if another instance placed it
   // Limit that the flow counts against; null: it counts no more.
   ConcurrencyLimit* limit = nullptr;
+  // Room of its route that the flow takes up as long as it counts; null: none.
+  RouteRoom* room = nullptr;
 };
 
 }
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -84,6 +84,7 @@
   if (record.opening && isCurrent && !aPacket.rst) {
     record.opening = false;
     record.ackBase = aPacket.ack;
+    record.handshake = aNow - record.sentAt;
     --health.opening;
     health.OnProgress(aNow);
     this->sample = { .handshake = true, .duration = aNow - record.placedAt };
@@ -98,11 +99,13 @@
     health.OnProgress(aNow);
     health.OnResponse(aNow - record.requestAt);
     if (ServiceAdmission* admission = this->AdmissionOf(aServer)) {
-      admission->limit.OnResponse(
-        aNow - record.requestAt, record.latencyTarget, aNow);
+      this->OnAnswer(*admission, record, aNow);
     }
     this->sample = { .response = true, .duration = aNow - record.requestAt };
   }
+  if (record.answered && aPacket.dataBytes > 0 && !aPacket.fin) {
+    this->OnLongFlow(aServer, aNow);
+  }
   if (aPacket.fin || aPacket.rst) {
     this->Erase(aPacket.flow, aPacket.rst ? Outcome::Reset : Outcome::Closed);
   }
@@ -150,7 +153,11 @@
   if (aRecord.limit != nullptr) {
     aRecord.limit->OnEnd();
   }
+  if (aRecord.room != nullptr) {
+    aRecord.room->OnEnd();
+  }
   aRecord.limit = nullptr;
+  aRecord.room = nullptr;
 }
 
 }
--- a/src/steer/holding.cpp
+++ b/src/steer/holding.cpp
@@ -8,7 +8,12 @@
 FlowSteering::ServiceAdmission&
 FlowSteering::AdmissionOf(std::string_view aService)
 {
-  return this->admissions.try_emplace(ToAbsl(aService)).first->second;
+  auto known = this->admissions.find(ToAbsl(aService));
+  if (known == this->admissions.end()) {
+    known = this->admissions.try_emplace(ToAbsl(aService)).first;
+    known->second.rooms = RouteRooms(this->options.shares);
+  }
+  return known->second;
 }
 
 FlowSteering::ServiceAdmission*
@@ -38,6 +43,9 @@
       admission.holdQueue.OnRetransmission(aPacket, arrivedAt)) {
     return { .action = Action::Drop, .reason = Reason::HeldAgain };
   }
+  if (this->options.hold && admission.rooms.InForce(aNow)) {
+    return this->AdmitByShare(aPacket, aRoute, aService, admission, aNow);
+  }
   if (!this->options.hold || admission.limit.Admits()) {
     return this->Place(aPacket, aRoute, aService, kNoServer, aNow);
   }
@@ -85,27 +93,45 @@
     // The flow may be open through another instance, so it is not reset.
     decision = { .action = Action::Drop, .reason = Reason::OutOfDate };
   }
-  if (!held) {
-    if (!aAdmission.limit.Admits()) {
-      return std::nullopt;
-    }
+  if (!held && aAdmission.limit.Admits()) {
     held = aAdmission.holdQueue.Take(aNow);
-    if (!held) {
-      return std::nullopt;
-    }
-    const Route* route = this->view.FindRoute(held->packet.flow.target);
-    decision.reason = Reason::RouteRemoved;
-    if (this->flows.contains(held->packet.flow)) {
-      // Placed meanwhile: by another instance, or with another service here.
-      decision = { .action = Action::Drop, .reason = Reason::HeldAgain };
-    } else if (route != nullptr) {
-      decision = this->Place(held->packet, *route, aService, kNoServer, aNow);
+    if (held) {
+      decision = this->PlaceHeld(*held, aService, aNow);
     }
   }
-  decision.waited = aNow - held->heldAt;
-  decision.openFlows = aAdmission.limit.Open();
-  decision.flowLimit = aAdmission.limit.Limit();
-  return ReleasedPacket{ held->packet, this->Count(decision) };
+  if (!held) {
+    return this->ReleaseByShare(aService, aAdmission, aNow);
+  }
+  return this->Released(*held, decision, aAdmission, aNow);
+}
+
+Decision
+FlowSteering::PlaceHeld(const HeldOpening& aHeld,
+                        const std::string& aService,
+                        Micros aNow)
+{
+  if (this->flows.contains(aHeld.packet.flow)) {
+    // Placed meanwhile: by another instance, or with another service here.
+    return { .action = Action::Drop, .reason = Reason::HeldAgain };
+  }
+  const Route* route = this->view.FindRoute(aHeld.packet.flow.target);
+  if (route == nullptr) {
+    return { .action = Action::Reset, .reason = Reason::RouteRemoved };
+  }
+  return this->Place(aHeld.packet, *route, aService, kNoServer, aNow);
+}
+
+ReleasedPacket
+FlowSteering::Released(const HeldOpening& aHeld,
+                       Decision aDecision,
+                       const ServiceAdmission& aAdmission,
+                       Micros aNow)
+{
+  aDecision.waited = aNow - aHeld.heldAt;
+  aDecision.openFlows = aAdmission.limit.Open();
+  aDecision.flowLimit = aAdmission.limit.Limit();
+  const Route* route = this->view.FindRoute(aHeld.packet.flow.target);
+  return { aHeld.packet, this->Count(aDecision, route) };
 }
 
 }
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -16,6 +16,15 @@
   return aDecision;
 }
 
+Decision
+FlowSteering::Count(Decision aDecision, const Route* aRoute)
+{
+  if (aRoute != nullptr) {
+    this->routeCounts.Add(aRoute->entry.name, aDecision.reason);
+  }
+  return this->Count(aDecision);
+}
+
 // Clears the health of each server whose process is new at its index.
 void
 FlowSteering::SyncWithView()
@@ -45,7 +54,8 @@
   }
   const Route* route = this->view.FindRoute(aPacket.flow.target);
   if (aPacket.syn) {
-    return this->Count(this->OnOpening(aPacket, route, aConfigFresh, aNow));
+    return this->Count(this->OnOpening(aPacket, route, aConfigFresh, aNow),
+                       route);
   }
   return this->Count(this->OnFlow(aPacket, route, aNow));
 }
@@ -163,6 +173,11 @@
   ++health.opening;
   ServiceAdmission& admission = this->AdmissionOf(aService);
   admission.limit.OnStart();
+  RouteRoom* room =
+    admission.rooms.IsUsed() ? &admission.rooms.Of(aRoute.entry) : nullptr;
+  if (room != nullptr) {
+    room->OnStart();
+  }
   admission.counted.push_back(
     { aPacket.flow,
       aNow + kCountedLatencyTargets * aRoute.entry.latencyTarget });
@@ -173,7 +188,8 @@
                                 .sentAt = aNow,
                                 .lastPacketAt = aNow,
                                 .latencyTarget = aRoute.entry.latencyTarget,
-                                .limit = &admission.limit };
+                                .limit = &admission.limit,
+                                .room = room };
   this->handshakeTimers.push_back({ aPacket.flow, aNow });
   this->idleTimers.push_back({ aPacket.flow, aNow + kQuietTime });
   return { .action = Action::Forward,
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -5,11 +5,13 @@
 
 #include "steer/decision.h"
 #include "steer/flow_record.h"
+#include "steer/route_counts.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/node_hash_map.h"
 
 #include <deque>
+#include <utility>
 
 namespace gentianspindle::steer {
 
@@ -17,6 +19,7 @@
 {
   PlacerOptions placer;
   bool hold = true; // hold new flows while their service is at its limit
+  ShareOptions shares;
 };
 
 // Decides on each packet, and keeps the view, the servers' health, the flow
@@ -57,6 +60,13 @@
   void OnProcessPause(Micros aNow);
 
   const FlowSteeringCounts& Counts() const { return this->counts; }
+  const RouteCounts& CountsByRoute() const { return this->routeCounts; }
+  // Returns the services whose shares came into force or went out of force
+  // since the last call, and which of both.
+  std::vector<std::pair<std::string, bool>> TakeShareChanges()
+  {
+    return std::exchange(this->shareChanges, {});
+  }
   size_t Flows() const { return this->flows.size(); }
   // Returns null before the first opening packet for aService.
   const ConcurrencyLimit* LimitOf(std::string_view aService) const;
@@ -70,8 +80,12 @@
   const LatencySample& LastSample() const { return this->sample; }
 
 private:
+  struct ServiceAdmission;
+
   // Adds aDecision to the counts, and returns it.
   Decision Count(Decision aDecision);
+  // The same for an opening of the route.
+  Decision Count(Decision aDecision, const Route* aRoute);
   Decision OnOpening(const Packet& aPacket,
                      const Route* aRoute,
                      bool aConfigFresh,
@@ -86,6 +100,13 @@
                  const Route& aRoute,
                  std::string_view aService,
                  Micros aNow);
+  // Does the same by the shares of the service's routes. Refuses a flow that
+  // can't be answered in time or finds its route's share full.
+  Decision AdmitByShare(const Packet& aPacket,
+                        const Route& aRoute,
+                        std::string_view aService,
+                        ServiceAdmission& aAdmission,
+                        Micros aNow);
   Decision Place(const Packet& aPacket,
                  const Route& aRoute,
                  std::string_view aService,
@@ -105,6 +126,9 @@
   void ExpireFlows(Micros aNow);
   static void ReleaseFromLimit(FlowRecord& aRecord);
   void UpdateLimits(Micros aNow);
+  void UpdateRooms(std::string_view aService,
+                   ServiceAdmission& aAdmission,
+                   Micros aNow);
   double FlowLimitFloor(std::string_view aService) const;
   static std::string_view PickService(const Route& aRoute, const FlowId& aFlow);
 
@@ -118,7 +142,9 @@
   struct ServiceAdmission
   {
     ConcurrencyLimit limit;
-    HoldQueue holdQueue;
+    HoldQueue holdQueue; // of flows that are not admitted by shares
+    RouteRooms rooms;
+    bool sharesInForce = false; // at the last tick
     // Timers that end the counting of flows, in order of placement. One may be
     // late if routes of the service have different latency targets.
     std::deque<FlowTimer> counted;
@@ -129,6 +155,26 @@
   std::optional<ReleasedPacket> ReleaseFrom(const std::string& aService,
                                             ServiceAdmission& aAdmission,
                                             Micros aNow);
+  // Does the same with the openings that wait for their route's share.
+  std::optional<ReleasedPacket> ReleaseByShare(const std::string& aService,
+                                               ServiceAdmission& aAdmission,
+                                               Micros aNow);
+  // Decides on a held opening that is taken out to be placed.
+  Decision PlaceHeld(const HeldOpening& aHeld,
+                     const std::string& aService,
+                     Micros aNow);
+  // Counts the decision on a held opening, and adds how it was held.
+  ReleasedPacket Released(const HeldOpening& aHeld,
+                          Decision aDecision,
+                          const ServiceAdmission& aAdmission,
+                          Micros aNow);
+  // The server answered the flow's first request.
+  void OnAnswer(ServiceAdmission& aAdmission,
+                const FlowRecord& aRecord,
+                Micros aNow);
+  // A flow that the server answered before carries a further request.
+  void OnLongFlow(ServerIndex aServer, Micros aNow);
+  bool LeadsTo(Endpoint aTarget, std::string_view aService) const;
 
   FlowSteeringOptions options;
   View view;
@@ -148,6 +194,8 @@
   // kQuietTime.
   std::deque<FlowTimer> idleTimers;
   FlowSteeringCounts counts;
+  RouteCounts routeCounts;
+  std::vector<std::pair<std::string, bool>> shareChanges;
   LatencySample sample;
 };
 
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -11,7 +11,6 @@
 double
 FlowSteering::FlowLimitFloor(std::string_view aService) const
 {
-  constexpr double kFloorFraction = 0.75;
   uint32_t slots = 0;
   for (ServerIndex index : this->view.ServersOf(aService)) {
     const Server& server = this->view.At(index);
@@ -22,6 +21,25 @@
   return std::max(1.0, kFloorFraction * slots / instanceCount);
 }
 
+void
+FlowSteering::UpdateRooms(std::string_view aService,
+                          ServiceAdmission& aAdmission,
+                          Micros aNow)
+{
+  if (!aAdmission.rooms.IsUsed()) {
+    return;
+  }
+  const ConcurrencyLimit& limit = aAdmission.limit;
+  aAdmission.rooms.Update(limit.IsLimiting() ? limit.Limit() : 0, aNow);
+  aAdmission.rooms.ForgetUnless(
+    [&](const Endpoint& aTarget) { return this->LeadsTo(aTarget, aService); });
+  bool inForce = limit.IsLimiting() && aAdmission.rooms.InForce(aNow);
+  if (inForce != aAdmission.sharesInForce) {
+    aAdmission.sharesInForce = inForce;
+    this->shareChanges.emplace_back(std::string(aService), inForce);
+  }
+}
+
 // Sets the floors of the limits, and stops counting flows that were placed
 // kCountedLatencyTargets times their latency target ago.
 void
@@ -29,6 +47,7 @@
 {
   for (auto& [service, admission] : this->admissions) {
     admission.limit.SetFloor(this->FlowLimitFloor(service));
+    this->UpdateRooms(service, admission, aNow);
     while (!admission.counted.empty() && admission.counted.front().at <= aNow) {
       auto known = this->flows.find(admission.counted.front().flow);
       // The timer may belong to an earlier flow with the same ends.
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -119,6 +119,25 @@
                 aSource.unreadable);
 }
 
+// Counts openings by route. The names are the operators', so their number is
+// bounded by steer::kMaxCountedRoutes.
+void
+AddRoutes(Writer& aWriter, const steer::RouteCounts& aCounts)
+{
+  MetricFamily& family =
+    aWriter.Family("route_openings_total",
+                   "Opening packets held or refused here, by route",
+                   MetricType::Counter);
+  for (const auto& [route, counts] : aCounts.All()) {
+    for (size_t i = 0; i < counts.size(); ++i) {
+      std::string reason(steer::ReasonName(steer::kRouteReasons[i]));
+      Writer::Put(family,
+                  { { "route", route }, { "reason", reason } },
+                  static_cast<double>(counts[i]));
+    }
+  }
+}
+
 }
 
 void
@@ -165,6 +184,7 @@
                "reason",
                steer::kReasonNames,
                aSource.steer.Counts().reasons);
+  AddRoutes(writer, aSource.steer.CountsByRoute());
   writer.Table("flows_ended_total",
                "Flows that ended, by how",
                "outcome",
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -84,6 +84,7 @@
   void OnView();
   void OnTick();
   void BoundQueueTime();
+  void LogShareChanges();
   void OnProcessPause(Micros aDuration);
   void OnStop();
   void CheckStop();
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -18,7 +18,10 @@
   , callerPort(EndpointOf(aSettings.fabric.packets).port)
   , socket(std::move(aSocket))
   , steer({ .placer = { .zone = aSettings.instance.zone,
-                        .randomSeed = RandomSeed(aSettings) } })
+                        .randomSeed = RandomSeed(aSettings) },
+            .shares = { .mode = static_cast<steer::ShareMode>(
+                          aSettings.admission.shares),
+                        .leastShare = aSettings.admission.leastShare } })
   , tickTimer(aBase, [this] { this->OnTick(); })
 {
 }
@@ -210,6 +213,7 @@
   this->sync->Tick(at);
   this->steer.SetInstanceCount(this->sync->FleetSize());
   this->steer.Tick(at);
+  this->LogShareChanges();
   this->ReleaseHeld();
   this->CheckSendDelay();
   if (!this->log) {
@@ -238,6 +242,17 @@
   this->polledSinceTick = this->receiving;
 }
 
+template<Platform P>
+void
+Node<P>::LogShareChanges()
+{
+  for (const auto& [service, inForce] : this->steer.TakeShareChanges()) {
+    LogLine line(inForce ? "shares_in_force" : "shares_not_in_force");
+    line.Text("service", service);
+    this->Write(line);
+  }
+}
+
 template<Platform P>
 void
 Node<P>::OnProcessPause(Micros aDuration)
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -51,6 +51,12 @@
   int64_t port = 0;
 };
 
+struct TaggedAdmissionSettings
+{
+  int64_t shares = 0;
+  double leastShare = 0;
+};
+
 struct TaggedLogSettings
 {
   int64_t linesPerS = 0;
@@ -65,10 +71,11 @@
   TaggedPeersSettings peers;
   TaggedStopSettings stop;
   TaggedMetricsSettings metrics;
+  TaggedAdmissionSettings admission;
   TaggedLogSettings log;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 14>
+inline constexpr std::array<SettingField<TaggedSettings>, 16>
   kTaggedSettingsFields{ {
     {
       { "instance", "name", SettingType::String,
@@ -174,6 +181,22 @@
         return &aSettings.metrics.port;
       },
     },
+    {
+      { "admission", "shares", SettingType::Integer,
+      false, "", 0, 0, 2,
+      "", "whether the routes of a service that is at its limit have shares of its room: 0 never, 1 while the routes differ in priority and some flows carry several requests, 2 always" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.admission.shares;
+      },
+    },
+    {
+      { "admission", "least_share", SettingType::Real,
+      false, "0.1", 0, 0, 1,
+      "", "part of a service's room that its routes have for certain, in equal parts, also the least urgent" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.admission.leastShare;
+      },
+    },
     {
       { "log", "lines_per_s", SettingType::Integer,
       false, "", 200, 0, 100000,
