--- a/src/steer/route_rooms.cpp
+++ b/src/steer/route_rooms.cpp
@@ -6,12 +6,22 @@
 
 namespace {
 
-// Periods that the averages of open flows cover.
+// Periods that averages cover.
 constexpr Micros kRecentPeriod = 1 * kSecond;
 constexpr Micros kUsualPeriod = 30 * kSecond;
 // While the service is at its limit, what routes usually need is learned this
 // many times more slowly: a burst must not earn its route a greater share.
 constexpr int kSlowLearning = 20;
+// The guarantee and the shares are reviewed this often. The guarantee shrinks
+// by a factor while answers take more than a part of the latency target on
+// average, and then grows by a part of the whole.
+constexpr Micros kGuaranteePeriod = 200 * kMillisecond;
+constexpr double kSlowAnswers = 0.8;
+// More requests than this on open flows, as a part of those on new flows, are
+// many.
+constexpr double kMaxLaterPart = 0.25;
+constexpr double kGuaranteeShrinkFactor = 0.8;
+constexpr double kGuaranteeGrowth = 0.02;
 
 double
 WeightOf(Micros aElapsed, Micros aPeriod)
@@ -49,12 +59,22 @@
   double seconds = static_cast<double>(aElapsed) / kSecond;
   aRoom.usualRate += weight * (aRoom.started / seconds - aRoom.usualRate);
   aRoom.started = 0;
-  double rate = kShareMargin * aRoom.usualRate;
+  double usual = kShareMargin * aRoom.UsualFlows();
+  double part = usual > 0 ? std::min(1.0, aRoom.certain / usual) : 1;
+  double rate = kShareMargin * aRoom.usualRate * part;
   aRoom.tokens = std::min(aRoom.tokens + rate * seconds, 1 + rate);
 }
 
 }
 
+void
+RouteRooms::ScaleRates(double aFactor)
+{
+  for (auto& [target, room] : this->rooms) {
+    room.usualRate *= aFactor;
+  }
+}
+
 // The route's part of the room, by Little's law, places one flow in the time of
 // an answer divided by the flows that fit.
 Micros
@@ -118,24 +138,72 @@
 }
 
 void
-RouteRooms::Update(double aRoom, Micros aNow)
+RouteRooms::Update(const ConcurrencyLimit& aLimit, Micros aNow)
 {
-  if (aNow <= this->updatedAt) {
+  Micros elapsed = aNow - this->updatedAt;
+  if (elapsed <= 0) {
     return;
   }
-  std::vector<RouteNeed> needs;
+  this->updatedAt = aNow;
+  if (elapsed > kRecentPeriod) {
+    // The first call, or the process was paused: nothing is known of that time.
+    return;
+  }
+  double seconds = static_cast<double>(elapsed) / kSecond;
+  double weight = WeightOf(elapsed, kRecentPeriod);
+  uint32_t started = 0;
   for (auto& [target, room] : this->rooms) {
-    UpdateAverages(room, aRoom > 0, aNow - this->updatedAt);
+    started += room.started;
+    UpdateAverages(room, aLimit.IsLimiting(), elapsed);
+  }
+  this->firstRate += weight * (started / seconds - this->firstRate);
+  this->laterRate += weight * (this->laterRequests / seconds - this->laterRate);
+  this->laterRequests = 0;
+  if (aNow - this->guaranteedAt >= kGuaranteePeriod) {
+    this->guaranteedAt = aNow;
+    this->ReviewGuarantee(aLimit, aNow);
+    this->Divide(aLimit);
+  }
+}
+
+// If answers are slow although a burst is refused, the servers do less than
+// usual. Then less is placed in any case, the least urgent first, and the limit
+// decides on the rest. Rejections don't count here: servers that reject keep
+// their queues short themselves. If many requests come on open flows, holding
+// new flows would leave the room to those.
+void
+RouteRooms::ReviewGuarantee(const ConcurrencyLimit& aLimit, Micros aNow)
+{
+  bool canHold = this->laterRate < kMaxLaterPart * this->firstRate;
+  bool slow = aLimit.ResponseFraction() > kSlowAnswers;
+  if (canHold && this->InForce(aNow) && slow) {
+    this->guarantee *= kGuaranteeShrinkFactor;
+  } else {
+    this->guarantee = std::min(1.0, this->guarantee + kGuaranteeGrowth);
+  }
+}
+
+void
+RouteRooms::Divide(const ConcurrencyLimit& aLimit)
+{
+  std::vector<RouteNeed> needs;
+  double usual = 0;
+  for (const auto& [target, room] : this->rooms) {
     needs.push_back({ room.priority, room.UsualFlows() });
+    usual += room.UsualFlows();
   }
-  this->updatedAt = aNow;
-  std::vector<double> shares =
-    DivideRoom(aRoom, this->options.leastShare, needs);
+  double certain = kShareMargin * usual * this->guarantee;
+  double all = aLimit.IsLimiting() ? aLimit.Limit() : certain;
+  std::vector<double> parts =
+    DivideRoom(certain, this->options.leastShare, needs);
+  std::vector<double> shares = DivideRoom(all, this->options.leastShare, needs);
   size_t next = 0;
   for (auto& [target, room] : this->rooms) {
-    room.least = aRoom * this->options.leastShare /
-                 static_cast<double>(this->rooms.size());
-    room.share = shares[next++];
+    room.certain = parts[next];
+    room.share = shares[next];
+    room.least =
+      all * this->options.leastShare / static_cast<double>(this->rooms.size());
+    ++next;
   }
 }
 
--- a/src/steer/route_rooms.h
+++ b/src/steer/route_rooms.h
@@ -3,6 +3,7 @@
 // at once.
 #pragma once
 
+#include "steer/admission.h"
 #include "steer/answer_time.h"
 #include "steer/hold_queue.h"
 #include "steer/shares.h"
@@ -22,8 +23,8 @@
 {
   Off,
   // While routes of different priority share the service and some of its flows
-  // carry several requests: these can't be held, so a burst of them leaves the
-  // other routes less than the limit says.
+  // carry several requests. Those requests can't be held, so a burst of them
+  // would have only the other routes' flows held.
   LongFlows,
   Always, // if more than one route shares the service
 };
@@ -46,11 +47,12 @@
   uint32_t started = 0; // flows placed since the last update
   double usualRate = 0; // flows placed a second while there was room
   uint32_t samples = 0; // of usualRate
-  // Flows that may be placed although the service is at its limit. They come at
-  // kShareMargin times the usual rate.
+  // Flows that may be placed although the service is at its limit.
   double tokens = 0;
-  double least = 0; // shares of the room
+  double certain = 0; // flows that may be open in any case
+  // Share of the limit, and what the route has of it at the least.
   double share = 0;
+  double least = 0;
   AnswerTime answer;
   HoldQueue queue;
 
@@ -105,16 +107,22 @@
   }
 
   // Returns the route's room, with the figures of its present entry. It keeps
-  // its address until Forget.
+  // its address until ForgetUnless.
   RouteRoom& Of(const RouteEntry& aRoute);
   // A flow of the service carried a second request.
-  void OnLongFlow(Micros aNow) { this->longFlowAt = aNow; }
+  void OnLongFlow(Micros aNow)
+  {
+    this->longFlowAt = aNow;
+    ++this->laterRequests;
+  }
 
   bool IsUsed() const { return this->options.mode != ShareMode::Off; }
   // Returns whether new flows are admitted by shares, as the mode says.
   bool InForce(Micros aNow) const;
-  // Updates averages and shares. aRoom is the limit, or 0 if there is none.
-  void Update(double aRoom, Micros aNow);
+  // This instance gets aFactor times the flows that it got before.
+  void ScaleRates(double aFactor);
+  // Updates averages and shares.
+  void Update(const ConcurrencyLimit& aLimit, Micros aNow);
   // Forgets the routes for which aLeads is false, once they have no flow and no
   // held opening.
   template<typename F>
@@ -145,9 +153,20 @@
   size_t Held() const;
 
 private:
+  void ReviewGuarantee(const ConcurrencyLimit& aLimit, Micros aNow);
+  void Divide(const ConcurrencyLimit& aLimit);
+
   ShareOptions options;
   absl::node_hash_map<Endpoint, RouteRoom> rooms; // by the route's target
   Micros longFlowAt = -kLongFlowMemory;
+  // Requests beyond the first of their flow since the last update, and their
+  // average and that of new flows, a second.
+  uint32_t laterRequests = 0;
+  double laterRate = 0;
+  double firstRate = 0;
+  // Part of what the routes usually place that is placed in any case.
+  double guarantee = 1;
+  Micros guaranteedAt = 0; // when that was last reviewed
   Micros updatedAt = 0;
 };
 
--- a/src/steer/shares_hold.cpp
+++ b/src/steer/shares_hold.cpp
@@ -20,6 +20,22 @@
     });
 }
 
+// The fewer instances there are, the more flows each gets. That is usual then,
+// and no burst.
+void
+FlowSteering::SetInstanceCount(size_t aInstanceCount)
+{
+  size_t count = std::max<size_t>(1, aInstanceCount);
+  double factor =
+    static_cast<double>(this->instanceCount) / static_cast<double>(count);
+  if (factor != 1) {
+    for (auto& [service, admission] : this->admissions) {
+      admission.rooms.ScaleRates(factor);
+    }
+  }
+  this->instanceCount = count;
+}
+
 void
 FlowSteering::OnAnswer(ServiceAdmission& aAdmission,
                        const FlowRecord& aRecord,
@@ -44,7 +60,7 @@
 void
 FlowSteering::OnLongFlow(ServerIndex aServer, Micros aNow)
 {
-  if (this->options.shares.mode != ShareMode::LongFlows) {
+  if (this->options.shares.mode == ShareMode::Off) {
     return;
   }
   if (ServiceAdmission* admission = this->AdmissionOf(aServer)) {
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -34,10 +34,7 @@
   }
 
   // Sets how many instances share the servers, this one included.
-  void SetInstanceCount(size_t aInstanceCount)
-  {
-    this->instanceCount = aInstanceCount;
-  }
+  void SetInstanceCount(size_t aInstanceCount);
 
   View& CurrentView() { return this->view; }
   const View& CurrentView() const { return this->view; }
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -30,7 +30,7 @@
     return;
   }
   const ConcurrencyLimit& limit = aAdmission.limit;
-  aAdmission.rooms.Update(limit.IsLimiting() ? limit.Limit() : 0, aNow);
+  aAdmission.rooms.Update(limit, aNow);
   aAdmission.rooms.ForgetUnless(
     [&](const Endpoint& aTarget) { return this->LeadsTo(aTarget, aService); });
   bool inForce = limit.IsLimiting() && aAdmission.rooms.InForce(aNow);
