Tell rejections from quick handshakes, and react to slow servers sooner

Cause: the time on the way was that of the flow's own handshake; a process that was paused before its answer took it for long, and the response, then quicker than the way, for a rejection. Servers that turn slow with deep queues were noticed late: answers had to take 0.8 of the target. Ruled out: no correction for the way, which hides rejections of requests whose work is short beside it.

--- a/src/steer/route_rooms.cpp
+++ b/src/steer/route_rooms.cpp
@@ -13,14 +13,12 @@
 // many times more slowly: a burst must not earn its route a greater share.
 constexpr int kSlowLearning = 20;
 // The guarantee and the shares are reviewed this often. The guarantee shrinks
-// by a factor while answers take more than a part of the latency target on
-// average, and then grows by a part of the whole.
+// by a factor while answers are slow, and then grows by a part of the whole.
 constexpr Micros kGuaranteePeriod = 200 * kMillisecond;
-constexpr double kSlowAnswers = 0.8;
 // More requests than this on open flows, as a part of those on new flows, are
 // many.
 constexpr double kMaxLaterPart = 0.25;
-constexpr double kGuaranteeShrinkFactor = 0.8;
+constexpr double kGuaranteeShrinkFactor = 0.7;
 constexpr double kGuaranteeGrowth = 0.02;
 
 double
@@ -175,7 +173,7 @@
 RouteRooms::ReviewGuarantee(const ConcurrencyLimit& aLimit, Micros aNow)
 {
   bool canHold = this->laterRate < kMaxLaterPart * this->firstRate;
-  bool slow = aLimit.ResponseFraction() > kSlowAnswers;
+  bool slow = aLimit.ResponseFraction() > kTargetResponseFraction;
   if (canHold && this->InForce(aNow) && slow) {
     this->guarantee *= kGuaranteeShrinkFactor;
   } else {
--- a/src/steer/shares_hold.cpp
+++ b/src/steer/shares_hold.cpp
@@ -43,16 +43,16 @@
 {
   RouteRoom* room = aRecord.room;
   Micros responded = aNow - aRecord.requestAt;
-  // The answer took as long on the way as that of the handshake.
-  Micros atServer = std::max<Micros>(1, responded - aRecord.handshake);
-  if (room != nullptr && room->answer.IsRejection(atServer) &&
-      aAdmission.rooms.InForce(aNow)) {
-    room->answer.AddRejection(atServer);
-    aAdmission.limit.OnRejection(aNow);
-    return;
-  }
   if (room != nullptr) {
-    room->answer.Add(aNow - aRecord.placedAt, atServer);
+    AnswerTime& answer = room->answer;
+    answer.AddHandshake(aRecord.handshake);
+    Micros atServer = answer.AtServer(responded);
+    if (answer.IsRejection(atServer) && aAdmission.rooms.InForce(aNow)) {
+      answer.AddRejection(atServer);
+      aAdmission.limit.OnRejection(aNow);
+      return;
+    }
+    answer.Add(aNow - aRecord.placedAt, atServer);
   }
   aAdmission.limit.OnResponse(responded, aRecord.latencyTarget, aNow);
 }
--- a/tests/steer/shares_test.cpp
+++ b/tests/steer/shares_test.cpp
@@ -91,6 +91,19 @@
   }
 }
 
+// The process was paused between the handshake and its answer.
+TEST_CASE("A handshake that was seen late makes no request look rejected")
+{
+  AnswerTime answer;
+  for (int i = 0; i < 100; ++i) {
+    answer.AddHandshake(i % 10 == 0 ? 80 * kMillisecond : 6 * kMillisecond);
+    answer.Add(40 * kMillisecond, answer.AtServer(26 * kMillisecond));
+  }
+  answer.AddHandshake(80 * kMillisecond);
+  CHECK_FALSE(answer.IsRejection(answer.AtServer(26 * kMillisecond)));
+  CHECK(answer.IsRejection(answer.AtServer(7 * kMillisecond)));
+}
+
 TEST_CASE("A request that a server hardly worked on counts as rejected, until "
           "that is usual")
 {
