--- a/src/steer/admission.cpp
+++ b/src/steer/admission.cpp
@@ -17,16 +17,17 @@
 constexpr Micros kSettleTime = 200 * kMillisecond;
 // Smallest factor by which one review lowers the limit (see Shrink).
 constexpr double kMinShrinkFactor = 0.9;
+// If servers reject a greater part of the requests, the limit is lowered.
+constexpr double kMaxRejected = 0.02;
+// A review lowers it by this factor then: a full queue is several times the
+// room that the servers need.
+constexpr double kRejectionShrinkFactor = 0.8;
 // One review raises the limit by this factor, and then by this many flows,
 // which make up most of the growth of a small limit.
 constexpr double kGrowthFactor = 1.04;
 constexpr double kGrowthFlows = 0.2;
 // A limit that was not reached for this time is removed.
 constexpr Micros kLimitExpiry = 1500 * kMillisecond;
-// Fraction of the latency target that one request is assumed to need at a
-// server without a queue.
-constexpr double kServiceTimeFraction = 0.3;
-
 }
 
 void
@@ -42,6 +43,20 @@
   fraction = std::min(fraction, kMaxResponseFraction);
   this->responseFraction +=
     kSmoothingWeight * (fraction - this->responseFraction);
+  this->rejected -= kSmoothingWeight * this->rejected;
+  this->Review(aNow);
+}
+
+void
+ConcurrencyLimit::OnRejection(Micros aNow)
+{
+  this->rejected += kSmoothingWeight * (1 - this->rejected);
+  this->Review(aNow);
+}
+
+void
+ConcurrencyLimit::Review(Micros aNow)
+{
   if (this->limiting && this->open + 1 >= this->limit) {
     this->limitReachedAt = aNow;
   }
@@ -51,7 +66,12 @@
   this->reviewedAt = aNow;
   if (this->responseFraction > kTargetResponseFraction) {
     this->limitReachedAt = this->limiting ? this->limitReachedAt : aNow;
-    this->Shrink();
+    this->Shrink(std::max(kMinShrinkFactor,
+                          kTargetResponseFraction / this->responseFraction),
+                 this->floor);
+  } else if (this->rejected > kMaxRejected) {
+    this->limitReachedAt = this->limiting ? this->limitReachedAt : aNow;
+    this->Shrink(kRejectionShrinkFactor, this->floor / kFloorFraction);
   } else if (this->limiting && aNow - this->limitReachedAt > kLimitExpiry) {
     this->limiting = false;
   } else if (this->limiting) {
@@ -64,13 +84,11 @@
 // the response time, but at most to kMinShrinkFactor. It ends at the floor or
 // above, so a limit below the floor is raised.
 void
-ConcurrencyLimit::Shrink()
+ConcurrencyLimit::Shrink(double aFactor, double aLeast)
 {
-  double factor = std::max(kMinShrinkFactor,
-                           kTargetResponseFraction / this->responseFraction);
   double base =
     this->limiting ? std::min<double>(this->limit, this->open) : this->open;
-  this->limit = std::max(this->floor, base * factor);
+  this->limit = std::max(aLeast, base * aFactor);
   this->limiting = true;
 }
 
@@ -83,75 +101,4 @@
     reached ? this->limit * kGrowthFactor + kGrowthFlows : this->limit;
 }
 
-bool
-HoldQueue::OnRetransmission(const Packet& aPacket, Micros aArrivedAt)
-{
-  auto known = std::find_if(
-    this->held.begin(), this->held.end(), [&](const HeldOpening& aHeld) {
-      return aHeld.packet.flow == aPacket.flow;
-    });
-  if (known == this->held.end()) {
-    return false;
-  }
-  if (known->packet.seq == aPacket.seq) {
-    known->packet = aPacket;
-    known->arrivedAt = aArrivedAt;
-  }
-  return true;
-}
-
-bool
-HoldQueue::Put(const HeldOpening& aOpening)
-{
-  if (this->held.size() >= kMaxHeldOpenings) {
-    return false;
-  }
-  this->held.push_back(aOpening);
-  return true;
-}
-
-// Takes the most urgent opening. Among equally urgent ones those that can still
-// be answered in time come first, newest first: at peak load the oldest would
-// take the capacity and be late all the same. Those that are already late
-// follow, oldest first, as the oldest's caller is the next to give up.
-std::optional<HeldOpening>
-HoldQueue::Take(Micros aNow)
-{
-  auto isLate = [aNow](const HeldOpening& aHeld) {
-    auto left =
-      static_cast<double>(aHeld.latencyTarget - (aNow - aHeld.heldAt));
-    return left <
-           kServiceTimeFraction * static_cast<double>(aHeld.latencyTarget);
-  };
-  auto best = this->held.end();
-  for (auto next = this->held.begin(); next != this->held.end(); ++next) {
-    if (!next->IsUsable(aNow)) {
-      continue;
-    }
-    if (best == this->held.end() || next->priority < best->priority) {
-      best = next;
-      continue;
-    }
-    bool replaces = next->priority == best->priority && !isLate(*next);
-    best = replaces ? next : best;
-  }
-  if (best == this->held.end()) {
-    return std::nullopt;
-  }
-  HeldOpening taken = *best;
-  this->held.erase(best);
-  return taken;
-}
-
-std::optional<HeldOpening>
-HoldQueue::TakeExpired(Micros aNow)
-{
-  if (this->held.empty() || aNow - this->held.front().heldAt < kMaxHoldTime) {
-    return std::nullopt;
-  }
-  HeldOpening taken = this->held.front();
-  this->held.pop_front();
-  return taken;
-}
-
 }
--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -48,6 +48,8 @@
   RegionNotAllowed,
   WarmupQuota, // only servers in their warm-up are left, and their quota is
                // used
+  TooLate,     // it would have to wait, and then be answered too late
+  ShareFull,   // its route's share of the service's room is taken
   Count,
 };
 
@@ -58,7 +60,7 @@
     "unknown_tag",  "tag_not_allowed", "server_gone",   "no_tag",
     "held",         "held_again",      "hold_full",     "held_too_long",
     "out_of_date",  "zone_drained",    "server_silent", "region_not_allowed",
-    "warmup_quota",
+    "warmup_quota", "too_late",        "share_full",
   };
 
 constexpr std::string_view
--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -6,6 +6,7 @@
 #include "steer/opening.h"
 #include "steer/request_tracker.h"
 
+#include "steer/route_rooms.h"
 #include <algorithm>
 #include <array>
 
@@ -35,6 +36,7 @@
   // When the opening packet was sent to the server: at placedAt, or later if
   // the process was stopped in between.
   Micros sentAt = 0;
+  Micros handshake = 0;    // from sentAt to its answer; 0: not seen
   Micros requestAt = 0;    // when the first data was seen; 0: not yet
   Micros lastPacketAt = 0; // when a packet last updated the record
   bool opening = true;     // the handshake is not yet answered
@@ -52,6 +54,8 @@
   bool busy = false; // counts in ServerLoad::inFlight, else as idle
   // Limit that the flow counts against; null: it counts no more.
   ConcurrencyLimit* limit = nullptr;
+  // Room of its route that the flow takes up as long as it counts; null: none.
+  RouteRoom* room = nullptr;
 
   // Returns whether aServer got the opening packet before the present server.
   bool WasSentTo(ServerIndex aServer) const
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -123,6 +123,7 @@
   if (record.opening && isCurrent && !aPacket.rst) {
     record.opening = false;
     record.ackBase = aPacket.ack;
+    record.handshake = aNow - record.sentAt;
     --health.opening;
     health.OnProgress(aNow);
     this->detector.OnProgress(aServer, aNow);
@@ -143,14 +144,16 @@
     health.OnProgress(aNow);
     health.OnResponse(aNow - record.requestAt);
     if (ServiceAdmission* admission = this->AdmissionOf(aServer)) {
-      admission->limit.OnResponse(
-        aNow - record.requestAt, record.latencyTarget, aNow);
+      this->OnAnswer(*admission, record, aNow);
     }
     this->sample = { .response = true, .duration = aNow - record.requestAt };
   }
   if (isCurrent && !aPacket.rst) {
     this->TrackRequests(aPacket, record, aNow);
   }
+  if (record.answered && aPacket.dataBytes > 0 && !aPacket.fin) {
+    this->OnLongFlow(aServer, aNow);
+  }
   if (aPacket.fin || aPacket.rst) {
     this->Erase(aPacket.flow, aPacket.rst ? Outcome::Reset : Outcome::Closed);
   }
@@ -209,7 +212,11 @@
   if (aRecord.limit != nullptr) {
     aRecord.limit->OnEnd();
   }
+  if (aRecord.room != nullptr) {
+    aRecord.room->OnEnd();
+  }
   aRecord.limit = nullptr;
+  aRecord.room = nullptr;
 }
 
 }
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -23,6 +23,9 @@
     .warmupQuota = { .overage = aSettings.warmup.overage,
                      .slack = aSettings.warmup.slack },
     .byRequests = static_cast<steer::ByRequests>(load.byRequests),
+    .shares = { .mode =
+                  static_cast<steer::ShareMode>(aSettings.admission.shares),
+                .leastShare = aSettings.admission.leastShare },
   };
 }
 
@@ -250,6 +253,7 @@
   this->steer.SetQuotaHolders(this->sync->QuotaHolders(at));
   this->steer.Tick(at);
   this->DetectSilence();
+  this->LogShareChanges();
   this->ReleaseHeld();
   this->CheckSendDelay();
   if (!this->log) {
@@ -278,6 +282,17 @@
   this->polledSinceTick = this->receiving;
 }
 
+template<Platform P>
+void
+Node<P>::LogShareChanges()
+{
+  for (const auto& [service, inForce] : this->steer.TakeShareChanges()) {
+    LogLine line(inForce ? "shares_in_force" : "shares_not_in_force");
+    line.Text("service", service);
+    this->Write(line);
+  }
+}
+
 template<Platform P>
 void
 Node<P>::OnProcessPause(Micros aDuration)
