Mend what a review of the new parts found

Cause and change, each with a check that was red before unless said: - A flow that moves to the server whose answer the caller took kept its load at the other one, whose count then fell below zero: MoveTo moves it along. - A process that was stopped could use warm-up slots before its first tick: the holders are known up to a time, which is compared for each flow. - A peer's drains with a negative revision, or changed after it, kept out all later states, and a list of holders had no bound: such messages are refused. A zone that is named twice is drained once. - Release used the servers' health before it was matched to a changed view. No test: it takes a change of the view between two packets of one batch.

Left: an instance that starts beside peers of the former version takes a view without regions and quotas from them, until the next configuration.

--- a/src/spread/quota_sharing.h
+++ b/src/spread/quota_sharing.h
@@ -50,6 +50,8 @@
   bool HandsOut() const { return this->handsOut; }
   // Returns the holders as of aNow.
   steer::QuotaHolders Holders(Micros aNow) const;
+  // They hold their slots until then, if nothing more is heard of them.
+  Micros ValidUntil() const { return this->heardAt + kQuotaLease; }
 
 private:
   // A list that was heard before the present one.
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -223,6 +223,7 @@
   {
     return this->quotaSharing.Holders(aNow);
   }
+  Micros QuotaValidUntil() const { return this->quotaSharing.ValidUntil(); }
   // The same for this instance's zone.
   uint32_t ZoneSize() const { return this->zoneSize; }
 
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -33,15 +33,19 @@
 FlowSteering::MoveTo(ServerIndex aServer, FlowRecord& aRecord)
 {
   if (this->SameProcess(aRecord)) {
-    --this->health[aRecord.server].open;
-    --this->health[aRecord.server].opening;
+    ServerHealth& former = this->health[aRecord.server];
+    --former.open;
+    --former.opening;
+    former.load.OnEnd(aRecord.busy);
   }
   std::replace(
     aRecord.earlier.begin(), aRecord.earlier.end(), aServer, aRecord.server);
   aRecord.server = aServer;
   aRecord.generation = this->view.At(aServer).generation;
-  ++this->health[aServer].open;
-  ++this->health[aServer].opening;
+  ServerHealth& health = this->health[aServer];
+  ++health.open;
+  ++health.opening;
+  health.load.OnOpen(aRecord.busy);
 }
 
 Decision
--- a/src/steer/holding.cpp
+++ b/src/steer/holding.cpp
@@ -71,6 +71,7 @@
   if (this->heldCount == 0) {
     return std::nullopt;
   }
+  this->SyncWithView();
   for (auto& [service, admission] : this->admissions) {
     std::optional<ReleasedPacket> released =
       this->ReleaseFrom(service, admission, aNow);
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -63,9 +63,10 @@
   void SetInstanceCount(size_t aInstanceCount, size_t aZoneCount = 1);
 
   // Sets which instances share the quotas of servers in their warm-up.
-  void SetQuotaHolders(const QuotaHolders& aHolders)
+  void SetQuotaHolders(const QuotaHolders& aHolders,
+                       Micros aValidUntil = std::numeric_limits<Micros>::max())
   {
-    this->warmupQuota.SetHolders(aHolders);
+    this->warmupQuota.SetHolders(aHolders, aValidUntil);
   }
 
   View& CurrentView() { return this->view; }
--- a/src/steer/warmup_quota.cpp
+++ b/src/steer/warmup_quota.cpp
@@ -47,8 +47,9 @@
 }
 
 void
-WarmupQuota::SetHolders(const QuotaHolders& aHolders)
+WarmupQuota::SetHolders(const QuotaHolders& aHolders, Micros aValidUntil)
 {
+  this->validUntil = aValidUntil;
   if (aHolders == this->holders) {
     return;
   }
@@ -148,6 +149,10 @@
   if (account == nullptr) {
     return true;
   }
+  // A process that was stopped has not heard yet who holds the slots now.
+  if (!this->holders.standalone && aNow >= this->validUntil) {
+    return false;
+  }
   std::deque<Micros>& openings = account->openings;
   while (!openings.empty() && aNow - openings.front() >= kQuotaWindow) {
     openings.pop_front();
--- a/src/steer/warmup_quota.h
+++ b/src/steer/warmup_quota.h
@@ -6,6 +6,7 @@
 #include "steer/view.h"
 
 #include <deque>
+#include <limits>
 #include <set>
 
 namespace gentianspindle::steer {
@@ -47,7 +48,9 @@
   {
   }
 
-  void SetHolders(const QuotaHolders& aHolders);
+  // The holders hold their slots until aValidUntil.
+  void SetHolders(const QuotaHolders& aHolders,
+                  Micros aValidUntil = std::numeric_limits<Micros>::max());
   // Adds the zones of the view's servers, and forgets servers whose warm-up is
   // over.
   void Tick(const View& aView, Micros aNow);
@@ -73,6 +76,7 @@
   bool HoldsSlot(uint64_t aSlotHash) const;
 
   WarmupQuotaOptions options;
+  Micros validUntil = 0; // of the holders
   QuotaHolders holders;
   uint64_t holdersVersion = 1; // changes with the holders and the zones
   std::set<std::string> zones; // all that were ever known
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -250,7 +250,8 @@
   this->sync->Tick(at);
   this->OnView();
   this->steer.SetInstanceCount(this->sync->FleetSize(), this->sync->ZoneSize());
-  this->steer.SetQuotaHolders(this->sync->QuotaHolders(at));
+  this->steer.SetQuotaHolders(this->sync->QuotaHolders(at),
+                              this->sync->QuotaValidUntil());
   this->steer.Tick(at);
   this->DetectSilence();
   this->LogShareChanges();
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "base/bounded_protocol.h"
 #include "peers_types.h"
+#include "spread/quota_sharing.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -159,9 +160,20 @@
     aMessage.drainedZones,
   };
   std::sort(drains.zones.begin(), drains.zones.end());
+  drains.zones.erase(std::unique(drains.zones.begin(), drains.zones.end()),
+                     drains.zones.end());
   return drains;
 }
 
+// A revision that no store can reach would keep out all later states.
+template<typename M>
+bool
+HasValidDrains(const M& aMessage)
+{
+  return aMessage.drainsRevision >= 0 && aMessage.drainsChanged >= 0 &&
+         aMessage.drainsChanged <= aMessage.drainsRevision;
+}
+
 }
 
 std::string
@@ -196,6 +208,10 @@
   if (!copy.ok()) {
     return copy.status();
   }
+  if (!HasValidDrains(*copy)) {
+    return absl::DataLossError(
+      "read view of a peer: invalid revisions of the drains");
+  }
   PeerView view;
   view.config.version = copy->configVersion;
   view.config.idle = copy->idle;
@@ -291,6 +307,7 @@
   }
   return aHeartbeat.configAge >= 0 && aHeartbeat.serversAge >= 0 &&
          aHeartbeat.drainsAge >= 0 &&
+         aHeartbeat.quotaHolders.size() <= spread::kMaxQuotaHolders &&
          aHeartbeat.recent.from <= aHeartbeat.recent.to;
 }
 
@@ -367,10 +384,10 @@
                                 message->quotaHolders.end());
   std::sort(heartbeat.quotaHolders.begin(), heartbeat.quotaHolders.end());
   heartbeat.handsOutQuota = message->handsOutQuota;
-  if (!IsValid(heartbeat)) {
+  if (!HasValidDrains(*message) || !IsValid(heartbeat)) {
     return absl::DataLossError(
-      "read heartbeat of a peer: negative age, or change range with its end "
-      "before its start");
+      "read heartbeat of a peer: negative age or revision, a change before its "
+      "start, or too many holders of quotas");
   }
   return heartbeat;
 }
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -95,6 +95,7 @@
   {
     return this->spread.QuotaHolders(aNow);
   }
+  Micros QuotaValidUntil() const { return this->spread.QuotaValidUntil(); }
   uint32_t ZoneSize() const { return this->spread.ZoneSize(); }
   bool Reads() const { return this->spread.Reads(); }
   const ListWatcherCounts& ServersCounts() const
--- a/tests/steer/opening_test.cpp
+++ b/tests/steer/opening_test.cpp
@@ -61,8 +61,16 @@
   Decision later = fixture.SendData(7000, late.tag);
   CHECK(later.server == taken.server);
   CHECK(later.tag == taken.tag);
+  // The flow counts at the server that it is at, and nowhere once it has ended.
+  auto loadOf = [&fixture](const Decision& aDecision) {
+    const ServerLoad& load = fixture.steer.HealthOf(aDecision.server).load;
+    return load.inFlight + load.idle;
+  };
+  CHECK(loadOf(taken) == 1);
+  CHECK(loadOf(late) == 0);
   Decision last = fixture.SendFin(7000, late.tag);
   CHECK(last.server == taken.server);
+  CHECK(loadOf(taken) == 0);
   // No flow is left at either server.
   CHECK(fixture.steer.HealthOf(first.server).open == 0);
   CHECK(fixture.steer.HealthOf(repeated.server).open == 0);
--- a/tests/steer/warmup_quota_test.cpp
+++ b/tests/steer/warmup_quota_test.cpp
@@ -73,6 +73,21 @@
   CHECK(OpeningsInASecond(slack, 2 * kSecond) == 1);
 }
 
+// Guards against a process that was stopped, and places flows before it hears
+// that its slots have gone to another instance.
+TEST_CASE("Slots end with the time up to which their holders are known")
+{
+  const QuotaHolders holders{
+    .self = kSelf, .zone = "a", .zones = { "a" }, .lists = { { kSelf } }
+  };
+  FlowSteering steering = MakeSteering(5);
+  steering.SetQuotaHolders(holders, 3 * kSecond);
+  CHECK(Open(steering, 1, 3 * kSecond - 1).action == Action::Forward);
+  CHECK(Open(steering, 2, 4 * kSecond).reason == Reason::WarmupQuota);
+  steering.SetQuotaHolders(holders, 5 * kSecond);
+  CHECK(Open(steering, 3, 4 * kSecond).action == Action::Forward);
+}
+
 TEST_CASE("A quota that is no positive number is no bound")
 {
   double quota = GENERATE(0.0,
--- a/tests/tagged/peer_codec_test.cpp
+++ b/tests/tagged/peer_codec_test.cpp
@@ -1,5 +1,6 @@
 // Guards against messages of peers that take far more memory than their bytes,
 // or that lose what the sender knew.
+#include "spread/quota_sharing.h"
 #include "support/tagged_view.h"
 #include "tagged/peer_codec.h"
 
@@ -127,6 +128,30 @@
   CHECK(decoded->handsOutQuota);
 }
 
+// Guards against a state that keeps out all later ones, and against a list that
+// grows until no datagram can carry it.
+TEST_CASE("Drains that no store can have and too many holders are refused")
+{
+  for (const auto& [revision, changed] :
+       std::vector<std::pair<uint64_t, uint64_t>>{
+         { UINT64_MAX, 0 }, { 5, UINT64_MAX }, { 5, 6 } }) {
+    spread::Heartbeat heartbeat;
+    heartbeat.drains = { revision, changed, { "a" } };
+    tagged::PeerView view;
+    view.drains = heartbeat.drains;
+    CHECK_FALSE(
+      tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat)).ok());
+    CHECK_FALSE(tagged::DecodePeerView(tagged::EncodePeerView(view)).ok());
+  }
+  spread::Heartbeat heartbeat;
+  heartbeat.drains = { 5, 5, { "a", "b", "a" } };
+  auto decoded = tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->drains.zones == std::vector<std::string>{ "a", "b" });
+  heartbeat.quotaHolders.resize(spread::kMaxQuotaHolders + 1, 7);
+  CHECK_FALSE(tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat)).ok());
+}
+
 TEST_CASE("A bit that changed in a message of a peer crashes no decoder")
 {
   spread::Heartbeat heartbeat;
