--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -12,6 +12,7 @@
 // A drains watch waits for this fraction of the bound. Even if its connection
 // delivers nothing more, that shows early enough for another watch.
 constexpr double kDrainsWaitFraction = 0.5;
+
 spread::ReplicatorOptions
 OptionsOf(const TaggedSettings& aSettings)
 {
@@ -120,35 +121,6 @@
   return sync;
 }
 
-void
-Sync::StartPeers(event_base* aBase, const TaggedSettings& aSettings)
-{
-  Endpoint self{ 0, static_cast<uint16_t>(aSettings.peers.port) };
-  ParseAddress(aSettings.instance.address, self.address);
-  PeerEvents peerEvents;
-  peerEvents.onHeartbeat = [this](Address aFrom,
-                                  const spread::Heartbeat& aHeartbeat) {
-    this->OnHeartbeat(aFrom, aHeartbeat);
-  };
-  peerEvents.viewVersion = [this] { return this->CurrentViewVersion(); };
-  peerEvents.view = [this](bool aWithServers) {
-    return this->CopyView(aWithServers);
-  };
-  peerEvents.onView = [this](const PeerView& aView, const std::string& aPeer) {
-    this->OnPeerView(aView, aPeer);
-  };
-  absl::StatusOr<std::unique_ptr<Peers>> created =
-    Peers::Make(aBase, self, std::move(peerEvents));
-  if (!created.ok()) {
-    // This instance serves callers without peers then. The error is printed, as
-    // the log doesn't exist yet.
-    std::cerr << "gentianspindled: continuing without peers: "
-              << created.status().message() << std::endl;
-    return;
-  }
-  this->peers = *std::move(created);
-}
-
 template<typename C>
 ListWatcherEvents<C>
 Sync::MakeWatcherEvents(std::string_view aKind)
@@ -296,94 +268,6 @@
   }
 }
 
-void
-Sync::OnHeartbeat(Address aFrom, const spread::Heartbeat& aHeartbeat)
-{
-  Micros now = SteadyNow();
-  std::vector<steer::ServerChange> newChanges =
-    this->spread.OnHeartbeat(aFrom, aHeartbeat, now);
-  if (this->spread.Drains().changedRevision !=
-      this->view.Drains().changedRevision) {
-    this->ApplyDrains(FormatAddress(aFrom));
-  }
-  this->view.SetStoreBackAt(this->spread.StoreBackAt());
-  this->view.PutChanges(newChanges, now);
-  if (!newChanges.empty()) {
-    this->events.onView();
-    this->LogServers(newChanges, FormatAddress(aFrom));
-  }
-  for (const spread::Verdict& verdict : this->spread.TakeVerdicts()) {
-    this->events.onVerdict(verdict);
-  }
-  this->ExchangeWithPeers(now);
-}
-
-std::optional<ViewVersion>
-Sync::CurrentViewVersion() const
-{
-  if (!this->spread.HasView()) {
-    return std::nullopt;
-  }
-  return ViewVersion{ this->view.Version(),
-                      this->spread.Servers().revision,
-                      this->spread.Drains().changedRevision };
-}
-
-PeerView
-Sync::CopyView(bool aWithServers) const
-{
-  PeerView copy;
-  copy.config = this->view.CopyConfig();
-  copy.configRevision = this->spread.Config().revision;
-  copy.drains = this->spread.Drains();
-  if (aWithServers) {
-    copy.serversRevision = this->spread.Servers().revision;
-    copy.servers = this->view.CopyServers(SteadyNow());
-  }
-  return copy;
-}
-
-void
-Sync::OnPeerView(const PeerView& aView, const std::string& aPeer)
-{
-  this->peerViewPending = false;
-  int64_t formerVersion = this->view.Version();
-  bool newConfig = this->view.PutConfig(aView.config);
-  this->spread.OnPeerConfig(this->view.Version(), aView.configRevision);
-  bool newServers = aView.serversRevision > this->spread.Servers().revision;
-  if (newServers) {
-    this->view.PutServers(aView.servers, SteadyNow());
-    this->spread.OnPeerServers(aView.serversRevision);
-  }
-  // This instance watches the store itself, but a peer knew more: the watch's
-  // connection may no longer deliver changes.
-  if (this->isReader && newConfig) {
-    this->config.Reconnect();
-  }
-  if (this->isReader && newServers) {
-    this->servers.Reconnect();
-  }
-  if (this->view.HasServers()) {
-    this->servers.AdvanceTo(this->spread.Servers().revision);
-  }
-  if (this->view.Version() > 0) {
-    this->config.AdvanceTo(this->spread.Config().revision);
-  }
-  // The peer does not say when the store confirmed them; a heartbeat does.
-  if (this->spread.OnPeerDrains(aView.drains, spread::kNever)) {
-    this->ApplyDrains(aPeer);
-  }
-  this->events.onView();
-  LogLine line("view_from_peer");
-  line.Text("peer", aPeer)
-    .Number("config_version", this->view.Version())
-    .Number("former", formerVersion)
-    .Number("servers_revision",
-            static_cast<int64_t>(this->spread.Servers().revision))
-    .Text("servers", newServers ? "newer" : "known");
-  this->events.log(line);
-}
-
 // Starts or stops the watches when the replicator has changed this instance's
 // role. Started watches continue from the known revision, whether it came from
 // the store or from a peer.
@@ -455,33 +339,6 @@
   this->events.log(line);
 }
 
-// Sends the heartbeats that are due, and requests a view from a peer that knows
-// more.
-void
-Sync::ExchangeWithPeers(Micros aNow)
-{
-  if (!this->peers) {
-    return;
-  }
-  for (const spread::OutgoingHeartbeat& outgoing :
-       this->spread.TakeHeartbeats(aNow)) {
-    this->peers->Send(outgoing.to, outgoing.heartbeat);
-  }
-  std::optional<spread::ViewRequest> request =
-    this->spread.NextViewRequest(aNow);
-  if (!request) {
-    return;
-  }
-  this->peers->RequestView(request->peer, request->servers);
-  // Restarts the timer: the first list is delayed by kStoreDelayForPeerView
-  // from now on, in place of what is left of kStoreDelayAtStart.
-  bool mayDelayList = !this->firstListStarted && !this->peerViewPending;
-  if (!this->spread.HasView() && mayDelayList) {
-    this->peerViewPending = true;
-    this->firstListTimer.Start(kStoreDelayForPeerView);
-  }
-}
-
 void
 Sync::Tick(Micros aNow)
 {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -15,6 +15,12 @@
 
 namespace gentianspindle::soak {
 
+// Time between the end of an instance or a server and its restart; for an
+// instance that KillInstance ended, the step gives the time. A server fault
+// counts for kServerDowntime at least.
+constexpr Micros kRestartDelay = 300 * kMillisecond;
+constexpr Micros kServerDowntime = 1 * kSecond;
+
 // All instances have the same ports, each at an address of its own.
 constexpr uint16_t kPacketPort = 8172;
 constexpr uint16_t kReadyPort = 8167;
--- a/tests/tagged/docs_test.cpp
+++ b/tests/tagged/docs_test.cpp
@@ -87,7 +87,8 @@
                            ReadSource("src/tagged/node_packets.h") +
                            ReadSource("src/tagged/node_detect.h") +
                            ReadSource("src/tagged/sync.cpp") +
-                           ReadSource("src/tagged/sync_log.cpp");
+                           ReadSource("src/tagged/sync_log.cpp") +
+                           ReadSource("src/tagged/sync_peers.cpp");
   // The first group is the other name of a conditional.
   std::regex eventPattern(
     "LogLine \\w+\\((?:\\w+ \\? \"(\\w+)\" : )?\"(\\w+)\"\\)");
