Move a flow's load along when it opens at an earlier server

Cause: when the caller's next packet shows that an earlier server answered, the flow moves there, but its request in flight stayed counted at the later server. At its end it was taken off the earlier one, whose unsigned count then became very large, so that placing by requests avoided the server for good.

Ruled out: the counts of open flows and handshakes, which moved along already.

Change: MoveTo also moves the load.

Before: "With any answers a flow stays at the server that its caller took" with the new check fails (inFlight or idle is not 0 at the end). After: it passes.

--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -35,6 +35,7 @@
   if (this->SameProcess(aRecord)) {
     --this->health[aRecord.server].open;
     --this->health[aRecord.server].opening;
+    this->health[aRecord.server].load.OnEnd(aRecord.busy);
   }
   std::replace(
     aRecord.earlier.begin(), aRecord.earlier.end(), aServer, aRecord.server);
@@ -42,6 +43,7 @@
   aRecord.generation = this->view.At(aServer).generation;
   ++this->health[aServer].open;
   ++this->health[aServer].opening;
+  this->health[aServer].load.OnOpen(aRecord.busy);
 }
 
 Decision
--- a/tests/steer/second_answer_test.cpp
+++ b/tests/steer/second_answer_test.cpp
@@ -114,6 +114,7 @@
       const ServerHealth& health = caller.fixture.steer.HealthOf(index);
       bool none = caller.server == kNoServer;
       RC_ASSERT(none || (health.open == 0 && health.opening == 0));
+      RC_ASSERT(none || (health.load.inFlight == 0 && health.load.idle == 0));
     }
   });
   CHECK(passed);
