Send the opening packet to a second server when the first is late

Cause: a flow whose first server is silent, or whose opening packet was lost, waits for the caller's own repetition after 200 ms.

Ruled out: repeating a request (the flow is open at one server only), an early end of open flows (the first server goes on working), a fixed delay, and a budget agreed between instances (a share of each one's openings needs none).

Change: with race.budget above 0 (default 0), an instance that sees no answer for twice the 99th percentile of the handshake times, 15 to 100 ms, makes the server suspect and sends the packet to a second one too: only for repeatable routes, within a token bucket, to no server that is cold, suspect, drained or without a free slot, and not while the service's limit is in force. The flow opens where the caller's next packet says, as it does after repeated openings.

Not yet run on the deployments.

--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -78,6 +78,7 @@
   // made. Another instance makes its own record, and so does this one after
   // kQuietTime without packets.
   bool firstRequest = false;
+  bool mayRace = false; // TakeRace may return the packet
   // If the flow is or was held: for how long so far, how many flows count
   // against the service's limit, and the limit.
   Micros waited = 0;
--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -38,10 +38,13 @@
   Micros requestAt = 0;    // when the first data was seen; 0: not yet
   Micros lastPacketAt = 0; // when a packet last updated the record
   bool opening = true;     // the handshake is not yet answered
+  // Server that got the second opening, if there was one.
+  ServerIndex second = kNoServer;
   // Servers that got the opening packet before and may still answer it, newest
   // first. Until the caller's next packet any of them can be the flow's server.
-  std::array<ServerIndex, kOpeningIntervals.size() - 1> earlier{ kNoServer,
-                                                                 kNoServer };
+  std::array<ServerIndex, kOpeningIntervals.size()> earlier{ kNoServer,
+                                                             kNoServer,
+                                                             kNoServer };
   // The flow can no longer make its server suspect: its opening packet went
   // unanswered already, or this process was paused before its handshake check.
   bool suspected = false;
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -130,6 +130,10 @@
     this->detector.OnProgress(aServer, aNow);
     this->sample = { .handshake = true, .duration = aNow - record.placedAt };
     this->times.OnHandshake(aNow - record.sentAt);
+    this->CountRace(record);
+    if (record.second == kNoServer) {
+      this->HandshakesOf(aServer).Add(aNow - record.sentAt);
+    }
   }
   ProgressEvent event = record.progress.OnCallerPacket(aPacket, aNow);
   if (isCurrent) {
@@ -190,6 +194,9 @@
   }
   FlowRecord& record = known->second;
   ReleaseFromLimit(record);
+  if (record.opening) {
+    this->CountRace(record);
+  }
   if (this->SameProcess(record)) {
     ServerHealth& health = this->health[record.server];
     --health.open;
--- a/src/steer/holding.cpp
+++ b/src/steer/holding.cpp
@@ -39,7 +39,10 @@
     return { .action = Action::Drop, .reason = Reason::HeldAgain };
   }
   if (!this->options.hold || admission.limit.Admits()) {
-    return this->Place(aPacket, aRoute, aService, kNoServer, aNow);
+    Decision decision = this->Place(aPacket, aRoute, aService, kNoServer, aNow);
+    decision.mayRace = decision.action == Action::Forward &&
+                       this->PlanRace(aPacket, aRoute, decision.server, aNow);
+    return decision;
   }
   bool fits =
     admission.holdQueue.Put({ .packet = aPacket,
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -6,6 +6,7 @@
 #include "steer/decision.h"
 #include "steer/failure_detector.h"
 #include "steer/flow_record.h"
+#include "steer/race.h"
 #include "steer/request_times.h"
 #include "steer/service_load.h"
 
@@ -13,6 +14,7 @@
 #include "absl/container/node_hash_map.h"
 
 #include <deque>
+#include <queue>
 
 namespace gentianspindle::steer {
 
@@ -40,6 +42,7 @@
   double probesPerSecond = 0; // bound of FailureDetector; 0: it is off
   WarmupQuotaOptions warmupQuota;
   ByRequests byRequests = ByRequests::Never;
+  RaceOptions race;
 };
 
 // Decides on each packet, and keeps the view, the servers' health, the flow
@@ -52,6 +55,7 @@
     , placer(aOptions.placer)
     , warmupQuota(aOptions.warmupQuota)
     , detector(aOptions.probesPerSecond)
+    , raceBudget(aOptions.race)
   {
   }
 
@@ -98,6 +102,10 @@
   // Returns packets whose callers get a reset now, although they sent nothing:
   // their requests wait for a silent server.
   std::vector<Packet> TakeResets() { return std::exchange(this->resets, {}); }
+  // Returns the next second opening to send. Call it after packets and ticks
+  // until it returns none.
+  std::optional<SecondOpening> TakeRace(Micros aNow);
+  const RaceCounts& Races() const { return this->raceCounts; }
   FailureDetector& Detector() { return this->detector; }
   const FailureDetector& Detector() const { return this->detector; }
 
@@ -156,6 +164,23 @@
   // Follows the flow's requests, and learns from their times.
   void TrackRequests(const Packet& aPacket, FlowRecord& aRecord, Micros aNow);
   void SuspectServer(FlowRecord& aRecord, Micros aNow);
+  // Plans the second opening of a flow that was placed now. Returns whether
+  // there may be one.
+  bool PlanRace(const Packet& aPacket,
+                const Route& aRoute,
+                ServerIndex aServer,
+                Micros aNow);
+  // Returns kNoServer if no server may get the second opening.
+  ServerIndex ChooseSecond(const Packet& aPacket,
+                           const FlowRecord& aRecord,
+                           Micros aNow);
+  SecondOpening Race(const Packet& aPacket,
+                     FlowRecord& aRecord,
+                     ServerIndex aSecond,
+                     Micros aNow);
+  // Counts how the flow's second opening ended, if it had one.
+  void CountRace(const FlowRecord& aRecord);
+  HandshakeTimes& HandshakesOf(ServerIndex aServer);
   // Passes what a packet showed on to the detector.
   void OnFlowProgress(const ProgressEvent& aEvent,
                       const FlowRecord& aRecord,
@@ -234,6 +259,12 @@
   FailureDetector detector;
   std::deque<FlowTimer> requestTimers; // of requests that wait, by due time
   std::vector<Packet> resets;
+  RaceBudget raceBudget;
+  HandshakeTimes localHandshakes; // with servers of this instance's zone
+  HandshakeTimes remoteHandshakes;
+  std::priority_queue<RaceTimer, std::vector<RaceTimer>, std::greater<>>
+    raceTimers;
+  RaceCounts raceCounts;
   RequestTimes times;
   Micros laterRequestTime = 0; // of flows that had a request before
   Micros loadPeriodStart = 0;
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -116,6 +116,7 @@
     }
   }
   this->handshakeTimers.clear();
+  this->raceTimers = {};
   this->requestTimers.clear();
   this->detector.OnProcessPause();
   for (ServerHealth& health : this->health) {
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -14,7 +14,9 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/hash/hash.h"
 
+#include <algorithm>
 #include <csignal>
+#include <deque>
 #include <sys/stat.h>
 
 namespace gentianspindle::tagged {
@@ -74,6 +76,9 @@
                        const steer::Packet& aPacket,
                        std::span<uint8_t> aBytes);
   void ReleaseHeld();
+  void KeepOpening(const steer::FlowId& aFlow, std::span<uint8_t> aBytes);
+  void SendSecondOpenings();
+  void LogSecondOpening(const steer::SecondOpening& aSecond);
   // Sends the probes and resets that are due, and logs verdicts.
   void DetectSilence();
   void SendResets();
@@ -123,6 +128,14 @@
   SendBatch sendBatch;
   // Held packets, each with its headroom.
   absl::flat_hash_map<steer::FlowId, std::vector<uint8_t>> held;
+  // Opening packet that may go to a second server, with its headroom.
+  struct KeptOpening
+  {
+    steer::FlowId flow;
+    Micros at = 0;
+    std::vector<uint8_t> bytes;
+  };
+  std::deque<KeptOpening> openings; // oldest first
   steer::FlowSteering steer;
   Prober prober;
   std::unique_ptr<Sync> sync;
@@ -157,3 +170,4 @@
 #include "tagged/node_detect.h"
 #include "tagged/node_impl.h"
 #include "tagged/node_packets.h"
+#include "tagged/node_race.h"
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -23,6 +23,7 @@
     .warmupQuota = { .overage = aSettings.warmup.overage,
                      .slack = aSettings.warmup.slack },
     .byRequests = static_cast<steer::ByRequests>(load.byRequests),
+    .race = { .budget = aSettings.race.budget, .burst = aSettings.race.burst },
   };
 }
 
@@ -251,6 +252,10 @@
   this->steer.Tick(at);
   this->DetectSilence();
   this->ReleaseHeld();
+  if (!this->openings.empty()) {
+    // Second openings may be due, but answers to the first may wait.
+    this->OnReadable();
+  }
   this->CheckSendDelay();
   if (!this->log) {
     this->StartLogAndMetrics();
--- a/src/tagged/node_packets.h
+++ b/src/tagged/node_packets.h
@@ -21,6 +21,10 @@
   this->socketEmptyAt = this->lastBatchFull ? this->socketEmptyAt : polledAt;
   this->SendAll();
   this->ReleaseHeld();
+  // Answers may wait among the packets that are left.
+  if (!this->lastBatchFull) {
+    this->SendSecondOpenings();
+  }
   this->CheckSendDelay();
 }
 
@@ -62,6 +66,9 @@
     this->response.Add(sample.duration);
   }
   this->LogDecision(decision, *packet, bytes.subspan(kHeadroom));
+  if (decision.mayRace) {
+    this->KeepOpening(packet->flow, bytes);
+  }
   this->ExecuteDecision(decision, *packet, bytes);
 }
 
--- a/src/tagged/settings.cpp
+++ b/src/tagged/settings.cpp
@@ -6,8 +6,11 @@
 
 namespace {
 
+constexpr double kMaxRaceBudget = 0.2;
+
 // Checks rules that the type and range of a setting can't express: the zone
-// must not be empty, and each zone has one region.
+// must not be empty, each zone has one region, and the bound of second openings
+// may be a fraction.
 void
 CheckConsistency(const TaggedSettings& aSettings,
                  std::vector<SettingFault>& aFaults)
@@ -15,6 +18,9 @@
   if (aSettings.instance.zone.empty()) {
     aFaults.push_back({ "instance", "zone", "must not be empty" });
   }
+  if (aSettings.race.budget > kMaxRaceBudget) {
+    aFaults.push_back({ "race", "budget", "must be at most 0.2" });
+  }
   if (!ParseRegions(aSettings.regions.zones).ok()) {
     aFaults.push_back(
       { "regions", "zones", "must have entries zone=region, each zone once" });
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -84,6 +84,12 @@
   double slack = 0;
 };
 
+struct TaggedRaceSettings
+{
+  double budget = 0;
+  double burst = 0;
+};
+
 struct TaggedSettings
 {
   TaggedInstanceSettings instance;
@@ -99,9 +105,10 @@
   TaggedLoadSettings load;
   TaggedLogSettings log;
   TaggedWarmupSettings warmup;
+  TaggedRaceSettings race;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 22>
+inline constexpr std::array<SettingField<TaggedSettings>, 24>
   kTaggedSettingsFields{ {
     {
       { "instance", "name", SettingType::String,
@@ -279,6 +286,22 @@
         return &aSettings.warmup.slack;
       },
     },
+    {
+      { "race", "budget", SettingType::Real,
+      false, "", 0, 0, 1,
+      "", "second openings at another server, as a share of the openings of routes whose requests may be repeated, at most 0.2; 0: none" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.race.budget;
+      },
+    },
+    {
+      { "race", "burst", SettingType::Real,
+      false, "", 5, 1, 1000,
+      "flows", "most second openings that race.budget can save up" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.race.burst;
+      },
+    },
   } };
 
 }
--- a/tests/steer/second_answer_test.cpp
+++ b/tests/steer/second_answer_test.cpp
@@ -20,12 +20,26 @@
 struct Caller
 {
   SteeringFixture fixture;
-  VirtualClock clock;
+  VirtualClock clock;                         // starts at kStart
   std::map<ServerIndex, Micros> answerDelays; // 0: the answer is lost
   ServerIndex server = kNoServer;             // whose answer the caller took
   Tag tag = kNoTag;                           // the last that it received
   size_t wrong = 0; // packets that did not go to that server
 
+  // With a budget, the instance knows how long handshakes take, and has saved
+  // up second openings.
+  explicit Caller(double aBudget = 0)
+    : fixture({ .race = { .budget = aBudget } })
+  {
+    Config config = MakeConfig(2);
+    config.routes[0].repeatable = true;
+    this->fixture.steer.CurrentView().PutConfig(config);
+    for (uint16_t port = 1024; aBudget > 0 && port < 1124; ++port) {
+      Decision opened = this->fixture.Open(port);
+      this->fixture.SendFin(port, opened.tag);
+    }
+  }
+
   Decision Receive(Packet aPacket)
   {
     this->fixture.now = this->clock.Now();
@@ -42,22 +56,27 @@
       packet.syn = true;
       packet.retransmissions = aRetransmissions;
       Decision decision = this->Receive(packet);
-      Micros delay = decision.action == Action::Forward
-                       ? this->answerDelays[decision.server]
-                       : 0;
-      if (delay > 0) {
-        this->clock.After(delay, [=, this] { this->OnAnswer(decision); });
+      if (decision.action == Action::Forward) {
+        this->Answer(decision.server, decision.tag);
       }
     });
   }
 
-  void OnAnswer(const Decision& aDecision)
+  void Answer(ServerIndex aServer, Tag aTag)
   {
-    this->tag = aDecision.tag;
+    Micros delay = this->answerDelays[aServer];
+    if (delay > 0) {
+      this->clock.After(delay, [=, this] { this->OnAnswer(aServer, aTag); });
+    }
+  }
+
+  void OnAnswer(ServerIndex aServer, Tag aTag)
+  {
+    this->tag = aTag;
     if (this->server != kNoServer) {
       return;
     }
-    this->server = aDecision.server;
+    this->server = aServer;
     // The caller acknowledges the answer at once.
     this->Send(false);
     constexpr int kPackets = 30;
@@ -89,9 +108,13 @@
     }
     for (Micros end = this->clock.Now() + 3 * kSecond;
          this->clock.Now() < end;) {
-      this->clock.RunUntil(this->clock.Now() + 50 * kMillisecond);
+      this->clock.RunUntil(this->clock.Now() + 10 * kMillisecond);
       this->fixture.now = this->clock.Now();
       this->fixture.steer.Tick(this->fixture.now);
+      while (std::optional<SecondOpening> second =
+               this->fixture.steer.TakeRace(this->fixture.now)) {
+        this->Answer(second->server, second->tag);
+      }
     }
   }
 };
@@ -100,14 +123,16 @@
 
 TEST_CASE("With any answers a flow stays at the server that its caller took")
 {
-  bool passed = rc::check([] {
-    Caller caller;
+  auto budget = GENERATE(0.0, 0.2);
+  bool passed = rc::check([budget] {
+    Caller caller(budget);
     for (ServerIndex index : { 0, 1, 2 }) {
       auto delay = *rc::gen::inRange<Micros>(0, 1000);
       caller.answerDelays[index] = delay * kMillisecond;
     }
     caller.Run();
     RC_CLASSIFY(caller.server != kNoServer, "opened");
+    RC_CLASSIFY(caller.fixture.steer.Races().raced > 0, "raced");
     RC_LOG() << "server " << caller.server << "\n";
     RC_ASSERT(caller.wrong == 0U);
     for (ServerIndex index : { 0, 1, 2 }) {
--- a/tests/support/tagged_load.cpp
+++ b/tests/support/tagged_load.cpp
@@ -11,19 +11,6 @@
 
 using namespace steer;
 
-// A caller repeats an unanswered opening packet after these times, and then
-// gives up the attempt. After an answer, an attempt has no timeout.
-constexpr Micros kFirstRepeat = 200 * kMillisecond;
-constexpr Micros kSecondRepeat = 600 * kMillisecond;
-constexpr Micros kAttemptTimeout = 1400 * kMillisecond;
-// A caller sends lost data again after this time, which doubles up to so often.
-constexpr Micros kRetransmitDelay = 200 * kMillisecond;
-constexpr uint32_t kMaxDoublings = 3;
-constexpr uint32_t kFirstSeq = 100;
-constexpr uint32_t kRequestBytes = 200;
-constexpr uint32_t kReplyBytes = 1000;
-constexpr Micros kTick = 50 * kMillisecond; // period of the instances' ticks
-
 // Instances, callers and servers of one run.
 class Simulation
 {
@@ -181,9 +168,7 @@
     LoadFlow& flow = this->flows[key];
     flow.request = aRequest;
     flow.instance = PickInstance(this->options, request.zone, this->random);
-    flow.id = { { static_cast<Address>(0x64400000 + (key >> 14)),
-                  static_cast<uint16_t>(1024 + (key & 0x3FFF)) },
-                LoadTarget(request.kind) };
+    flow.id = LoadFlowId(key, request.kind);
     uint32_t retransmissions = 0;
     for (Micros at : { Micros{ 0 }, kFirstRepeat, kSecondRepeat }) {
       this->clock.After(at, [this, key, retransmissions] {
@@ -294,11 +279,15 @@
     FlowSteering& instance = *this->instances[aInstance];
     while (std::optional<ReleasedPacket> released =
              instance.Release(this->clock.Now())) {
-      const Endpoint& caller = released->packet.flow.caller;
-      // The inverse of how StartAttempt makes the caller's endpoint.
-      uint64_t key =
-        (uint64_t{ caller.address - 0x64400000 } << 14) | (caller.port - 1024U);
-      this->CarryOut(key, released->packet, released->decision);
+      this->CarryOut(LoadFlowKey(released->packet.flow),
+                     released->packet,
+                     released->decision);
+    }
+    while (std::optional<SecondOpening> second =
+             instance.TakeRace(this->clock.Now())) {
+      ++this->result.secondOpenings;
+      this->DeliverToServer(
+        LoadFlowKey(second->packet.flow), second->packet, second->tag - 1);
     }
   }
 
--- a/tests/support/tagged_load_parts.h
+++ b/tests/support/tagged_load_parts.h
@@ -6,6 +6,19 @@
 
 namespace gentianspindle {
 
+// A caller repeats an unanswered opening packet after these times, and then
+// gives up the attempt. After an answer, an attempt has no timeout.
+constexpr Micros kFirstRepeat = 200 * kMillisecond;
+constexpr Micros kSecondRepeat = 600 * kMillisecond;
+constexpr Micros kAttemptTimeout = 1400 * kMillisecond;
+// A caller sends lost data again after this time, which doubles up to so often.
+constexpr Micros kRetransmitDelay = 200 * kMillisecond;
+constexpr uint32_t kMaxDoublings = 3;
+constexpr uint32_t kFirstSeq = 100;
+constexpr uint32_t kRequestBytes = 200;
+constexpr uint32_t kReplyBytes = 1000;
+constexpr Micros kTick = 50 * kMillisecond; // period of the instances' ticks
+
 // The route of the first kind; those of further ones have the next ports.
 constexpr Endpoint kFirstLoadTarget{ 0xC6120001, 443 };
 
@@ -17,6 +30,22 @@
   return target;
 }
 
+// Flows are numbered, and LoadFlowKey returns the number of one.
+inline steer::FlowId
+LoadFlowId(uint64_t aKey, size_t aKind)
+{
+  return { { static_cast<Address>(0x64400000 + (aKey >> 14)),
+             static_cast<uint16_t>(1024 + (aKey & 0x3FFF)) },
+           LoadTarget(aKind) };
+}
+
+inline uint64_t
+LoadFlowKey(const steer::FlowId& aFlow)
+{
+  return (uint64_t{ aFlow.caller.address - 0x64400000 } << 14) |
+         (aFlow.caller.port - 1024U);
+}
+
 // Returns the zone of the instance or server with this index.
 inline std::string
 LoadZone(const TaggedLoadOptions& aOptions, size_t aIndex)
--- a/tests/tagged/settings_test.cpp
+++ b/tests/tagged/settings_test.cpp
@@ -194,6 +194,16 @@
   }
 }
 
+TEST_CASE("Second openings are off by default and at most a fifth of openings")
+{
+  auto settings = ParseTaggedSettings(kValidSettings, "file");
+  REQUIRE(settings.ok());
+  CHECK(settings->race.budget == 0);
+  std::string text = kValidSettings + "[race]\nbudget = ";
+  CHECK(ParseTaggedSettings(text + "0.2\n", "file").ok());
+  CHECK_FALSE(ParseTaggedSettings(text + "0.21\n", "file").ok());
+}
+
 TEST_CASE(
   "The list of seeds may have none, and cores may be a fraction but not a "
   "string")
