--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -90,6 +90,12 @@
   double slack = 0;
 };
 
+struct TaggedRaceSettings
+{
+  double budget = 0;
+  double burst = 0;
+};
+
 struct TaggedSettings
 {
   TaggedInstanceSettings instance;
@@ -106,9 +112,10 @@
   TaggedAdmissionSettings admission;
   TaggedLogSettings log;
   TaggedWarmupSettings warmup;
+  TaggedRaceSettings race;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 24>
+inline constexpr std::array<SettingField<TaggedSettings>, 26>
   kTaggedSettingsFields{ {
     {
       { "instance", "name", SettingType::String,
@@ -302,6 +309,22 @@
         return &aSettings.warmup.slack;
       },
     },
+    {
+      { "race", "budget", SettingType::Real,
+      false, "", 0, 0, 1,
+      "", "second openings at another server, as a share of the openings of routes whose requests may be repeated, at most 0.2; 0: none" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.race.budget;
+      },
+    },
+    {
+      { "race", "burst", SettingType::Real,
+      false, "", 5, 1, 1000,
+      "flows", "most second openings that race.budget can save up" },
+      [](TaggedSettings& aSettings) -> SettingSlot {
+        return &aSettings.race.burst;
+      },
+    },
   } };
 
 }
