Check the result of the random histories of silent servers

Cause: the test dropped the result of rc::check, so that a false reset failed nothing. Change: the result is checked. Ruled out: nothing else in tests/steer/silence_test.cpp drops one.

--- a/tests/steer/silence_test.cpp
+++ b/tests/steer/silence_test.cpp
@@ -227,7 +227,7 @@
 // requests and queues of seconds.
 TEST_CASE("In random histories no flow of a server in touch is reset")
 {
-  rc::check([](uint32_t aSeed) {
+  bool passed = rc::check([](uint32_t aSeed) {
     SilenceWorld world(aSeed);
     world.loss = 0.01 * static_cast<double>(world.Below(11));
     world.jitter = world.Below(20 * kMillisecond) + 1;
@@ -266,6 +266,7 @@
     RC_CLASSIFY(world.resets > 0, "with resets");
     RC_ASSERT(world.falseResets == 0U);
   });
+  CHECK(passed);
 }
 
 }
