Wait 450 ms for answers to probes before a server counts as silent

Cause: probes counted as unanswered 50 ms after the last of them, and an answer to any probe, however late, showed that probes pass. A live server with a round trip of 210 ms, or every server behind a link with a queue of 250 ms, got verdicts. Ruled out: 300 ms after the last probe. With a round trip of up to 400 ms and packet loss, too few probes had the time to be answered. Change: a probe counts as unanswered 450 ms after it was sent. A control is a probe that was sent after the round's first and answered within 450 ms; one is sent every 100 ms at most. Probes are spread over 100 ms instead of 150; at least four are still needed. The age of a verdict is that of its last probe, so that it resets flows for no longer than before.

--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -117,6 +117,7 @@
   ServerIndex server = kNoServer;
   uint32_t generation = 0;
   Endpoint endpoint;
+  Micros sentAt = 0;
 };
 
 // Handshake or response time of one flow, for histograms. At most one of the
--- a/src/steer/failure_detector.cpp
+++ b/src/steer/failure_detector.cpp
@@ -133,6 +133,7 @@
 void
 FailureDetector::OnProbeResult(ServerIndex aServer,
                                ProbeResult aResult,
+                               Micros aSentAt,
                                Micros aNow)
 {
   ++this->counts.probes[static_cast<size_t>(aResult)];
@@ -146,7 +147,9 @@
     }
     return;
   }
-  this->lastAnswerAt = aNow;
+  if (aNow - aSentAt <= kProbeTimeout) {
+    this->answeredSentAt = std::max(this->answeredSentAt, aSentAt);
+  }
   if (aResult == ProbeResult::Connected) {
     this->OnLife(aServer);
   }
@@ -165,8 +168,10 @@
     this->Record(aServer, suspect, VerdictChange::Connected);
   }
   this->RememberMistake(aServer, suspect, aNow);
-  suspect.state = Suspect::State::Answered;
-  ++suspect.answers;
+  if (suspect.state != Suspect::State::Answered) {
+    suspect.state = Suspect::State::Answered;
+    ++suspect.answers;
+  }
   suspect.quietUntil = aNow + kAnsweredPause;
 }
 
@@ -228,8 +233,9 @@
          (this->HasPeerVerdict(aServer, aNow) ? kPeerEvidence : 0);
 }
 
-// Unanswered probes count only if another was answered after the first of them,
-// the control: else this instance may be cut off, or its probes be filtered. A
+// Unanswered probes count only if another was answered in time that was sent
+// after the first of them, the control: else this instance may be cut off, its
+// link be slow, or its probes be filtered. A
 // refusal comes from the server's machine, so it needs no control.
 std::optional<VerdictChange>
 FailureDetector::Judge(ServerIndex aServer,
@@ -237,8 +243,7 @@
                        Micros aNow) const
 {
   bool asked = aSuspect.since != 0 && aSuspect.probes > 0 &&
-               aSuspect.state != Suspect::State::Answered &&
-               aNow - aSuspect.lastProbeAt >= kProbeTimeout;
+               aSuspect.state != Suspect::State::Answered;
   if (!asked) {
     return std::nullopt;
   }
@@ -250,9 +255,9 @@
     return VerdictChange::Refused;
   }
   bool unanswered =
-    aSuspect.refused == 0 &&
+    aSuspect.refused == 0 && aNow - aSuspect.lastProbeAt >= kProbeTimeout &&
     aSuspect.probes >= this->ProbesNeeded(aServer, aSuspect, aNow) &&
-    this->lastAnswerAt >= aSuspect.firstProbeAt;
+    this->answeredSentAt >= aSuspect.firstProbeAt;
   return unanswered ? std::optional(VerdictChange::Unanswered) : std::nullopt;
 }
 
@@ -295,7 +300,7 @@
     if (verdict) {
       bool isNew = suspect.state != Suspect::State::Silent;
       suspect.state = Suspect::State::Silent;
-      suspect.confirmedAt = aNow;
+      suspect.confirmedAt = suspect.lastProbeAt;
       if (isNew) {
         this->Record(server, suspect, *verdict);
       }
--- a/src/steer/failure_detector.h
+++ b/src/steer/failure_detector.h
@@ -31,8 +31,11 @@
 constexpr uint32_t kPeerEvidence = 3;
 // Probes of one server are spread over this time, so that a short burst of
 // losses doesn't hit all of them. Each takes one round trip.
-constexpr Micros kProbeSpread = 150 * kMillisecond;
-constexpr Micros kProbeTimeout = 50 * kMillisecond;
+constexpr Micros kProbeSpread = 100 * kMillisecond;
+// Longer than round trips over a link with a queue.
+constexpr Micros kProbeTimeout = 450 * kMillisecond;
+// An instance asks for a control at most this often.
+constexpr Micros kControlGap = 100 * kMillisecond;
 // A refused connection shows that nothing listens for connections now. Two of
 // them, so far apart, lead to a verdict with so much evidence of flows: a live
 // server may refuse connections and still serve its flows.
@@ -41,8 +44,8 @@
 // Evidence that leads to no verdict in this time is void, and so are probes
 // that are older than kMaxProbeAge: the server may have returned meanwhile. It
 // is so if the control isn't answered either, or no further probe may be sent.
-constexpr Micros kMaxProbeAge = 300 * kMillisecond;
-constexpr Micros kRoundTimeout = 1 * kSecond;
+constexpr Micros kMaxProbeAge = kProbeTimeout + 250 * kMillisecond;
+constexpr Micros kRoundTimeout = 1500 * kMillisecond;
 // A server that answered a probe is not probed again for this time; the time
 // doubles with each answer in a row, if only slow requests make it suspect.
 constexpr Micros kAnsweredPause = 500 * kMillisecond;
@@ -53,8 +56,8 @@
 constexpr double kOverdueResponses = 4;
 // Weight of the newest response time in the moving average of all servers.
 constexpr double kUsualResponseWeight = 0.02;
-// A verdict that was confirmed within this time resets flows. An older one must
-// be confirmed by probes first: the server may have returned.
+// A verdict whose last probe was sent within this time resets flows. An older
+// one must be confirmed by probes first: the server may have returned.
 constexpr Micros kConfirmedTime = 1 * kSecond;
 // A verdict that was not confirmed for this time ends.
 constexpr Micros kVerdictLifetime = 10 * kSecond;
@@ -132,9 +135,9 @@
   Micros firstProbeAt = 0;
   Micros lastProbeAt = 0;
   Micros firstRefusedAt = 0;
-  Micros confirmedAt = 0; // of a verdict
-  Micros quietUntil = 0;  // no probe before this time
-  uint32_t answers = 0;   // to probes, since the suspect is known
+  Micros confirmedAt = 0;   // when the last probe of a verdict was sent
+  Micros quietUntil = 0;    // no probe before this time
+  uint32_t answers = 0;     // to probes, since the suspect is known
 
   uint32_t CountOf(Evidence aEvidence) const
   {
@@ -174,7 +177,11 @@
   // A flow of the server got an answer.
   void OnProgress(ServerIndex aServer, Micros aNow);
   void OnResponse(Micros aDuration);
-  void OnProbeResult(ServerIndex aServer, ProbeResult aResult, Micros aNow);
+  // The result of a probe that was sent at aSentAt.
+  void OnProbeResult(ServerIndex aServer,
+                     ProbeResult aResult,
+                     Micros aSentAt,
+                     Micros aNow);
   // A peer had a verdict on the server at aAt. aHasFlows says that flows here
   // may wait for the server, so that it is probed at once.
   void OnPeerVerdict(ServerIndex aServer,
@@ -253,7 +260,10 @@
   // The last two servers that answered a flow or a probe.
   ServerIndex latest = kNoServer;
   ServerIndex before = kNoServer;
-  Micros lastAnswerAt = kNever; // to any probe, also a refusal
+  // When the last of the probes was sent that were answered, also by a refusal,
+  // within kProbeTimeout.
+  Micros answeredSentAt = kNever;
+  Micros controlAt = kNever; // when the last control was sent
   absl::flat_hash_map<ServerIndex, Suspect> suspects;
   absl::flat_hash_map<ServerIndex, Micros> peerVerdicts; // when they came
   // When a server was last suspect by mistake.
--- a/src/steer/probing.cpp
+++ b/src/steer/probing.cpp
@@ -8,13 +8,14 @@
 namespace {
 
 // Calls of FailureDetector::TakeProbes over kProbeSpread, the first included.
-constexpr uint32_t kProbeSteps = 4;
+constexpr uint32_t kProbeSteps = 3;
 // Time between two of them.
 constexpr Micros kProbeStep = kProbeSpread / (kProbeSteps - 1);
+// A verdict needs so many unanswered probes, whatever other evidence there is.
+constexpr uint32_t kMinProbes = 4;
 
 }
 
-// Returns at least one for each step of the spread.
 uint32_t
 FailureDetector::ProbesNeeded(ServerIndex aServer,
                               const Suspect& aSuspect,
@@ -24,7 +25,7 @@
   auto mistake = this->mistakes.find(aServer);
   bool lossy =
     mistake != this->mistakes.end() && aNow - mistake->second < kLossMemory;
-  return std::max(kProbeSteps,
+  return std::max(kMinProbes,
                   (lossy ? kEvidenceOnLossyLinks : kEvidenceNeeded) - found);
 }
 
@@ -88,11 +89,14 @@
 FailureDetector::ControlDue(Micros aNow) const
 {
   bool due = false;
+  if (aNow - this->controlAt < kControlGap) {
+    return kNoServer;
+  }
   for (const auto& [server, suspect] : this->suspects) {
     bool unanswered = suspect.since != 0 && suspect.probes > 0 &&
                       suspect.state != Suspect::State::Answered &&
                       aNow - suspect.firstProbeAt >= kProbeStep;
-    due = due || (unanswered && this->lastAnswerAt < suspect.firstProbeAt);
+    due = due || (unanswered && this->answeredSentAt < suspect.firstProbeAt);
   }
   if (!due) {
     return kNoServer;
@@ -129,6 +133,7 @@
   ServerIndex control = this->ControlDue(aNow);
   if (control != kNoServer && this->tokens >= 1) {
     this->tokens -= 1;
+    this->controlAt = aNow;
     probes.push_back(control);
   }
   return probes;
--- a/src/steer/silence.cpp
+++ b/src/steer/silence.cpp
@@ -121,7 +121,7 @@
   }
   for (ServerIndex index : this->detector.TakeProbes(aNow)) {
     const Server& server = this->view.At(index);
-    probes.push_back({ index, server.generation, server.entry.endpoint });
+    probes.push_back({ index, server.generation, server.entry.endpoint, aNow });
   }
   return probes;
 }
@@ -155,8 +155,10 @@
   bool reused =
     aResult == ProbeResult::Connected && this->IsEndpointReused(aProbe.server);
   bool wasSilent = this->detector.IsSilent(aProbe.server);
-  this->detector.OnProbeResult(
-    aProbe.server, reused ? ProbeResult::Refused : aResult, aNow);
+  this->detector.OnProbeResult(aProbe.server,
+                               reused ? ProbeResult::Refused : aResult,
+                               aProbe.sentAt,
+                               aNow);
   if (wasSilent && !this->detector.IsSilent(aProbe.server)) {
     // The next new flow may try it.
     this->health[aProbe.server].backoffUntil = aNow;
