Count a refusal only in the round of its probe

Cause: a refusal that came after a flow's progress counted in the next round, and the second one could be of a probe sent together with the first. The endpoint of the probe wasn't compared with the one that is listed. A test adds servers that acknowledge with their answers only, and whose callers thus repeat each slow request. Before: the test of the late refusal had a verdict; that of repeated requests passed already, as probes were answered.

--- a/src/steer/failure_detector.cpp
+++ b/src/steer/failure_detector.cpp
@@ -29,6 +29,7 @@
   aSuspect.evidence = {};
   aSuspect.probes = 0;
   aSuspect.refused = 0;
+  aSuspect.refusedSentAt = 0;
   aSuspect.firstProbeAt = 0;
 }
 
@@ -129,7 +130,8 @@
 
 // An answer shows that the server's machine lives and is reached, however slow
 // the server is. A probe that timed out needs nothing here: it counts as
-// unanswered kProbeTimeout after it was sent.
+// unanswered kProbeTimeout after it was sent. A refusal counts only for the
+// round of its probe, as the server may have answered a flow since.
 void
 FailureDetector::OnProbeResult(ServerIndex aServer,
                                ProbeResult aResult,
@@ -158,8 +160,12 @@
   }
   Suspect& suspect = known->second;
   if (aResult == ProbeResult::Refused) {
+    if (suspect.probes == 0 || aSentAt < suspect.firstProbeAt) {
+      return;
+    }
     suspect.firstRefusedAt =
       suspect.refused == 0 ? aNow : suspect.firstRefusedAt;
+    suspect.refusedSentAt = std::max(suspect.refusedSentAt, aSentAt);
     ++suspect.refused;
     return;
   }
@@ -249,7 +255,7 @@
   }
   bool refused =
     aSuspect.refused >= 2 &&
-    aSuspect.lastProbeAt >= aSuspect.firstRefusedAt + kRefusalGap &&
+    aSuspect.refusedSentAt >= aSuspect.firstRefusedAt + kRefusalGap &&
     this->EvidenceOf(aServer, aSuspect, aNow) >= kEvidenceWithRefusals;
   if (refused) {
     return VerdictChange::Refused;
--- a/src/steer/failure_detector.h
+++ b/src/steer/failure_detector.h
@@ -135,6 +135,7 @@
   Micros firstProbeAt = 0;
   Micros lastProbeAt = 0;
   Micros firstRefusedAt = 0;
+  Micros refusedSentAt = 0; // when the last refused probe was sent
   Micros confirmedAt = 0;   // when the last probe of a verdict was sent
   Micros quietUntil = 0;    // no probe before this time
   uint32_t answers = 0;     // to probes, since the suspect is known
--- a/src/steer/silence.cpp
+++ b/src/steer/silence.cpp
@@ -149,7 +149,9 @@
                             Micros aNow)
 {
   this->SyncWithView();
-  if (this->view.At(aProbe.server).generation != aProbe.generation) {
+  const Server& server = this->view.At(aProbe.server);
+  if (server.generation != aProbe.generation ||
+      server.entry.endpoint != aProbe.endpoint) {
     return;
   }
   bool reused =
--- a/tests/steer/silence_test.cpp
+++ b/tests/steer/silence_test.cpp
@@ -132,6 +132,48 @@
   }
 }
 
+TEST_CASE("A refusal counts only in the round of its probe")
+{
+  FailureDetector detector(5);
+  Micros now = kStart;
+  detector.Tick(now);
+  detector.OnEvidence(kServer, Evidence::Repeat, now);
+  detector.TakeProbes(now);
+  Micros sentAt = now;
+  now += kWorldTick;
+  detector.OnProgress(kServer, now);
+  detector.OnEvidence(kServer, Evidence::Repeat, now);
+  detector.OnEvidence(kServer, Evidence::Repeat, now);
+  detector.TakeProbes(now);
+  detector.OnProbeResult(kServer, ProbeResult::Refused, sentAt, now);
+  bool refused = false;
+  for (int tick = 0; tick < 20; ++tick) {
+    now += kWorldTick;
+    detector.Tick(now);
+    for (ServerIndex server : detector.TakeProbes(now)) {
+      if (server == kServer && !refused) {
+        refused = true;
+        detector.OnProbeResult(server, ProbeResult::Refused, now, now);
+      }
+    }
+  }
+  CHECK_FALSE(detector.IsSilent(kServer));
+}
+
+TEST_CASE("Repeats without unanswered probes lead to no verdict")
+{
+  SilenceWorld world(1);
+  world.Run(4 * kSecond);
+  for (SilenceWorld::Server& server : world.servers) {
+    server.acksAtOnce = false;
+    server.work = 400 * kMillisecond;
+  }
+  world.Run(20 * kSecond);
+  CHECK(world.Verdicts(VerdictChange::Unanswered) == 0);
+  CHECK(world.Verdicts(VerdictChange::Refused) == 0);
+  CHECK(world.resets == 0);
+}
+
 TEST_CASE("An instance that reaches no server has no verdict")
 {
   SilenceWorld world(1);
