Drop the timers of answered requests, and keep the others in order

Cause: a timer of a request stayed while any request of its flow waited, so that a flow that always has one in flight added a timer with each request; a timer that was set again far ahead held back those behind it. Change: a timer keeps when its request was seen and is dropped if the flow waits for another one; timers are taken out by due time. Before: 1000 timers after 1000 requests at one flow; no overdue request was found behind the timer of a slow server. After: 21 at most; the overdue request is found.

--- a/src/steer/silence.cpp
+++ b/src/steer/silence.cpp
@@ -45,7 +45,8 @@
     this->detector.OnEvidence(aRecord.server, Evidence::Repeat, aNow);
   }
   if (useful && aEvent.started) {
-    this->requestTimers.push_back({ aPacket.flow, aNow + kMinOverdue });
+    this->requestTimers.push(
+      { aPacket.flow, aRecord.progress.requestAt, aNow + kMinOverdue });
   }
 }
 
@@ -54,12 +55,12 @@
 void
 FlowSteering::CheckRequests(Micros aNow)
 {
-  while (!this->requestTimers.empty() &&
-         this->requestTimers.front().at <= aNow) {
-    FlowTimer timer = this->requestTimers.front();
-    this->requestTimers.pop_front();
+  while (!this->requestTimers.empty() && this->requestTimers.top().at <= aNow) {
+    RequestTimer timer = this->requestTimers.top();
+    this->requestTimers.pop();
     auto known = this->flows.find(timer.flow);
-    if (known == this->flows.end() || known->second.progress.requestAt == 0 ||
+    if (known == this->flows.end() ||
+        known->second.progress.requestAt != timer.requestAt ||
         !this->SameProcess(known->second)) {
       continue;
     }
@@ -73,7 +74,8 @@
       this->detector.OnEvidence(record.server, Evidence::Overdue, aNow);
       overdueAt = aNow + kMinOverdue;
     }
-    this->requestTimers.push_back({ timer.flow, overdueAt });
+    timer.at = overdueAt;
+    this->requestTimers.push(timer);
   }
 }
 
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -14,6 +14,7 @@
 #include "absl/container/node_hash_map.h"
 
 #include <deque>
+#include <functional>
 #include <utility>
 
 namespace gentianspindle::steer {
@@ -116,6 +117,7 @@
     return std::exchange(this->shareChanges, {});
   }
   size_t Flows() const { return this->flows.size(); }
+  size_t RequestTimers() const { return this->requestTimers.size(); }
   // Returns null before the first opening packet for aService.
   const ConcurrencyLimit* LimitOf(std::string_view aService) const;
   const ServerHealth& HealthOf(ServerIndex aServer) const
@@ -216,6 +218,19 @@
     FlowId flow;
     Micros at = 0; // due time; in handshakeTimers the time of sending
   };
+  // Check of a request that waits. One that was answered leaves its timer
+  // behind.
+  struct RequestTimer
+  {
+    FlowId flow;
+    Micros requestAt = 0; // when the request was seen
+    Micros at = 0;        // due time
+
+    friend bool operator>(const RequestTimer& aLeft, const RequestTimer& aRight)
+    {
+      return aLeft.at > aRight.at;
+    }
+  };
   // Admission state of one service.
   struct ServiceAdmission
   {
@@ -274,7 +289,9 @@
   // kQuietTime.
   std::deque<FlowTimer> idleTimers;
   FailureDetector detector;
-  std::deque<FlowTimer> requestTimers; // of requests that wait, by due time
+  // Of requests that wait; the first one is due first.
+  std::priority_queue<RequestTimer, std::vector<RequestTimer>, std::greater<>>
+    requestTimers;
   std::vector<Packet> resets;
   RequestTimes times;
   Micros laterRequestTime = 0; // of flows that had a request before
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -135,7 +135,7 @@
     }
   }
   this->handshakeTimers.clear();
-  this->requestTimers.clear();
+  this->requestTimers = {};
   this->detector.OnProcessPause();
   for (ServerHealth& health : this->health) {
     health.backoffUntil = std::min(health.backoffUntil, aNow);
--- a/tests/steer/silence_test.cpp
+++ b/tests/steer/silence_test.cpp
@@ -174,6 +174,75 @@
   CHECK(world.resets == 0);
 }
 
+TEST_CASE("A flow with a request always in flight keeps few timers")
+{
+  SteeringFixture fixture;
+  fixture.steer = FlowSteering{ FlowSteeringOptions{ .placer = { .zone = "a" },
+                                                     .probesPerSecond = 5 } };
+  Config config = MakeConfig(1);
+  config.routes[0].repeatable = true;
+  fixture.steer.CurrentView().PutConfig(config);
+  fixture.steer.CurrentView().PutServers(std::vector{ MakeServer(1) },
+                                         fixture.now);
+  Packet packet = SteeringFixture::MakePacket(7000);
+  packet.tag = TagOf(1);
+  packet.dataBytes = 100;
+  for (uint32_t request = 1; request <= 1000; ++request) {
+    packet.seq += 100;
+    packet.ack = request;
+    fixture.steer.OnPacket(packet, true, fixture.now);
+    fixture.now += 10 * kMillisecond;
+    fixture.steer.Tick(fixture.now);
+  }
+  // Those of the requests of the last kMinOverdue.
+  CHECK(fixture.steer.RequestTimers() >= 1);
+  CHECK(fixture.steer.RequestTimers() <= 21);
+}
+
+// The usual response of the slow server is 2 s, so its request is overdue after
+// 8 s. A request at another server that begins later is overdue before.
+TEST_CASE("A request that may wait for long doesn't hide others")
+{
+  SteeringFixture fixture;
+  fixture.steer = FlowSteering{ FlowSteeringOptions{ .placer = { .zone = "a" },
+                                                     .probesPerSecond = 5 } };
+  Config config = MakeConfig(1);
+  config.routes[0].repeatable = true;
+  fixture.steer.CurrentView().PutConfig(config);
+  fixture.steer.CurrentView().PutServers(
+    std::vector{ MakeServer(1), MakeServer(2) }, fixture.now);
+  auto send = [&fixture](uint16_t aPort, Tag aTag, uint32_t aRequest) {
+    Packet packet = SteeringFixture::MakePacket(aPort);
+    packet.tag = aTag;
+    packet.seq += 100 * aRequest;
+    packet.ack = aRequest;
+    packet.dataBytes = 100;
+    fixture.steer.OnPacket(packet, true, fixture.now);
+  };
+  auto run = [&fixture](Micros aDuration) {
+    for (Micros end = fixture.now + aDuration; fixture.now < end;) {
+      fixture.now += kWorldTick;
+      fixture.steer.Tick(fixture.now);
+    }
+  };
+  auto overdue = [&fixture] {
+    return fixture.steer.Detector()
+      .Counts()
+      .evidence[static_cast<size_t>(Evidence::Overdue)];
+  };
+  for (uint32_t request = 1; request <= 3; ++request) {
+    send(7000, TagOf(1), request);
+    run(2 * kSecond);
+  }
+  send(7000, TagOf(1), 4);
+  run(400 * kMillisecond);
+  REQUIRE(fixture.steer.HealthOf(0).responseMicros > 500 * kMillisecond);
+  uint64_t before = overdue();
+  send(7001, TagOf(2), 1);
+  run(700 * kMillisecond);
+  CHECK(overdue() > before);
+}
+
 TEST_CASE("An instance that reaches no server has no verdict")
 {
   SilenceWorld world(1);
