Probe only available servers as a control

Cause: the control was the server that answered last, also if it was evicted meanwhile and had no endpoint. Change: the control is an available server that answered lately.

--- a/src/steer/failure_detector.h
+++ b/src/steer/failure_detector.h
@@ -8,6 +8,7 @@
 #include "steer/types.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/functional/function_ref.h"
 
 #include <algorithm>
 #include <array>
@@ -196,8 +197,11 @@
   // Returns the servers on which a verdict came, or was confirmed. Call it
   // every 50 ms.
   std::vector<ServerIndex> Tick(Micros aNow);
-  // Returns the servers to probe now, one entry a probe.
-  std::vector<ServerIndex> TakeProbes(Micros aNow);
+  // Returns the servers to probe now, one entry a probe. aMayControl says
+  // whether a server may be probed as a control.
+  std::vector<ServerIndex> TakeProbes(
+    Micros aNow,
+    absl::FunctionRef<bool(ServerIndex)> aMayControl);
   std::vector<VerdictEvent> TakeEvents();
 
   // Returns for how long a request may wait before its server is suspect.
@@ -221,7 +225,9 @@
                        Micros aNow);
   // Returns a server to probe as a control: it answered last and is not
   // suspect. kNoServer if a recent answer shows already that probes pass.
-  ServerIndex ControlDue(Micros aNow) const;
+  ServerIndex ControlDue(
+    Micros aNow,
+    absl::FunctionRef<bool(ServerIndex)> aMayControl) const;
   double MaxTokens() const
   {
     return std::max(kMinProbeBurst, this->probesPerSecond * kProbeBurstSeconds);
--- a/src/steer/probing.cpp
+++ b/src/steer/probing.cpp
@@ -86,7 +86,9 @@
 }
 
 ServerIndex
-FailureDetector::ControlDue(Micros aNow) const
+FailureDetector::ControlDue(
+  Micros aNow,
+  absl::FunctionRef<bool(ServerIndex)> aMayControl) const
 {
   bool due = false;
   if (aNow - this->controlAt < kControlGap) {
@@ -101,11 +103,18 @@
   if (!due) {
     return kNoServer;
   }
-  return this->suspects.contains(this->latest) ? this->before : this->latest;
+  for (ServerIndex server : { this->latest, this->before }) {
+    if (server != kNoServer && !this->suspects.contains(server) &&
+        aMayControl(server)) {
+      return server;
+    }
+  }
+  return kNoServer;
 }
 
 std::vector<ServerIndex>
-FailureDetector::TakeProbes(Micros aNow)
+FailureDetector::TakeProbes(Micros aNow,
+                            absl::FunctionRef<bool(ServerIndex)> aMayControl)
 {
   std::vector<ServerIndex> probes;
   double earned = this->probesPerSecond *
@@ -130,7 +139,7 @@
       probes.push_back(server);
     }
   }
-  ServerIndex control = this->ControlDue(aNow);
+  ServerIndex control = this->ControlDue(aNow, aMayControl);
   if (control != kNoServer && this->tokens >= 1) {
     this->tokens -= 1;
     this->controlAt = aNow;
--- a/src/steer/silence.cpp
+++ b/src/steer/silence.cpp
@@ -121,7 +121,10 @@
   if (!this->detector.IsOn()) {
     return probes;
   }
-  for (ServerIndex index : this->detector.TakeProbes(aNow)) {
+  auto mayControl = [this](ServerIndex aServer) {
+    return this->view.At(aServer).IsAvailable();
+  };
+  for (ServerIndex index : this->detector.TakeProbes(aNow, mayControl)) {
     const Server& server = this->view.At(index);
     probes.push_back({ index, server.generation, server.entry.endpoint, aNow });
   }
--- a/tests/steer/silence_test.cpp
+++ b/tests/steer/silence_test.cpp
@@ -13,6 +13,8 @@
 
 constexpr size_t kServer = 1; // the one that fails
 constexpr size_t kFlows = kWorldCallers / kWorldServers;
+// Any server may be a control.
+constexpr auto kAny = [](ServerIndex) { return true; };
 
 }
 
@@ -110,6 +112,30 @@
   }
 }
 
+TEST_CASE("Only an available server is probed as a control")
+{
+  FailureDetector detector(5);
+  Micros now = kStart;
+  ServerIndex gone = 2;
+  detector.Tick(now);
+  detector.OnProgress(3, now);
+  detector.OnProgress(gone, now);
+  detector.OnEvidence(kServer, Evidence::Repeat, now);
+  std::vector<ServerIndex> controls;
+  for (int tick = 0; tick < 8; ++tick) {
+    for (ServerIndex server : detector.TakeProbes(
+           now, [gone](ServerIndex aServer) { return aServer != gone; })) {
+      if (server != kServer) {
+        controls.push_back(server);
+      }
+    }
+    now += kWorldTick;
+  }
+  REQUIRE_FALSE(controls.empty());
+  CHECK(std::count(controls.begin(), controls.end(), 3) ==
+        static_cast<std::ptrdiff_t>(controls.size()));
+}
+
 // An answer is a control only if its own probe was answered in time.
 TEST_CASE("A late answer to a probe of an earlier round is no control")
 {
@@ -118,13 +144,13 @@
   Micros now = kStart;
   detector.Tick(now);
   detector.OnEvidence(kOther, Evidence::Overdue, now);
-  CHECK(detector.TakeProbes(now).size() == 1);
+  CHECK(detector.TakeProbes(now, kAny).size() == 1);
   Micros sentAt = now;
   detector.OnEvidence(kServer, Evidence::Repeat, now);
   for (int tick = 0; tick < 20; ++tick) {
     now += kWorldTick;
     detector.Tick(now);
-    detector.TakeProbes(now);
+    detector.TakeProbes(now, kAny);
     if (now - sentAt == 300 * kMillisecond) {
       detector.OnProbeResult(kOther, ProbeResult::Connected, sentAt, now);
     }
@@ -138,19 +164,19 @@
   Micros now = kStart;
   detector.Tick(now);
   detector.OnEvidence(kServer, Evidence::Repeat, now);
-  detector.TakeProbes(now);
+  detector.TakeProbes(now, kAny);
   Micros sentAt = now;
   now += kWorldTick;
   detector.OnProgress(kServer, now);
   detector.OnEvidence(kServer, Evidence::Repeat, now);
   detector.OnEvidence(kServer, Evidence::Repeat, now);
-  detector.TakeProbes(now);
+  detector.TakeProbes(now, kAny);
   detector.OnProbeResult(kServer, ProbeResult::Refused, sentAt, now);
   bool refused = false;
   for (int tick = 0; tick < 20; ++tick) {
     now += kWorldTick;
     detector.Tick(now);
-    for (ServerIndex server : detector.TakeProbes(now)) {
+    for (ServerIndex server : detector.TakeProbes(now, kAny)) {
       if (server == kServer && !refused) {
         refused = true;
         detector.OnProbeResult(server, ProbeResult::Refused, now, now);
@@ -348,7 +374,7 @@
   }
   size_t sent = 0;
   for (int tick = 0; tick < 16; ++tick) {
-    for (ServerIndex server : detector.TakeProbes(now)) {
+    for (ServerIndex server : detector.TakeProbes(now, kAny)) {
       ++sent;
       if (server == kLiving) {
         detector.OnProbeResult(server, ProbeResult::Connected, now, now);
