Check that a late answer ends a verdict

Cause: no test showed that an answer that comes after a probe counted as unanswered ends the verdict.

--- a/tests/steer/silence_test.cpp
+++ b/tests/steer/silence_test.cpp
@@ -385,6 +385,10 @@
   }
   CHECK(detector.Verdicts().size() >= 2);
   CHECK(sent <= kMinProbeBurst + 1);
+  // An answer that is late after all ends a verdict.
+  ServerIndex late = detector.Verdicts().front().first;
+  detector.OnProbeResult(late, ProbeResult::Connected, kStart, now);
+  CHECK_FALSE(detector.IsSilent(late));
 }
 
 namespace {
