--- a/src/steer/failure_detector.cpp
+++ b/src/steer/failure_detector.cpp
@@ -29,6 +29,7 @@
   aSuspect.evidence = {};
   aSuspect.probes = 0;
   aSuspect.refused = 0;
+  aSuspect.refusedSentAt = 0;
   aSuspect.firstProbeAt = 0;
 }
 
@@ -129,10 +130,12 @@
 
 // An answer shows that the server's machine lives and is reached, however slow
 // the server is. A probe that timed out needs nothing here: it counts as
-// unanswered kProbeTimeout after it was sent.
+// unanswered kProbeTimeout after it was sent. A refusal counts only for the
+// round of its probe, as the server may have answered a flow since.
 void
 FailureDetector::OnProbeResult(ServerIndex aServer,
                                ProbeResult aResult,
+                               Micros aSentAt,
                                Micros aNow)
 {
   ++this->counts.probes[static_cast<size_t>(aResult)];
@@ -146,7 +149,9 @@
     }
     return;
   }
-  this->lastAnswerAt = aNow;
+  if (aNow - aSentAt <= kProbeTimeout) {
+    this->answeredSentAt = std::max(this->answeredSentAt, aSentAt);
+  }
   if (aResult == ProbeResult::Connected) {
     this->OnLife(aServer);
   }
@@ -155,8 +160,12 @@
   }
   Suspect& suspect = known->second;
   if (aResult == ProbeResult::Refused) {
+    if (suspect.probes == 0 || aSentAt < suspect.firstProbeAt) {
+      return;
+    }
     suspect.firstRefusedAt =
       suspect.refused == 0 ? aNow : suspect.firstRefusedAt;
+    suspect.refusedSentAt = std::max(suspect.refusedSentAt, aSentAt);
     ++suspect.refused;
     return;
   }
@@ -165,8 +174,10 @@
     this->Record(aServer, suspect, VerdictChange::Connected);
   }
   this->RememberMistake(aServer, suspect, aNow);
-  suspect.state = Suspect::State::Answered;
-  ++suspect.answers;
+  if (suspect.state != Suspect::State::Answered) {
+    suspect.state = Suspect::State::Answered;
+    ++suspect.answers;
+  }
   suspect.quietUntil = aNow + kAnsweredPause;
 }
 
@@ -228,8 +239,9 @@
          (this->HasPeerVerdict(aServer, aNow) ? kPeerEvidence : 0);
 }
 
-// Unanswered probes count only if another was answered after the first of them,
-// the control: else this instance may be cut off, or its probes be filtered. A
+// Unanswered probes count only if another was answered in time that was sent
+// after the first of them, the control: else this instance may be cut off, its
+// link be slow, or its probes be filtered. A
 // refusal comes from the server's machine, so it needs no control.
 std::optional<VerdictChange>
 FailureDetector::Judge(ServerIndex aServer,
@@ -237,22 +249,21 @@
                        Micros aNow) const
 {
   bool asked = aSuspect.since != 0 && aSuspect.probes > 0 &&
-               aSuspect.state != Suspect::State::Answered &&
-               aNow - aSuspect.lastProbeAt >= kProbeTimeout;
+               aSuspect.state != Suspect::State::Answered;
   if (!asked) {
     return std::nullopt;
   }
   bool refused =
     aSuspect.refused >= 2 &&
-    aSuspect.lastProbeAt >= aSuspect.firstRefusedAt + kRefusalGap &&
+    aSuspect.refusedSentAt >= aSuspect.firstRefusedAt + kRefusalGap &&
     this->EvidenceOf(aServer, aSuspect, aNow) >= kEvidenceWithRefusals;
   if (refused) {
     return VerdictChange::Refused;
   }
   bool unanswered =
-    aSuspect.refused == 0 &&
+    aSuspect.refused == 0 && aNow - aSuspect.lastProbeAt >= kProbeTimeout &&
     aSuspect.probes >= this->ProbesNeeded(aServer, aSuspect, aNow) &&
-    this->lastAnswerAt >= aSuspect.firstProbeAt;
+    this->answeredSentAt >= aSuspect.firstProbeAt;
   return unanswered ? std::optional(VerdictChange::Unanswered) : std::nullopt;
 }
 
@@ -295,7 +306,7 @@
     if (verdict) {
       bool isNew = suspect.state != Suspect::State::Silent;
       suspect.state = Suspect::State::Silent;
-      suspect.confirmedAt = aNow;
+      suspect.confirmedAt = suspect.lastProbeAt;
       if (isNew) {
         this->Record(server, suspect, *verdict);
       }
--- a/src/steer/probing.cpp
+++ b/src/steer/probing.cpp
@@ -8,13 +8,14 @@
 namespace {
 
 // Calls of FailureDetector::TakeProbes over kProbeSpread, the first included.
-constexpr uint32_t kProbeSteps = 4;
+constexpr uint32_t kProbeSteps = 3;
 // Time between two of them.
 constexpr Micros kProbeStep = kProbeSpread / (kProbeSteps - 1);
+// A verdict needs so many unanswered probes, whatever other evidence there is.
+constexpr uint32_t kMinProbes = 4;
 
 }
 
-// Returns at least one for each step of the spread.
 uint32_t
 FailureDetector::ProbesNeeded(ServerIndex aServer,
                               const Suspect& aSuspect,
@@ -24,7 +25,7 @@
   auto mistake = this->mistakes.find(aServer);
   bool lossy =
     mistake != this->mistakes.end() && aNow - mistake->second < kLossMemory;
-  return std::max(kProbeSteps,
+  return std::max(kMinProbes,
                   (lossy ? kEvidenceOnLossyLinks : kEvidenceNeeded) - found);
 }
 
@@ -85,23 +86,35 @@
 }
 
 ServerIndex
-FailureDetector::ControlDue(Micros aNow) const
+FailureDetector::ControlDue(
+  Micros aNow,
+  absl::FunctionRef<bool(ServerIndex)> aMayControl) const
 {
   bool due = false;
+  if (aNow - this->controlAt < kControlGap) {
+    return kNoServer;
+  }
   for (const auto& [server, suspect] : this->suspects) {
     bool unanswered = suspect.since != 0 && suspect.probes > 0 &&
                       suspect.state != Suspect::State::Answered &&
                       aNow - suspect.firstProbeAt >= kProbeStep;
-    due = due || (unanswered && this->lastAnswerAt < suspect.firstProbeAt);
+    due = due || (unanswered && this->answeredSentAt < suspect.firstProbeAt);
   }
   if (!due) {
     return kNoServer;
   }
-  return this->suspects.contains(this->latest) ? this->before : this->latest;
+  for (ServerIndex server : { this->latest, this->before }) {
+    if (server != kNoServer && !this->suspects.contains(server) &&
+        aMayControl(server)) {
+      return server;
+    }
+  }
+  return kNoServer;
 }
 
 std::vector<ServerIndex>
-FailureDetector::TakeProbes(Micros aNow)
+FailureDetector::TakeProbes(Micros aNow,
+                            absl::FunctionRef<bool(ServerIndex)> aMayControl)
 {
   std::vector<ServerIndex> probes;
   double earned = this->probesPerSecond *
@@ -126,9 +139,10 @@
       probes.push_back(server);
     }
   }
-  ServerIndex control = this->ControlDue(aNow);
+  ServerIndex control = this->ControlDue(aNow, aMayControl);
   if (control != kNoServer && this->tokens >= 1) {
     this->tokens -= 1;
+    this->controlAt = aNow;
     probes.push_back(control);
   }
   return probes;
--- a/src/steer/silence.cpp
+++ b/src/steer/silence.cpp
@@ -45,7 +45,8 @@
     this->detector.OnEvidence(aRecord.server, Evidence::Repeat, aNow);
   }
   if (useful && aEvent.started) {
-    this->requestTimers.push_back({ aPacket.flow, aNow + kMinOverdue });
+    this->requestTimers.push(
+      { aPacket.flow, aRecord.progress.requestAt, aNow + kMinOverdue });
   }
 }
 
@@ -54,12 +55,12 @@
 void
 FlowSteering::CheckRequests(Micros aNow)
 {
-  while (!this->requestTimers.empty() &&
-         this->requestTimers.front().at <= aNow) {
-    FlowTimer timer = this->requestTimers.front();
-    this->requestTimers.pop_front();
+  while (!this->requestTimers.empty() && this->requestTimers.top().at <= aNow) {
+    RequestTimer timer = this->requestTimers.top();
+    this->requestTimers.pop();
     auto known = this->flows.find(timer.flow);
-    if (known == this->flows.end() || known->second.progress.requestAt == 0 ||
+    if (known == this->flows.end() ||
+        known->second.progress.requestAt != timer.requestAt ||
         !this->SameProcess(known->second)) {
       continue;
     }
@@ -73,7 +74,8 @@
       this->detector.OnEvidence(record.server, Evidence::Overdue, aNow);
       overdueAt = aNow + kMinOverdue;
     }
-    this->requestTimers.push_back({ timer.flow, overdueAt });
+    timer.at = overdueAt;
+    this->requestTimers.push(timer);
   }
 }
 
@@ -119,9 +121,12 @@
   if (!this->detector.IsOn()) {
     return probes;
   }
-  for (ServerIndex index : this->detector.TakeProbes(aNow)) {
+  auto mayControl = [this](ServerIndex aServer) {
+    return this->view.At(aServer).IsAvailable();
+  };
+  for (ServerIndex index : this->detector.TakeProbes(aNow, mayControl)) {
     const Server& server = this->view.At(index);
-    probes.push_back({ index, server.generation, server.entry.endpoint });
+    probes.push_back({ index, server.generation, server.entry.endpoint, aNow });
   }
   return probes;
 }
@@ -149,14 +154,18 @@
                             Micros aNow)
 {
   this->SyncWithView();
-  if (this->view.At(aProbe.server).generation != aProbe.generation) {
+  const Server& server = this->view.At(aProbe.server);
+  if (server.generation != aProbe.generation ||
+      server.entry.endpoint != aProbe.endpoint) {
     return;
   }
   bool reused =
     aResult == ProbeResult::Connected && this->IsEndpointReused(aProbe.server);
   bool wasSilent = this->detector.IsSilent(aProbe.server);
-  this->detector.OnProbeResult(
-    aProbe.server, reused ? ProbeResult::Refused : aResult, aNow);
+  this->detector.OnProbeResult(aProbe.server,
+                               reused ? ProbeResult::Refused : aResult,
+                               aProbe.sentAt,
+                               aNow);
   if (wasSilent && !this->detector.IsSilent(aProbe.server)) {
     // The next new flow may try it.
     this->health[aProbe.server].backoffUntil = aNow;
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -15,6 +15,7 @@
 #include "absl/container/node_hash_map.h"
 
 #include <deque>
+#include <functional>
 #include <queue>
 #include <utility>
 
@@ -125,6 +126,7 @@
     return std::exchange(this->shareChanges, {});
   }
   size_t Flows() const { return this->flows.size(); }
+  size_t RequestTimers() const { return this->requestTimers.size(); }
   // Returns null before the first opening packet for aService.
   const ConcurrencyLimit* LimitOf(std::string_view aService) const;
   const ServerHealth& HealthOf(ServerIndex aServer) const
@@ -242,6 +244,19 @@
     FlowId flow;
     Micros at = 0; // due time; in handshakeTimers the time of sending
   };
+  // Check of a request that waits. One that was answered leaves its timer
+  // behind.
+  struct RequestTimer
+  {
+    FlowId flow;
+    Micros requestAt = 0; // when the request was seen
+    Micros at = 0;        // due time
+
+    friend bool operator>(const RequestTimer& aLeft, const RequestTimer& aRight)
+    {
+      return aLeft.at > aRight.at;
+    }
+  };
   // Admission state of one service.
   struct ServiceAdmission
   {
@@ -300,7 +315,9 @@
   // kQuietTime.
   std::deque<FlowTimer> idleTimers;
   FailureDetector detector;
-  std::deque<FlowTimer> requestTimers; // of requests that wait, by due time
+  // Of requests that wait; the first one is due first.
+  std::priority_queue<RequestTimer, std::vector<RequestTimer>, std::greater<>>
+    requestTimers;
   std::vector<Packet> resets;
   RaceBudget raceBudget;
   HandshakeTimes localHandshakes; // with servers of this instance's zone
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -136,7 +136,7 @@
   }
   this->handshakeTimers.clear();
   this->raceTimers = {};
-  this->requestTimers.clear();
+  this->requestTimers = {};
   this->detector.OnProcessPause();
   for (ServerHealth& health : this->health) {
     health.backoffUntil = std::min(health.backoffUntil, aNow);
