--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -16,6 +16,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <queue>
 #include <utility>
 
