Mend what a newcomer stumbled on, and race flows that shares admit

Change: FlowSteering::PlaceNew places and plans the second opening for both ways of admission. Of a server that is excluded for several reasons, having left the flow's opening unanswered now counts before drains and regions.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -55,7 +55,7 @@
                              // only name and revision are valid
   10: list<Service> services
   11: i64 drainsRevision // store revision of drainedZones; 0: not known
-  12: i64 drainsChanged  // store revision up to which a zone last changed
+  12: i64 drainsChanged  // store revision of the last change of a zone
   13: list<string> drainedZones
 }
 
@@ -103,10 +103,10 @@
   17: list<Reader> readers // of other zones; in a reply also of the sender's
   18: i32 zoneSize  // instances in the sender's zone
   19: i32 fleetSize // instances in all zones
-  20: i64 drainsRevision // as in ViewCopy, 20 to 23
-  21: i64 drainsAge      // as serversAge
-  22: i64 drainsChanged
-  23: list<string> drainedZones
+  20: i64 drainsRevision // as in ViewCopy
+  21: i64 drainsAge // microseconds since the store confirmed that
+  22: i64 drainsChanged // as in ViewCopy
+  23: list<string> drainedZones // as in ViewCopy
   24: bool drainsLeftOut // the zones are too many for a heartbeat
   25: list<Verdict> verdicts // of the sender; from a reader, of its zone
   30: list<i32> quotaHolders // instances of the sender's zone that hold slots
--- a/src/spread/quota_sharing.h
+++ b/src/spread/quota_sharing.h
@@ -76,8 +76,10 @@
   Micros heardAt = kNever; // when the list was last confirmed
   // The list, or those before it, were known without a gap since then.
   Micros knownSince = kNever;
-  Micros changedAt = kNever;  // when this instance last changed the list
-  Micros majorityAt = kNever; // when most holders were last heard
+  Micros changedAt = kNever; // when this instance last changed the list
+  // Since when this reader waits to hear most holders: the last time it did, or
+  // it began to lead or changed the list.
+  Micros majorityAt = kNever;
   bool handsOut = false;
   bool paused = false;
 };
--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -183,7 +183,7 @@
   }
   this->OnHeartbeatDrains(aHeartbeat, aNow);
   bool newVerdict = aHeartbeat.zone == this->options.zone &&
-                    this->verdicts.Hear(aHeartbeat.verdicts, aNow);
+                    this->verdicts.OnPeerVerdicts(aHeartbeat.verdicts, aNow);
   // A follower passes on none, but may become a reader.
   this->verdictPending = this->verdictPending || (newVerdict && this->reads);
   if (!aHeartbeat.hasView) {
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -195,7 +195,10 @@
   // Sets the verdicts of this instance. A new one is sent at once.
   void SetVerdicts(std::span<const Verdict> aVerdicts, Micros aNow);
   // Returns the verdicts that peers of this zone sent since the last call.
-  std::vector<Verdict> TakeVerdicts() { return this->verdicts.TakeHeard(); }
+  std::vector<Verdict> TakeVerdicts()
+  {
+    return this->verdicts.TakePeerVerdicts();
+  }
   // Returns the heartbeats to send now.
   std::vector<OutgoingHeartbeat> TakeHeartbeats(Micros aNow);
 
@@ -213,6 +216,8 @@
   // Number of instances of all zones: a reader counts them, a follower has the
   // number from the readers of its zone.
   uint32_t FleetSize() const { return this->fleetSize; }
+  // Number of instances of this zone, counted in the same way.
+  uint32_t ZoneSize() const { return this->zoneSize; }
   // Instances of this zone on the list of holders that this one knows.
   const std::vector<Address>& QuotaList() const
   {
@@ -224,8 +229,6 @@
     return this->quotaSharing.Holders(aNow);
   }
   Micros QuotaValidUntil() const { return this->quotaSharing.ValidUntil(); }
-  // The same for this instance's zone.
-  uint32_t ZoneSize() const { return this->zoneSize; }
 
 private:
   void OnStoreAnswer(Micros aNow);
@@ -285,7 +288,7 @@
   Address aheadPeer = 0;
   Micros behindSince = 0;     // when this instance last fell behind a peer
   bool updatePending = false; // a reader sends its next heartbeat early
-  VerdictBoard verdicts;
+  SharedVerdicts verdicts;
   bool verdictPending = false; // the next heartbeat or hello is sent early
   Micros lastHeartbeatAt = kNever;
   Micros lastHelloAt = kNever;
--- a/src/spread/verdicts.cpp
+++ b/src/spread/verdicts.cpp
@@ -22,18 +22,18 @@
 EraseOld(std::vector<Verdict>& aVerdicts, Micros aNow)
 {
   std::erase_if(aVerdicts, [aNow](const Verdict& aVerdict) {
-    return aNow - aVerdict.at >= kVerdictLifetime;
+    return aNow - aVerdict.at >= kSentVerdictLifetime;
   });
 }
 
 }
 
 bool
-VerdictBoard::SetOwn(std::span<const Verdict> aVerdicts, Micros aNow)
+SharedVerdicts::SetOwn(std::span<const Verdict> aVerdicts, Micros aNow)
 {
   bool anyNew = false;
   for (const Verdict& verdict : aVerdicts) {
-    bool isRecent = aNow - verdict.at < kVerdictLifetime;
+    bool isRecent = aNow - verdict.at < kSentVerdictLifetime;
     anyNew =
       anyNew || (isRecent && FindSame(this->own, verdict) == this->own.end());
   }
@@ -43,19 +43,20 @@
 }
 
 bool
-VerdictBoard::Hear(std::span<const SentVerdict> aVerdicts, Micros aNow)
+SharedVerdicts::OnPeerVerdicts(std::span<const SentVerdict> aVerdicts,
+                               Micros aNow)
 {
   EraseOld(this->heard, aNow);
   bool anyNew = false;
   for (const SentVerdict& sent : aVerdicts) {
     Verdict verdict{ sent.server, sent.startedAt, aNow - sent.age };
-    if (this->untaken.size() < kMaxHeard) {
-      this->untaken.push_back(verdict);
+    if (this->newFromPeers.size() < kMaxHeard) {
+      this->newFromPeers.push_back(verdict);
     }
     auto known = FindSame(this->heard, verdict);
     if (known != this->heard.end()) {
       known->at = std::max(known->at, verdict.at);
-    } else if (aNow - verdict.at < kVerdictLifetime &&
+    } else if (aNow - verdict.at < kSentVerdictLifetime &&
                this->heard.size() < kMaxHeard) {
       this->heard.push_back(verdict);
       anyNew = true;
@@ -65,7 +66,7 @@
 }
 
 std::vector<SentVerdict>
-VerdictBoard::Newest(bool aWithHeard, Micros aNow) const
+SharedVerdicts::Newest(bool aWithHeard, Micros aNow) const
 {
   std::vector<Verdict> newest = this->own;
   if (aWithHeard) {
--- a/src/spread/verdicts.h
+++ b/src/spread/verdicts.h
@@ -14,8 +14,9 @@
 
 // A heartbeat carries at most so many verdicts, the newest ones.
 constexpr size_t kMaxVerdicts = 16;
-// An older verdict is not passed on: the server may have returned.
-constexpr Micros kVerdictLifetime = 1500 * kMillisecond;
+// As steer::kPeerVerdictLifetime: an older verdict is not passed on, as the
+// server may have returned.
+constexpr Micros kSentVerdictLifetime = 1500 * kMillisecond;
 
 // A verdict on one server process.
 struct Verdict
@@ -40,22 +41,25 @@
 
 // Verdicts that this instance sends: its own and, if it is a reader, those that
 // it heard from its zone.
-class VerdictBoard
+class SharedVerdicts
 {
 public:
   // Replaces this instance's own verdicts. Returns whether one is new.
   bool SetOwn(std::span<const Verdict> aVerdicts, Micros aNow);
   // Adds what a peer sent. Returns whether one is new.
-  bool Hear(std::span<const SentVerdict> aVerdicts, Micros aNow);
+  bool OnPeerVerdicts(std::span<const SentVerdict> aVerdicts, Micros aNow);
   // Returns what was heard since the last call.
-  std::vector<Verdict> TakeHeard() { return std::exchange(this->untaken, {}); }
+  std::vector<Verdict> TakePeerVerdicts()
+  {
+    return std::exchange(this->newFromPeers, {});
+  }
   // Returns the newest verdicts, with or without those that were heard.
   std::vector<SentVerdict> Newest(bool aWithHeard, Micros aNow) const;
 
 private:
   std::vector<Verdict> own;
   std::vector<Verdict> heard;
-  std::vector<Verdict> untaken;
+  std::vector<Verdict> newFromPeers;
 };
 
 }
--- a/src/steer/answer_time.h
+++ b/src/steer/answer_time.h
@@ -87,9 +87,9 @@
   // hardly have worked on the request: it rejected it, as its queue was full.
   bool IsRejection(Micros aAtServer) const
   {
-    constexpr double kRejectionPart = 0.35;
+    constexpr double kAdmissionRejectionPart = 0.35;
     return static_cast<double>(aAtServer) <
-           kRejectionPart * this->quick.Value();
+           kAdmissionRejectionPart * this->quick.Value();
   }
 
   // A request was rejected, as it seems. It counts a little, so that requests
--- a/src/steer/candidates.cpp
+++ b/src/steer/candidates.cpp
@@ -18,15 +18,15 @@
   if (server.tagConflict) {
     return Exclusion::TagConflict;
   }
+  if (aServer == aRequest.unanswered) {
+    return Exclusion::Unanswered;
+  }
   if (!aView.AllowsRegion(aRequest.route, server)) {
     return Exclusion::RegionNotAllowed;
   }
   if (server.zoneDrained) {
     return Exclusion::ZoneDrained;
   }
-  if (aServer == aRequest.unanswered) {
-    return Exclusion::Unanswered;
-  }
   bool admitted = aRequest.warmupQuota == nullptr ||
                   aRequest.warmupQuota->Admits(aView, aServer, aNow);
   return admitted ? Exclusion::None : Exclusion::WarmupQuota;
--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -137,9 +137,9 @@
   // Flows that were placed in another zone, by the route's name.
   absl::flat_hash_map<std::string, uint64_t> crossings;
   uint64_t suspected = 0; // opening packets counted as unanswered by a server
-  // Flows that got another server or none as the quota of a server in its
-  // warm-up was used; once a flow and server.
-  uint64_t keptFromCold = 0;
+  // Servers in their warm-up that were passed over as their quota was used,
+  // once a placement.
+  uint64_t keptFromWarmup = 0;
 };
 
 }
--- a/src/steer/failure_detector.cpp
+++ b/src/steer/failure_detector.cpp
@@ -67,7 +67,7 @@
 }
 
 void
-FailureDetector::OnLife(ServerIndex aServer)
+FailureDetector::OnAnswerFrom(ServerIndex aServer)
 {
   if (this->latest != aServer) {
     this->before = this->latest;
@@ -96,7 +96,7 @@
   if (!this->IsOn()) {
     return;
   }
-  this->OnLife(aServer);
+  this->OnAnswerFrom(aServer);
   this->peerVerdicts.erase(aServer);
   auto known = this->suspects.find(aServer);
   if (known == this->suspects.end()) {
@@ -153,7 +153,7 @@
     this->answeredSentAt = std::max(this->answeredSentAt, aSentAt);
   }
   if (aResult == ProbeResult::Connected) {
-    this->OnLife(aServer);
+    this->OnAnswerFrom(aServer);
   }
   if (known == this->suspects.end()) {
     return;
--- a/src/steer/failure_detector.h
+++ b/src/steer/failure_detector.h
@@ -101,7 +101,8 @@
 constexpr std::array<std::string_view, static_cast<size_t>(ProbeResult::Count)>
   kProbeResultNames{ "connected", "refused", "timed_out", "not_sent" };
 
-// Why a verdict came or ended.
+// Why a verdict came or ended. Those that end one are the last, from Progress
+// on.
 enum class VerdictChange : uint8_t
 {
   Unanswered, // came: flows and probes went unanswered
@@ -219,7 +220,7 @@
 private:
   static constexpr Micros kNever = -1000 * kSecond;
 
-  void OnLife(ServerIndex aServer);
+  void OnAnswerFrom(ServerIndex aServer);
   void RememberMistake(ServerIndex aServer,
                        const Suspect& aSuspect,
                        Micros aNow);
--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -50,11 +50,11 @@
   // The flow can no longer make its server suspect: its opening packet went
   // unanswered already, or this process was paused before its handshake check.
   bool suspected = false;
-  bool answered = false; // the response to the first request was seen
-  FlowProgress progress;
+  bool answered = false;    // the response to the first request was seen
+  FlowProgress progress;    // for FailureDetector; repeats count here
   Micros latencyTarget = 0; // of the route; 0 if another instance placed it
-  RequestTracker requests;
-  bool busy = false; // counts in ServerLoad::inFlight, else as idle
+  RequestTracker requests;  // for placing; not updated with ByRequests::Never
+  bool busy = false;        // counts in ServerLoad::inFlight, else as idle
   // Limit that the flow counts against; null: it counts no more.
   ConcurrencyLimit* limit = nullptr;
   // Room of its route that the flow takes up as long as it counts; null: none.
--- a/src/steer/holding.cpp
+++ b/src/steer/holding.cpp
@@ -43,14 +43,11 @@
       admission.holdQueue.OnRetransmission(aPacket, arrivedAt)) {
     return { .action = Action::Drop, .reason = Reason::HeldAgain };
   }
-  if (this->options.hold && admission.rooms.InForce(aNow)) {
+  if (this->options.hold && admission.rooms.Applies(aNow)) {
     return this->AdmitByShare(aPacket, aRoute, aService, admission, aNow);
   }
   if (!this->options.hold || admission.limit.Admits()) {
-    Decision decision = this->Place(aPacket, aRoute, aService, kNoServer, aNow);
-    decision.mayRace = decision.action == Action::Forward &&
-                       this->PlanRace(aPacket, aRoute, decision.server, aNow);
-    return decision;
+    return this->PlaceNew(aPacket, aRoute, aService, aNow);
   }
   bool fits =
     admission.holdQueue.Put({ .packet = aPacket,
@@ -68,6 +65,18 @@
            .flowLimit = admission.limit.Limit() };
 }
 
+Decision
+FlowSteering::PlaceNew(const Packet& aPacket,
+                       const Route& aRoute,
+                       std::string_view aService,
+                       Micros aNow)
+{
+  Decision decision = this->Place(aPacket, aRoute, aService, kNoServer, aNow);
+  decision.mayRace = decision.action == Action::Forward &&
+                     this->PlanRace(aPacket, aRoute, decision.server, aNow);
+  return decision;
+}
+
 std::optional<ReleasedPacket>
 FlowSteering::Release(Micros aNow)
 {
--- a/src/steer/opening.h
+++ b/src/steer/opening.h
@@ -2,7 +2,7 @@
 // of date.
 #pragma once
 
-#include "steer/evidence.h"
+#include "steer/server_health.h"
 
 #include <algorithm>
 #include <array>
--- a/src/steer/placer.h
+++ b/src/steer/placer.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "steer/candidates.h"
-#include "steer/evidence.h"
+#include "steer/server_health.h"
 
 #include <random>
 
--- a/src/steer/race.h
+++ b/src/steer/race.h
@@ -6,6 +6,8 @@
 
 namespace gentianspindle::steer {
 
+// "Race" in names here means a second opening: two servers get the same opening
+// packet.
 struct RaceOptions
 {
   double budget = 0; // second openings, as a share of openings; 0: none
--- a/src/steer/request_times.cpp
+++ b/src/steer/request_times.cpp
@@ -10,10 +10,10 @@
 // A response after less than this fraction of the mean is taken for a rejection
 // by a full server. Without that, a full server would look like a quick one and
 // get still more.
-constexpr double kRejectionFraction = 0.1;
+constexpr double kPlacingRejectionFraction = 0.1;
 // Of a route with fewer samples or a shorter mean, nothing is taken for one.
 constexpr double kMinRejectionSamples = 20;
-constexpr double kMinRejectionMean = 3000;
+constexpr double kMinRejectionMeanMicros = 3000;
 constexpr double kIdleLoadWeight = 0.3;
 
 }
@@ -41,8 +41,8 @@
   Average& mean = this->routes[aRoute].time;
   double meanMicros = std::exp(mean.value);
   bool rejected = mean.weight >= kMinRejectionSamples &&
-                  meanMicros > kMinRejectionMean &&
-                  aServiceMicros < kRejectionFraction * meanMicros;
+                  meanMicros > kMinRejectionMeanMicros &&
+                  aServiceMicros < kPlacingRejectionFraction * meanMicros;
   if (rejected) {
     ++this->rejections;
     return ServerLoad::kMaxLogFactor;
--- a/src/steer/request_tracker.h
+++ b/src/steer/request_tracker.h
@@ -1,7 +1,7 @@
 // Requests on one flow, told from the caller's packets alone.
 #pragma once
 
-#include "steer/types.h"
+#include "steer/flow_progress.h"
 
 namespace gentianspindle::steer {
 
@@ -24,11 +24,6 @@
   uint32_t begun = 0;   // number of requests
   bool started = false; // a packet was seen
 
-  static constexpr bool IsAfter(uint32_t aLeft, uint32_t aRight)
-  {
-    return static_cast<int32_t>(aLeft - aRight) > 0;
-  }
-
   // The acknowledgement goes first: the first data of the next request may be
   // the first packet that acknowledges the response to the last one.
   RequestProgress OnPacket(const Packet& aPacket, Micros aNow)
@@ -39,14 +34,14 @@
       this->dataEnd = aPacket.seq;
       this->acked = aPacket.ack;
     }
-    if (IsAfter(aPacket.ack, this->acked)) {
+    if (SeqAfter(aPacket.ack, this->acked)) {
       this->acked = aPacket.ack;
       progress.answered = this->beganAt != 0;
       progress.duration = progress.answered ? aNow - this->beganAt : 0;
       this->beganAt = 0;
     }
     uint32_t end = aPacket.seq + aPacket.dataBytes;
-    if (aPacket.dataBytes > 0 && IsAfter(end, this->dataEnd)) {
+    if (aPacket.dataBytes > 0 && SeqAfter(end, this->dataEnd)) {
       this->dataEnd = end;
       progress.began = this->beganAt == 0;
       this->beganAt = progress.began ? aNow : this->beganAt;
--- a/src/steer/requests.cpp
+++ b/src/steer/requests.cpp
@@ -81,7 +81,7 @@
       idle += this->health[index].load.idle;
       this->health[index].load.Age();
     }
-    load.EndPeriod(period, this->zoneCount, slots);
+    load.EndPeriod(period, this->instancesInZone, slots);
   }
   this->times.UpdateIdleLoad(idle, this->laterRequestTime, period);
   this->laterRequestTime = 0;
--- a/src/steer/route_rooms.cpp
+++ b/src/steer/route_rooms.cpp
@@ -92,19 +92,19 @@
            Micros aWait,
            Micros aNow)
 {
-  using Verdict = HoldAdvice::Verdict;
+  using Answer = HoldAdvice::Answer;
   if (aRoom.latencyTarget <= 0) {
     return {};
   }
-  Micros longest = std::min(kMaxHoldTime, aRoom.latencyTarget / kHoldParts);
+  Micros longest = std::min(kMaxHoldTime, aRoom.latencyTarget / kHoldDivisor);
   // Placed later, the flow would not be answered in time.
   Micros latest =
     aNow - SentBefore(aPacket) + aRoom.latencyTarget - aRoom.answer.Quantile();
   if (latest <= aNow + aWait) {
-    return { .verdict = Verdict::TooLate };
+    return { .answer = Answer::TooLate };
   }
   if (aWait > longest) {
-    return { .verdict = Verdict::ShareFull };
+    return { .answer = Answer::ShareFull };
   }
   return { .until = std::min(aNow + longest, latest) };
 }
@@ -119,7 +119,7 @@
 }
 
 bool
-RouteRooms::InForce(Micros aNow) const
+RouteRooms::Applies(Micros aNow) const
 {
   if (this->options.mode == ShareMode::Off || this->rooms.size() < 2) {
     return false;
@@ -174,7 +174,7 @@
 {
   bool canHold = this->laterRate < kMaxLaterPart * this->firstRate;
   bool slow = aLimit.ResponseFraction() > kTargetResponseFraction;
-  if (canHold && this->InForce(aNow) && slow) {
+  if (canHold && this->Applies(aNow) && slow) {
     this->guarantee *= kGuaranteeShrinkFactor;
   } else {
     this->guarantee = std::min(1.0, this->guarantee + kGuaranteeGrowth);
--- a/src/steer/route_rooms.h
+++ b/src/steer/route_rooms.h
@@ -1,4 +1,4 @@
-// The routes of one service while it is at its limit: which of them may place a
+// The routes of one service, for admission by shares: which of them may place a
 // flow next, and whether a caller can still be answered in time or is refused
 // at once.
 #pragma once
@@ -14,9 +14,9 @@
 
 // Shares are in force this long after a long flow was last seen.
 constexpr Micros kLongFlowMemory = 60 * kSecond;
-// A caller is refused after this part of its latency target, so that the rest
-// leaves time for an attempt through another instance.
-constexpr int kHoldParts = 4;
+// A caller is held for its latency target divided by this at the longest; the
+// rest leaves time for an attempt through another instance.
+constexpr int kHoldDivisor = 4;
 
 // When the routes of a service have shares of its room.
 enum class ShareMode : uint8_t
@@ -49,7 +49,7 @@
   uint32_t samples = 0; // of usualRate
   // Flows that may be placed although the service is at its limit.
   double tokens = 0;
-  double certain = 0; // flows that may be open in any case
+  double certain = 0; // flows that may be open whatever the limit says
   // Share of the limit, and what the route has of it at the least.
   double share = 0;
   double least = 0;
@@ -80,14 +80,14 @@
 // What becomes of an opening that finds no room.
 struct HoldAdvice
 {
-  enum class Verdict : uint8_t
+  enum class Answer : uint8_t
   {
     Hold,
     TooLate,   // it can't be answered within the latency target
     ShareFull, // too many openings of the route wait for its share
   };
-  Verdict verdict = Verdict::Hold;
-  Micros until = 0; // when the caller is to be refused
+  Answer answer = Answer::Hold;
+  Micros until = 0; // when the caller is to be refused; 0: after kMaxHoldTime
 };
 
 // Returns what becomes of an opening that came at aNow and would have to wait
@@ -118,7 +118,7 @@
 
   bool IsUsed() const { return this->options.mode != ShareMode::Off; }
   // Returns whether new flows are admitted by shares, as the mode says.
-  bool InForce(Micros aNow) const;
+  bool Applies(Micros aNow) const;
   // This instance gets aFactor times the flows that it got before.
   void ScaleRates(double aFactor);
   // Updates averages and shares.
--- a/src/steer/shares.h
+++ b/src/steer/shares.h
@@ -1,6 +1,6 @@
 // Divides the room of a service, the flows that its concurrency limit admits,
-// between the routes that lead to it. Made for a burst of one kind of request:
-// without shares it takes the room of the others.
+// between the routes that lead to it. So a burst of one kind of request
+// does not take the room of the others.
 #pragma once
 
 #include <cstdint>
--- a/src/steer/shares_hold.cpp
+++ b/src/steer/shares_hold.cpp
@@ -23,7 +23,7 @@
 // The fewer instances there are, the more flows each gets. That is usual then,
 // and no burst.
 void
-FlowSteering::SetInstanceCount(size_t aInstanceCount, size_t aZoneCount)
+FlowSteering::SetInstanceCount(size_t aInstanceCount, size_t aInstancesInZone)
 {
   size_t count = std::max<size_t>(1, aInstanceCount);
   double factor =
@@ -34,7 +34,7 @@
     }
   }
   this->instanceCount = count;
-  this->zoneCount = aZoneCount;
+  this->instancesInZone = aInstancesInZone;
 }
 
 void
@@ -48,7 +48,7 @@
     AnswerTime& answer = room->answer;
     answer.AddHandshake(aRecord.handshake);
     Micros atServer = answer.AtServer(responded);
-    if (answer.IsRejection(atServer) && aAdmission.rooms.InForce(aNow)) {
+    if (answer.IsRejection(atServer) && aAdmission.rooms.Applies(aNow)) {
       answer.AddRejection(atServer);
       aAdmission.limit.OnRejection(aNow);
       return;
@@ -80,7 +80,7 @@
                            ServiceAdmission& aAdmission,
                            Micros aNow)
 {
-  using Verdict = HoldAdvice::Verdict;
+  using Answer = HoldAdvice::Answer;
   Micros arrivedAt = aNow - aPacket.queueTime;
   RouteRoom& room = aAdmission.rooms.Of(aRoute.entry);
   if (room.queue.OnRetransmission(aPacket, arrivedAt)) {
@@ -89,7 +89,7 @@
   bool admits = aAdmission.limit.Admits();
   bool withinUsual = room.queue.Size() == 0 && room.WithinUsual();
   if (withinUsual || (admits && aAdmission.rooms.Next(aNow) == nullptr)) {
-    return this->Place(aPacket, aRoute, aService, kNoServer, aNow);
+    return this->PlaceNew(aPacket, aRoute, aService, aNow);
   }
   Decision decision{ .action = Action::Reset,
                      .reason = Reason::HoldFull,
@@ -97,9 +97,9 @@
                      .flowLimit = aAdmission.limit.Limit() };
   HoldAdvice advice =
     AdviseHold(room, aPacket, admits ? 0 : room.ExpectedWait(), aNow);
-  if (advice.verdict != Verdict::Hold) {
+  if (advice.answer != Answer::Hold) {
     decision.reason =
-      advice.verdict == Verdict::TooLate ? Reason::TooLate : Reason::ShareFull;
+      advice.answer == Answer::TooLate ? Reason::TooLate : Reason::ShareFull;
     return decision;
   }
   bool fits = aAdmission.rooms.Held() < kMaxHeldOpenings &&
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-// ExclusionOf asks for drains and regions last: servers that they exclude would
-// otherwise get the flow.
+// A server counts under the first exclusion that ExclusionOf finds. The one
+// that ends soonest gives the reason.
 Reason
 ReasonWithoutServer(const ExclusionCounts& aExcluded)
 {
@@ -194,7 +194,7 @@
                               this->health,
                               this->RequestFor(aRoute, aService, aExcluded),
                               aNow);
-  this->counts.keptFromCold +=
+  this->counts.keptFromWarmup +=
     placement.excluded[static_cast<size_t>(Exclusion::WarmupQuota)];
   if (placement.server == kNoServer) {
     return { .action = Action::Reset,
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -66,7 +66,7 @@
 
   // Sets how many instances share the servers, and how many of them are in this
   // one's zone, this one included.
-  void SetInstanceCount(size_t aInstanceCount, size_t aZoneCount = 1);
+  void SetInstanceCount(size_t aInstanceCount, size_t aInstancesInZone = 1);
 
   // Sets which instances share the quotas of servers in their warm-up.
   void SetQuotaHolders(const QuotaHolders& aHolders,
@@ -144,7 +144,7 @@
 
   // Adds aDecision to the counts, and returns it.
   Decision Count(Decision aDecision);
-  // The same for an opening of the route.
+  // Also counts it by route, if there is one.
   Decision Count(Decision aDecision, const Route* aRoute);
   Decision OnOpening(const Packet& aPacket,
                      const Route* aRoute,
@@ -167,6 +167,11 @@
                         std::string_view aService,
                         ServiceAdmission& aAdmission,
                         Micros aNow);
+  // Places a flow that was not held, and plans its second opening.
+  Decision PlaceNew(const Packet& aPacket,
+                    const Route& aRoute,
+                    std::string_view aService,
+                    Micros aNow);
   Decision Place(const Packet& aPacket,
                  const Route& aRoute,
                  std::string_view aService,
@@ -272,10 +277,11 @@
   ServiceAdmission& AdmissionOf(std::string_view aService);
   // Returns null if no flow of the server's service was ever placed here.
   ServiceAdmission* AdmissionOf(ServerIndex aServer);
+  // Returns the service's next held opening to place or refuse, if one is due.
   std::optional<ReleasedPacket> ReleaseFrom(const std::string& aService,
                                             ServiceAdmission& aAdmission,
                                             Micros aNow);
-  // Does the same with the openings that wait for their route's share.
+  // As ReleaseFrom, for openings that wait for their route's share.
   std::optional<ReleasedPacket> ReleaseByShare(const std::string& aService,
                                                ServiceAdmission& aAdmission,
                                                Micros aNow);
@@ -310,7 +316,7 @@
   absl::node_hash_map<std::string, ServiceAdmission> admissions;
   size_t heldCount = 0; // held packets of all services
   size_t instanceCount = 1;
-  size_t zoneCount = 1;                  // instances of this one's zone
+  size_t instancesInZone = 1;            // instances of this one's zone
   std::deque<FlowTimer> handshakeTimers; // by the time of sending
   // Idle checks, roughly by due time: a check may run late, by up to
   // kQuietTime.
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -33,7 +33,7 @@
   aAdmission.rooms.Update(limit, aNow);
   aAdmission.rooms.ForgetUnless(
     [&](const Endpoint& aTarget) { return this->LeadsTo(aTarget, aService); });
-  bool inForce = limit.IsLimiting() && aAdmission.rooms.InForce(aNow);
+  bool inForce = limit.IsLimiting() && aAdmission.rooms.Applies(aNow);
   if (inForce != aAdmission.sharesInForce) {
     aAdmission.sharesInForce = inForce;
     this->shareChanges.emplace_back(std::string(aService), inForce);
--- a/src/steer/types.h
+++ b/src/steer/types.h
@@ -62,7 +62,9 @@
   std::string name;
   Endpoint endpoint;
   std::vector<WeightedService> services;
-  Micros timeout = 0;       // of one request; not applied, only sent to peers
+  // Of one request; 0: unknown. Silent servers' flows are reset only if it is 0
+  // or at least kMinUsefulTimeout.
+  Micros timeout = 0;
   Micros latencyTarget = 0; // time within which callers want the response
   uint32_t priority = 0;    // 0 is the most urgent
   // The requests are idempotent: callers repeat them after any failure.
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -63,8 +63,7 @@
             this->inGracePeriod);
   }
   // Returns whether the registry and the drains allow new flows to the server.
-  // See
-  // ExclusionOf for what else may exclude it.
+  // See ExclusionOf for what else may exclude it.
   bool AcceptsNewFlows() const
   {
     return this->IsAvailable() && !this->entry.draining && !this->tagConflict &&
--- a/src/steer/warmup_quota.cpp
+++ b/src/steer/warmup_quota.cpp
@@ -25,8 +25,8 @@
 HashOf(std::string_view aText)
 {
   uint64_t hash = 0;
-  for (char letter : aText) {
-    hash = Mix(hash ^ static_cast<uint8_t>(letter));
+  for (char byte : aText) {
+    hash = Mix(hash ^ static_cast<uint8_t>(byte));
   }
   return hash;
 }
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -247,10 +247,10 @@
                "cause",
                steer::kVerdictChangeNames,
                detector.verdicts);
-  counter("kept_from_cold_total",
-          "Servers in their warm-up that did not get a new flow as their quota "
-          "was used, once a flow and server",
-          aSource.steer.Counts().keptFromCold);
+  counter("kept_from_warmup_total",
+          "Servers in their warm-up that were passed over as their quota was "
+          "used, once a placement",
+          aSource.steer.Counts().keptFromWarmup);
   const steer::RaceCounts& races = aSource.steer.Races();
   counter("second_openings_total",
           "Opening packets that were sent to a second server",
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -129,7 +129,8 @@
   SendBatch sendBatch;
   // Held packets, each with its headroom.
   absl::flat_hash_map<steer::FlowId, std::vector<uint8_t>> held;
-  // Opening packet that may go to a second server, with its headroom.
+  // An opening packet, with its headroom, kept while a second server may get
+  // it.
   struct KeptOpening
   {
     steer::FlowId flow;
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -295,8 +295,8 @@
   }
 }
 
-// Checks the ages and the change range only: a negative age would make old
-// knowledge look recently confirmed.
+// Checks ages, the change range and the number of quota holders: a negative age
+// would make old knowledge look recently confirmed.
 bool
 IsValid(const spread::Heartbeat& aHeartbeat)
 {
--- a/src/tagged/prober.cpp
+++ b/src/tagged/prober.cpp
@@ -71,7 +71,7 @@
       self.prober->OnEvent(self, (aWhat & EV_TIMEOUT) != 0);
     },
     &connection));
-  timeval lifetime{ 0, kProbeLifetime };
+  timeval lifetime{ kProbeLifetime / kSecond, kProbeLifetime % kSecond };
   event_add(connection.event.get(), &lifetime);
 }
 
--- a/src/tagged/settings.cpp
+++ b/src/tagged/settings.cpp
@@ -9,8 +9,8 @@
 constexpr double kMaxRaceBudget = 0.2;
 
 // Checks rules that the type and range of a setting can't express: the zone
-// must not be empty, each zone has one region, and the bound of second openings
-// may be a fraction.
+// must not be empty, each zone has one region, and race.budget is at most
+// kMaxRaceBudget (the schema's bounds are whole numbers).
 void
 CheckConsistency(const TaggedSettings& aSettings,
                  std::vector<SettingFault>& aFaults)
@@ -19,7 +19,8 @@
     aFaults.push_back({ "instance", "zone", "must not be empty" });
   }
   if (aSettings.race.budget > kMaxRaceBudget) {
-    aFaults.push_back({ "race", "budget", "must be at most 0.2" });
+    aFaults.push_back(
+      { "race", "budget", absl::StrCat("must be at most ", kMaxRaceBudget) });
   }
   if (!ParseRegions(aSettings.regions.zones).ok()) {
     aFaults.push_back(
--- a/tests/spread/verdicts_test.cpp
+++ b/tests/spread/verdicts_test.cpp
@@ -73,7 +73,7 @@
   REQUIRE_FALSE(sent.empty());
   REQUIRE(sent[0].heartbeat.verdicts.size() == 1);
   CHECK(sent[0].heartbeat.verdicts[0].age == 30 * kMillisecond);
-  sent = reader.TakeHeartbeats(now + kVerdictLifetime);
+  sent = reader.TakeHeartbeats(now + kSentVerdictLifetime);
   REQUIRE_FALSE(sent.empty());
   CHECK(sent[0].heartbeat.verdicts.empty());
 }
--- a/tests/steer/holding_test.cpp
+++ b/tests/steer/holding_test.cpp
@@ -8,10 +8,8 @@
 
 using namespace steer;
 
-// Guards against flows that count against the limit until their record is
-// erased, after five seconds without packets. After a loss of power the
-// concurrency limit was one, and the flows of callers that had given up without
-// closing them kept other callers out.
+// Guards against flows of callers that gave up without closing: they must not
+// count against the limit until their record is erased.
 TEST_CASE("Flows of callers that gave up stop counting against the limit")
 {
   SteeringFixture fixture;
--- a/tests/steer/shares_test.cpp
+++ b/tests/steer/shares_test.cpp
@@ -61,19 +61,19 @@
 TEST_CASE("An opening is held for a quarter of its target, and refused at once "
           "if that is not enough")
 {
-  using Verdict = HoldAdvice::Verdict;
+  using Answer = HoldAdvice::Answer;
   RouteRoom room;
   Learn(room);
   Packet packet;
   HoldAdvice held = AdviseHold(room, packet, 50 * kMillisecond, kStart);
-  CHECK(held.verdict == Verdict::Hold);
-  CHECK(held.until == kStart + kTarget / kHoldParts);
-  CHECK(AdviseHold(room, packet, kTarget / 2, kStart).verdict ==
-        Verdict::ShareFull);
-  CHECK(AdviseHold(room, packet, kTarget, kStart).verdict == Verdict::TooLate);
+  CHECK(held.answer == Answer::Hold);
+  CHECK(held.until == kStart + kTarget / kHoldDivisor);
+  CHECK(AdviseHold(room, packet, kTarget / 2, kStart).answer ==
+        Answer::ShareFull);
+  CHECK(AdviseHold(room, packet, kTarget, kStart).answer == Answer::TooLate);
   // Its caller sent it first 600 ms ago.
   packet.retransmissions = 2;
-  CHECK(AdviseHold(room, packet, 0, kStart).verdict == Verdict::TooLate);
+  CHECK(AdviseHold(room, packet, 0, kStart).answer == Answer::TooLate);
 }
 
 TEST_CASE("Nothing is held past the moment from which it can't be answered in "
@@ -85,7 +85,7 @@
   for (Micros queued = 0; queued < kTarget; queued += 10 * kMillisecond) {
     packet.queueTime = queued;
     HoldAdvice advice = AdviseHold(room, packet, 0, kStart);
-    if (advice.verdict == HoldAdvice::Verdict::Hold) {
+    if (advice.answer == HoldAdvice::Answer::Hold) {
       CHECK(advice.until - kStart + queued + room.answer.Quantile() <= kTarget);
     }
   }
@@ -237,7 +237,7 @@
   }
   REQUIRE(released);
   CHECK(released->decision.reason == Reason::ShareFull);
-  CHECK(service.now - heldAt <= kTarget / kHoldParts);
+  CHECK(service.now - heldAt <= kTarget / kHoldDivisor);
 }
 
 TEST_CASE("Openings that are held when a configuration removes their route are "
--- a/tests/steer/warmup_quota_test.cpp
+++ b/tests/steer/warmup_quota_test.cpp
@@ -55,7 +55,7 @@
   FlowSteering steering = MakeSteering(5);
   steering.SetQuotaHolders({ .standalone = true });
   CHECK(OpeningsInASecond(steering, 2 * kSecond) == 5);
-  CHECK(steering.Counts().keptFromCold == 995);
+  CHECK(steering.Counts().keptFromWarmup == 995);
   Decision decision = Open(steering, 2000, 3 * kSecond);
   CHECK(decision.action == Action::Reset);
   CHECK(decision.reason == Reason::WarmupQuota);
