--- a/src/tagged/settings.cpp
+++ b/src/tagged/settings.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr double kMaxRaceBudget = 0.2;
+// A fault refers to its text, which has to outlive it.
+constexpr std::string_view kRaceBudgetFault = "must be at most 0.2";
 
 // Checks rules that the type and range of a setting can't express: the zone
 // must not be empty, each zone has one region, and race.budget is at most
@@ -19,8 +21,7 @@
     aFaults.push_back({ "instance", "zone", "must not be empty" });
   }
   if (aSettings.race.budget > kMaxRaceBudget) {
-    aFaults.push_back(
-      { "race", "budget", absl::StrCat("must be at most ", kMaxRaceBudget) });
+    aFaults.push_back({ "race", "budget", kRaceBudgetFault });
   }
   if (!ParseRegions(aSettings.regions.zones).ok()) {
     aFaults.push_back(
