--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 out=../../target/review-2
 mkdir -p "$out"
 g++ -std=c++20 -O1 -Wall -c rig.cpp -o "$out/rig.o"
-for case in second-syn-ack; do
+for case in second-syn-ack odd-entry; do
   g++ -std=c++20 -O1 -Wall "$case.cpp" "$out/rig.o" -o "$out/$case"
 done
--- a/review/standin-2/rig.cpp
+++ b/review/standin-2/rig.cpp
@@ -22,6 +22,7 @@
 std::map<std::pair<Addr, Addr>, Host*> lastReset;
 std::function<bool(const Host&, const Packet&)> Host::lose;
 std::vector<Host*> Host::all;
+std::function<void(const Host&, const std::string&, const Packet&)> Host::onRun;
 std::map<std::string, int> Host::runs;
 std::map<std::pair<Addr, Addr>, Host*> Host::openAt;
 
@@ -735,20 +736,49 @@
   all.push_back(this);
 }
 
-void
-Host::Register()
+std::string
+Host::EntryName() const
 {
   char name[32];
   snprintf(name, sizeof name, "i-%08x", this->id);
-  this->site.store->Put(
-    "servers",
-    name,
-    "{\"service\":\"" + this->service + "\",\"address\":\"" + Text(this->addr) +
-      "\",\"zone\":\"" + this->zone +
-      "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" + this->state +
-      "\",\"warmup_left_ms\":0,\"seq\":1,\"born\":" + std::to_string(this->born) +
-      "}");
-  Record("host %s at %s is registered, %s", name, Text(this->addr).c_str(), this->state.c_str());
+  return name;
+}
+
+std::string
+Host::Spec(const std::string& aService, const std::string& aBorn) const
+{
+  return "{\"service\":\"" + aService + "\",\"address\":\"" +
+         Text(this->addr) + "\",\"zone\":\"" + this->zone +
+         "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" + this->state +
+         "\",\"warmup_left_ms\":0,\"seq\":1,\"born\":" + aBorn + "}";
+}
+
+void
+Host::Register()
+{
+  uint64_t before = this->site.store->Revision();
+  this->site.store->Put("servers",
+                        this->EntryName(),
+                        this->Spec(this->service, std::to_string(this->born)));
+  if (this->site.store->Revision() != before) {
+    Record("host %s of %s at %s writes its entry, %s",
+           this->EntryName().c_str(),
+           this->service.c_str(),
+           Text(this->addr).c_str(),
+           this->state.c_str());
+  }
+}
+
+void
+Host::StartHeartbeats()
+{
+  constexpr Micros kHeartbeat = 1200 * kMs;
+  loop.After(kHeartbeat, [this] {
+    if (this->alive) {
+      this->Register();
+      this->StartHeartbeats();
+    }
+  });
 }
 
 void
@@ -761,10 +791,8 @@
 void
 Host::Unregister()
 {
-  char name[32];
-  snprintf(name, sizeof name, "i-%08x", this->id);
-  this->site.store->Delete("servers", name);
-  Record("host %s: its entry is removed", name);
+  this->site.store->Delete("servers", this->EntryName());
+  Record("host %s: its entry is removed", this->EntryName().c_str());
 }
 
 // Answers a health check; other connections are closed by their other end.
@@ -922,8 +950,15 @@
         attempt = aPacket.data.substr(from, aPacket.data.find('\r', from) - from);
       }
       ++runs[attempt];
+      if (onRun) {
+        onRun(*this, attempt, aPacket);
+      }
       Record("host %08x: request %s of %s runs", this->id, attempt.c_str(), Text(aPacket.src).c_str());
-      loop.After(this->workTime, [this, key, attempt] {
+      constexpr Micros kMeanWork = 13 * kMs;
+      Micros work = this->workTime != 0
+                      ? this->workTime
+                      : kMeanWork / 2 + rand() % kMeanWork;
+      loop.After(work, [this, key, attempt] {
         auto flowOfKey = this->flows.find(key);
         if (flowOfKey == this->flows.end() || !this->alive) {
           return;
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -206,17 +206,26 @@
   void Register();
   void SetState(const std::string& aState);
   void Unregister();
+  // Writes the entry every heartbeat_ms, 1.2 s, from now on.
+  void StartHeartbeats();
+  std::string EntryName() const;
+  // The entry's content, with these values in place of its own.
+  std::string Spec(const std::string& aService, const std::string& aBorn) const;
 
   Site& site;
   std::string service, zone, state = "ready";
   Addr addr;
   uint32_t id;
   int64_t born;
+  // Of a request; 0: half of 13 ms to one and a half times, at random.
   Micros workTime = 13 * kMs;
   bool alive = true;
   // Returns true if this packet to a client is lost on its way.
   static std::function<bool(const Host&, const Packet&)> lose;
   static std::vector<Host*> all;
+  // Called with each request that begins to run, and its packet.
+  static std::function<void(const Host&, const std::string&, const Packet&)>
+    onRun;
   // Requests that ran, by Attempt-Id.
   static std::map<std::string, int> runs;
   // The host at which a flow is open, by the client's end.
@@ -292,7 +301,7 @@
 
   // What the client does with a SYN+ACK of another host on an open flow: it
   // keeps its echo in any case, and acknowledges what it has if this is set.
-  bool acksSecondSynAck = true;
+  bool acksSecondSynAck = false;
   Site& site;
   std::string zone;
   uint32_t ip;
--- a/review/standin-2/second-syn-ack.cpp
+++ b/review/standin-2/second-syn-ack.cpp
@@ -1,4 +1,5 @@
-// Long flows while one SYN+ACK is lost and the daemons are restarted in turn.
+// Long flows while one SYN+ACK is lost. With RESTARTS=1 the daemons are also
+// restarted in turn. PAUSE_MS is the pause between the requests of a flow.
 #include "rig.h"
 
 #include <csignal>
@@ -14,6 +15,13 @@
 constexpr int kLossAt = 8; // flow whose first SYN+ACK is lost
 const Addr kRoute{ Ip("198.18.0.1"), 8080 };
 
+int
+Setting(const char* aName, int aDefault)
+{
+  const char* text = getenv(aName);
+  return text == nullptr ? aDefault : atoi(text);
+}
+
 struct LongFlow
 {
   std::shared_ptr<Client::Flow> flow;
@@ -30,6 +38,11 @@
     return 2;
   }
   const bool trouble = strcmp(aArguments[3], "0") != 0;
+  const bool restarts = Setting("RESTARTS", 0) != 0;
+  const Micros pause = Setting("PAUSE_MS", 2700) * kMs;
+  const int requests = Setting("REQUESTS", 4);
+  // Whether clients acknowledge what they have when a second SYN+ACK comes.
+  const bool acks = Setting("CLIENT_ACKS", 0) != 0;
   srand(7);
   Site site(aArguments[1], aArguments[2], Ip("127.40.0.1"));
   std::vector<uint32_t> ips{ Ip("127.20.0.1"), Ip("127.20.0.2"), Ip("127.20.0.3") };
@@ -79,8 +92,7 @@
   std::vector<std::unique_ptr<Client>> clients;
   for (uint32_t ip : clientIps) {
     clients.push_back(std::make_unique<Client>(site, "jkt", ip));
-    const char* silent = getenv("SILENT_CLIENT");
-    clients.back()->acksSecondSynAck = silent == nullptr;
+    clients.back()->acksSecondSynAck = acks;
   }
   std::vector<LongFlow> flows(kFlows);
   int broken = 0;
@@ -116,11 +128,11 @@
           Record("client %s: %s ends with %s", Text(flows[i].flow->self).c_str(), id.c_str(), aResult.c_str());
           if (aResult != "200") {
             finish(i, aResult);
-          } else if (++flows[i].answered == 4) {
+          } else if (++flows[i].answered == requests) {
             clients[i % 2]->Close(flows[i].flow);
             finish(i, "closed");
           } else {
-            loop.After(2700 * kMs, [&, i, next] {
+            loop.After(pause, [&, i, next] {
               if (flows[i].flow->ended) {
                 return;
               }
@@ -156,8 +168,8 @@
       };
     });
   }
-  // The rolling restart: SIGTERM in turn, and a start when the process ended.
-  for (size_t i = 0; i < site.daemons.size(); ++i) {
+  // The restarts: SIGTERM in turn, and a start when the process ended.
+  for (size_t i = 0; restarts && i < site.daemons.size(); ++i) {
     Daemon& daemon = *site.daemons[i];
     daemon.onEnd = [&daemon](int) {
       loop.After(300 * kMs, [&daemon] { daemon.Start(); });
@@ -165,7 +177,7 @@
     loop.At(start + 4 * kSecond + static_cast<Micros>(i) * 2 * kSecond,
             [&daemon] { daemon.Signal(SIGTERM); });
   }
-  loop.Run([&] { return ended == kFlows || loop.Now() > start + 40 * kSecond; });
+  loop.Run([&] { return ended == kFlows || loop.Now() > start + 60 * kSecond; });
   site.KillAll();
   Record("%d flows, %d ended, %d packets of hosts, one of them lost: %s; broken by a reset that the flow's host didn't send: %d",
          kFlows, ended, packets, lost ? "yes" : "no", broken);
