--- a/review/standin-2/odd-entry.cpp
+++ b/review/standin-2/odd-entry.cpp
@@ -31,20 +31,21 @@
   std::string routes;
   std::string services;
   for (const Route& route : kRoutes) {
-    routes += std::string(routes.empty() ? "" : ",") + "{\"name\":\"r-" +
-              route.service +
-              "\",\"host\":\"198.18.0.1\",\"path_prefix\":\"/" +
-              std::to_string(route.port) +
-              "/\",\"type\":\"non_idempotent\",\"timeout_ms\":3000,\"slo_ms\":300,"
-              "\"priority\":1,\"service\":\"" +
-              route.service + "\",\"max_attempts\":2}";
-    services += std::string(services.empty() ? "" : ",") + "{\"name\":\"" +
-                route.service +
-                "\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":"
-                "\"h1\",\"tls\":false}";
+    routes +=
+      std::string(routes.empty() ? "" : ",") + "{\"name\":\"r-" +
+      route.service + "\",\"host\":\"198.18.0.1\",\"path_prefix\":\"/" +
+      std::to_string(route.port) +
+      "/\",\"type\":\"non_idempotent\",\"timeout_ms\":3000,\"slo_ms\":300,"
+      "\"priority\":1,\"service\":\"" +
+      route.service + "\",\"max_attempts\":2}";
+    services +=
+      std::string(services.empty() ? "" : ",") + "{\"name\":\"" +
+      route.service +
+      "\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":"
+      "\"h1\",\"tls\":false}";
   }
-  return "{\"version\":7,\"routes\":[" + routes + "],\"services\":[" + services +
-         "],\"limits\":{\"idle_timeout_ms\":15000}}";
+  return "{\"version\":7,\"routes\":[" + routes + "],\"services\":[" +
+         services + "],\"limits\":{\"idle_timeout_ms\":15000}}";
 }
 
 }
@@ -106,18 +107,19 @@
   for (const auto& host : hosts) {
     host->workTime = 0; // drawn for each request
   }
-  Host::onRun = [&](const Host& aHost, const std::string& aId, const Packet& aPacket) {
-    for (const Route& route : kRoutes) {
-      if (aPacket.dst == Target(route) && aHost.service != route.service) {
-        ++wrong;
-        Record("ROUTE: request %s to the route of %s is run by %s of %s",
-               aId.c_str(),
-               route.service,
-               aHost.EntryName().c_str(),
-               aHost.service.c_str());
+  Host::onRun =
+    [&](const Host& aHost, const std::string& aId, const Packet& aPacket) {
+      for (const Route& route : kRoutes) {
+        if (aPacket.dst == Target(route) && aHost.service != route.service) {
+          ++wrong;
+          Record("ROUTE: request %s to the route of %s is run by %s of %s",
+                 aId.c_str(),
+                 route.service,
+                 aHost.EntryName().c_str(),
+                 aHost.service.c_str());
+        }
       }
-    }
-  };
+    };
   std::function<void()> traffic = [&] {
     if (loop.Now() > start + kSeconds * kSecond) {
       return;
@@ -126,17 +128,19 @@
     const Route& route = kRoutes[sent % 5 == 0 ? 1 : 0];
     std::string id = "a" + std::to_string(sent++);
     auto flow = std::make_shared<std::shared_ptr<Client::Flow>>();
-    *flow = client.Open(Target(route), [&, id, flow](const std::string& aOpened) {
-      if (aOpened != "open") {
-        Record("client: %s: %s", id.c_str(), aOpened.c_str());
-        return;
-      }
-      client.Request(*flow, id, 3 * kSecond, [&, id, flow](const std::string& aResult) {
-        answered += aResult == "200" ? 1 : 0;
-        Record("client: %s ends with %s", id.c_str(), aResult.c_str());
-        client.Close(*flow);
+    *flow =
+      client.Open(Target(route), [&, id, flow](const std::string& aOpened) {
+        if (aOpened != "open") {
+          Record("client: %s: %s", id.c_str(), aOpened.c_str());
+          return;
+        }
+        client.Request(
+          *flow, id, 3 * kSecond, [&, id, flow](const std::string& aResult) {
+            answered += aResult == "200" ? 1 : 0;
+            Record("client: %s ends with %s", id.c_str(), aResult.c_str());
+            client.Close(*flow);
+          });
       });
-    });
   };
   traffic();
   Host& victim = *hosts[4];
@@ -144,8 +148,9 @@
     // FIELD names the field of another type.
     const char* field = getenv("FIELD");
     bool slots = field != nullptr && strcmp(field, "slots") == 0;
-    std::string spec = victim.Spec(
-      kRoutes[0].service, slots ? std::to_string(victim.born) : "\"2026-12-07\"");
+    std::string spec =
+      victim.Spec(kRoutes[0].service,
+                  slots ? std::to_string(victim.born) : "\"2026-12-07\"");
     if (slots) {
       spec.replace(spec.find("\"slots\":2"), 9, "\"slots\":\"2\"");
     }
@@ -158,8 +163,11 @@
   }
   loop.Run([&] { return loop.Now() > start + (kSeconds + 4) * kSecond; });
   site.KillAll();
-  Record("%d requests sent, %d answered, %d run by a service that their route never led to",
-         sent, answered, wrong);
+  Record("%d requests sent, %d answered, %d run by a service that their route "
+         "never led to",
+         sent,
+         answered,
+         wrong);
   printf("requests run by a wrong service: %d of %d\n", wrong, sent);
   if (site.unexpectedEnds > 0 || answered < sent / 2) {
     return 2;
--- a/review/standin-2/rig.cpp
+++ b/review/standin-2/rig.cpp
@@ -184,7 +184,8 @@
 bool
 Packet::Decode(const std::string& aBytes, Packet& aOut)
 {
-  if (aBytes.size() < kHeader || aBytes.size() != kHeader + Get(aBytes, 10, 2)) {
+  if (aBytes.size() < kHeader ||
+      aBytes.size() != kHeader + Get(aBytes, 10, 2)) {
     return false;
   }
   aOut.seq = Get(aBytes, 0, 4);
@@ -236,10 +237,10 @@
     for (const auto& [fd, callback] : this->watched) {
       entries.push_back({ fd, POLLIN, 0 });
     }
-    Micros wait = this->timers.empty()
-                    ? 50 * kMs
-                    : std::clamp<Micros>(
-                        this->timers.top().at - this->Now(), 0, 50 * kMs);
+    Micros wait =
+      this->timers.empty()
+        ? 50 * kMs
+        : std::clamp<Micros>(this->timers.top().at - this->Now(), 0, 50 * kMs);
     poll(entries.data(), entries.size(), static_cast<int>((wait + 999) / 1000));
     for (const pollfd& entry : entries) {
       auto known = this->watched.find(entry.fd);
@@ -266,16 +267,15 @@
 uint16_t
 FreePort(const std::vector<uint32_t>& aIps)
 {
-  static uint16_t next =
-    static_cast<uint16_t>(20000 + (getpid() * 37) % 10000);
+  static uint16_t next = static_cast<uint16_t>(20000 + (getpid() * 37) % 10000);
   for (;; ++next) {
     bool isFree = true;
     for (uint32_t ip : aIps) {
       for (int type : { SOCK_DGRAM, SOCK_STREAM }) {
         int fd = socket(AF_INET, type, 0);
         sockaddr_in to = ToSock({ ip, next });
-        isFree = isFree &&
-                 bind(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0;
+        isFree =
+          isFree && bind(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0;
         close(fd);
       }
     }
@@ -342,7 +342,8 @@
 void
 Store::OnAccept()
 {
-  int fd = accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  int fd =
+    accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (fd >= 0) {
     this->conns[fd] = { fd, {}, false, {}, 0, 0 };
     loop.Watch(fd, [this, fd] { this->OnReadable(fd); });
@@ -386,9 +387,9 @@
   const std::string prefix = "/-/objects/";
   size_t question = aTarget.find('?');
   std::string kind =
-    aTarget.substr(prefix.size(), question == std::string::npos
-                                    ? std::string::npos
-                                    : question - prefix.size());
+    aTarget.substr(prefix.size(),
+                   question == std::string::npos ? std::string::npos
+                                                 : question - prefix.size());
   std::map<std::string, std::string> query;
   std::string rest =
     question == std::string::npos ? "" : aTarget.substr(question + 1);
@@ -432,7 +433,8 @@
   }
   this->Reply(aConn.fd,
               200,
-              "{\"items\":[" + items + "],\"more\":" + (more ? "true" : "false") +
+              "{\"items\":[" + items +
+                "],\"more\":" + (more ? "true" : "false") +
                 ",\"as_of\":" + std::to_string(this->revision) + "}");
 }
 
@@ -530,8 +532,8 @@
 Site::AddDaemon(const std::string& aZone, uint32_t aIp)
 {
   auto daemon = std::make_unique<Daemon>();
-  daemon->name = "frontend-" + aZone + "-" +
-                 std::to_string(this->daemons.size() + 1);
+  daemon->name =
+    "frontend-" + aZone + "-" + std::to_string(this->daemons.size() + 1);
   daemon->zone = aZone;
   daemon->ip = aIp;
   daemon->folder = this->folder + "/" + daemon->name;
@@ -547,8 +549,8 @@
 {
   std::string seeds;
   for (uint32_t seed : aSeeds) {
-    seeds += (seeds.empty() ? "\"" : ",\"") +
-             Text({ seed, this->controlPort }) + "\"";
+    seeds +=
+      (seeds.empty() ? "\"" : ",\"") + Text({ seed, this->controlPort }) + "\"";
   }
   std::set<std::string> zones;
   for (const auto& daemon : this->daemons) {
@@ -611,7 +613,9 @@
     bool now = aOk || (aDaemon.inRotation && aDaemon.misses < 2);
     if (now != aDaemon.inRotation) {
       aDaemon.inRotation = now;
-      Record("daemon %s is %s rotation", aDaemon.name.c_str(), now ? "in" : "out of");
+      Record("daemon %s is %s rotation",
+             aDaemon.name.c_str(),
+             now ? "in" : "out of");
     }
   };
   if (fd < 0) {
@@ -684,7 +688,8 @@
 {
   for (const auto& daemon : this->daemons) {
     int status = 0;
-    if (daemon->running && waitpid(daemon->pid, &status, WNOHANG) == daemon->pid) {
+    if (daemon->running &&
+        waitpid(daemon->pid, &status, WNOHANG) == daemon->pid) {
       daemon->running = false;
       Record("daemon %s ended, status %d", daemon->name.c_str(), status);
       if (daemon->onEnd) {
@@ -747,8 +752,8 @@
 std::string
 Host::Spec(const std::string& aService, const std::string& aBorn) const
 {
-  return "{\"service\":\"" + aService + "\",\"address\":\"" +
-         Text(this->addr) + "\",\"zone\":\"" + this->zone +
+  return "{\"service\":\"" + aService + "\",\"address\":\"" + Text(this->addr) +
+         "\",\"zone\":\"" + this->zone +
          "\",\"version\":\"v1\",\"slots\":2,\"state\":\"" + this->state +
          "\",\"warmup_left_ms\":0,\"seq\":1,\"born\":" + aBorn + "}";
 }
@@ -807,9 +812,10 @@
     char buffer[1024];
     ssize_t count = recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
     if (count > 0) {
-      std::string text = this->state == "ready"
-                           ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-                           : "HTTP/1.1 503 Leaving\r\nContent-Length: 0\r\n\r\n";
+      std::string text =
+        this->state == "ready"
+          ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+          : "HTTP/1.1 503 Leaving\r\nContent-Length: 0\r\n\r\n";
       send(fd, text.data(), text.size(), MSG_NOSIGNAL);
     } else if (count == 0 || errno != EAGAIN) {
       loop.Unwatch(fd);
@@ -833,7 +839,9 @@
       continue;
     }
     if (packet.sum != packet.Sum()) {
-      Record("host %08x: a packet of %s that its sender did not write so", this->id, Text(packet.src).c_str());
+      Record("host %08x: a packet of %s that its sender did not write so",
+             this->id,
+             Text(packet.src).c_str());
       continue;
     }
     this->OnPacket(packet);
@@ -912,18 +920,23 @@
     answer.flags = kSyn | kAck;
     answer.seq = flow.seq;
     answer.ack = flow.rcv;
-    Record("host %08x: SYN of %s, copy %u", this->id, Text(aPacket.src).c_str(), aPacket.ack);
+    Record("host %08x: SYN of %s, copy %u",
+           this->id,
+           Text(aPacket.src).c_str(),
+           aPacket.ack);
     this->SendReliably(key, flow, answer);
     return;
   }
   bool holds = known != this->flows.end() &&
-               (known->second.open ||
-                aPacket.ack == known->second.seq + 1);
+               (known->second.open || aPacket.ack == known->second.seq + 1);
   if (!holds) {
     answer.flags = kRst;
     answer.seq = aPacket.ack;
     lastReset[key] = this;
-    Record("host %08x: does not hold the flow of %s, sends RST (data %zu B)", this->id, Text(aPacket.src).c_str(), aPacket.data.size());
+    Record("host %08x: does not hold the flow of %s, sends RST (data %zu B)",
+           this->id,
+           Text(aPacket.src).c_str(),
+           aPacket.data.size());
     this->Send(answer);
     return;
   }
@@ -933,7 +946,9 @@
     flow.open = true;
     flow.pending = false;
     openAt[key] = this;
-    Record("host %08x: flow of %s is open here", this->id, Text(aPacket.src).c_str());
+    Record("host %08x: flow of %s is open here",
+           this->id,
+           Text(aPacket.src).c_str());
   }
   if (flow.pending && aPacket.ack == flow.snd) {
     flow.pending = false;
@@ -947,17 +962,20 @@
       std::string attempt = "?";
       if (from != std::string::npos) {
         from += 12;
-        attempt = aPacket.data.substr(from, aPacket.data.find('\r', from) - from);
+        attempt =
+          aPacket.data.substr(from, aPacket.data.find('\r', from) - from);
       }
       ++runs[attempt];
       if (onRun) {
         onRun(*this, attempt, aPacket);
       }
-      Record("host %08x: request %s of %s runs", this->id, attempt.c_str(), Text(aPacket.src).c_str());
+      Record("host %08x: request %s of %s runs",
+             this->id,
+             attempt.c_str(),
+             Text(aPacket.src).c_str());
       constexpr Micros kMeanWork = 13 * kMs;
-      Micros work = this->workTime != 0
-                      ? this->workTime
-                      : kMeanWork / 2 + rand() % kMeanWork;
+      Micros work = this->workTime != 0 ? this->workTime
+                                        : kMeanWork / 2 + rand() % kMeanWork;
       loop.After(work, [this, key, attempt] {
         auto flowOfKey = this->flows.find(key);
         if (flowOfKey == this->flows.end() || !this->alive) {
@@ -1145,7 +1163,8 @@
   std::shared_ptr<Flow> flow = known->second;
   bool ofSystem = aPacket.sum == 0 && (aPacket.flags & kRst);
   if (!ofSystem && aPacket.sum != aPacket.Sum()) {
-    Record("client %s: a packet that its sender did not write so", Text(flow->self).c_str());
+    Record("client %s: a packet that its sender did not write so",
+           Text(flow->self).c_str());
     return;
   }
   if (aPacket.flags & kRst) {
@@ -1195,8 +1214,8 @@
     if (isNew && flow->busy) {
       flow->busy = false;
       flow->lastUsed = loop.Now();
-      bool whole = aPacket.data.find("answer to " + flow->attempt.id) !=
-                   std::string::npos;
+      bool whole =
+        aPacket.data.find("answer to " + flow->attempt.id) != std::string::npos;
       flow->attempt.done(whole ? "200" : "wrong answer");
     }
   }
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -29,9 +29,12 @@
   auto operator<=>(const Addr&) const = default;
 };
 
-uint32_t Ip(const std::string& aText);
-std::string Text(uint32_t aIp);
-std::string Text(Addr aAddr);
+uint32_t
+Ip(const std::string& aText);
+std::string
+Text(uint32_t aIp);
+std::string
+Text(Addr aAddr);
 
 // Flags of a packet.
 constexpr uint8_t kSyn = 1, kFin = 2, kBounced = 4, kAck = 64, kRst = 128;
@@ -85,11 +88,14 @@
 extern Loop loop;
 
 // Writes a line to record.txt, with the time since the start.
-void Record(const char* aFormat, ...) __attribute__((format(printf, 1, 2)));
+void
+Record(const char* aFormat, ...) __attribute__((format(printf, 1, 2)));
 
-int UdpSocket(Addr aAddr);
+int
+UdpSocket(Addr aAddr);
 // Returns a port that is free for UDP and TCP at all of aIps.
-uint16_t FreePort(const std::vector<uint32_t>& aIps);
+uint16_t
+FreePort(const std::vector<uint32_t>& aIps);
 
 // The platform's store, over HTTP: lists with pages, watches, revisions, 410.
 class Store
@@ -169,7 +175,9 @@
 class Site
 {
 public:
-  Site(const std::string& aBinary, const std::string& aFolder, uint32_t aStoreIp);
+  Site(const std::string& aBinary,
+       const std::string& aFolder,
+       uint32_t aStoreIp);
   Daemon& AddDaemon(const std::string& aZone, uint32_t aIp);
   void WriteSettings(Daemon& aDaemon, const std::vector<uint32_t>& aSeeds);
   // Starts the readiness checks, twice a second.
@@ -235,15 +243,15 @@
   struct Flow
   {
     bool open = false;
-    uint32_t seq = 0;       // own initial number
-    uint32_t rcv = 0;       // next byte expected
-    uint32_t snd = 0;       // next byte to send
+    uint32_t seq = 0; // own initial number
+    uint32_t rcv = 0; // next byte expected
+    uint32_t snd = 0; // next byte to send
     uint32_t echo = 0;
     uint32_t acked = 0;
     int resends = 0;
-    Packet unacked;         // last packet to be retransmitted
-    bool pending = false;   // unacked is not yet acknowledged
-    uint64_t timer = 0;     // number of the present retransmission timer
+    Packet unacked;       // last packet to be retransmitted
+    bool pending = false; // unacked is not yet acknowledged
+    uint64_t timer = 0;   // number of the present retransmission timer
     bool fin = false;
   };
   using Key = std::pair<Addr, Addr>; // client, route
@@ -272,7 +280,7 @@
   {
     Addr self, target;
     bool open = false, ended = false;
-    uint32_t seq = 0;  // next byte to send
+    uint32_t seq = 0;     // next byte to send
     uint32_t hostSeq = 0; // of the SYN+ACK that was taken
     uint32_t rcv = 0;
     uint32_t echo = 0;
@@ -311,7 +319,9 @@
   void OnPacket(const Packet& aPacket);
   void Send(Flow& aFlow, Packet aPacket);
   void Copy(const std::shared_ptr<Flow>& aFlow);
-  void Retransmit(const std::shared_ptr<Flow>& aFlow, uint64_t aTimer, Micros aDelay);
+  void Retransmit(const std::shared_ptr<Flow>& aFlow,
+                  uint64_t aTimer,
+                  Micros aDelay);
   void End(Flow& aFlow, const std::string& aOutcome);
 
   int udp;
--- a/review/standin-2/second-syn-ack.cpp
+++ b/review/standin-2/second-syn-ack.cpp
@@ -45,7 +45,9 @@
   const bool acks = Setting("CLIENT_ACKS", 0) != 0;
   srand(7);
   Site site(aArguments[1], aArguments[2], Ip("127.40.0.1"));
-  std::vector<uint32_t> ips{ Ip("127.20.0.1"), Ip("127.20.0.2"), Ip("127.20.0.3") };
+  std::vector<uint32_t> ips{ Ip("127.20.0.1"),
+                             Ip("127.20.0.2"),
+                             Ip("127.20.0.3") };
   std::vector<uint32_t> clientIps{ Ip("127.30.0.1"), Ip("127.30.0.2") };
   std::vector<uint32_t> both = ips;
   both.insert(both.end(), clientIps.begin(), clientIps.end());
@@ -55,18 +57,25 @@
   site.peerPort = FreePort(ips);
   std::vector<std::unique_ptr<Host>> hosts;
   for (int i = 0; i < 4; ++i) {
-    hosts.push_back(std::make_unique<Host>(
-      site, "katalog", "jkt", Ip("127.50.0." + std::to_string(i + 1)), 0x7f3a9100 + i));
+    hosts.push_back(
+      std::make_unique<Host>(site,
+                             "katalog",
+                             "jkt",
+                             Ip("127.50.0." + std::to_string(i + 1)),
+                             0x7f3a9100 + i));
     hosts.back()->Register();
   }
   site.store->Put(
     "config",
     "main",
-    "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"198.18.0.1\",\"path_"
+    "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"198.18.0.1\","
+    "\"path_"
     "prefix\":\"/8080/\",\"type\":\"non_idempotent\",\"timeout_ms\":3000,\"slo_"
     "ms\":300,\"priority\":1,\"service\":\"katalog\",\"max_attempts\":2}],"
-    "\"services\":[{\"name\":\"katalog\",\"health_path\":\"/health\",\"max_conns\":"
-    "2000,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"idle_timeout_ms\":15000}}");
+    "\"services\":[{\"name\":\"katalog\",\"health_path\":\"/"
+    "health\",\"max_conns\":"
+    "2000,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"idle_timeout_ms\":"
+    "15000}}");
   for (uint32_t ip : ips) {
     site.AddDaemon("jkt", ip);
   }
@@ -105,7 +114,9 @@
     bool isSynAck = (aPacket.flags & kSyn) != 0;
     if (trouble && !lost && isSynAck && chosen && aPacket.dst == chosen->self) {
       lost = true;
-      Record("lost: SYN+ACK of host %08x to %s", aHost.id, Text(aPacket.dst).c_str());
+      Record("lost: SYN+ACK of host %08x to %s",
+             aHost.id,
+             Text(aPacket.dst).c_str());
       return true;
     }
     return false;
@@ -123,31 +134,39 @@
       auto next = std::make_shared<std::function<void()>>();
       *next = [&, i, next] {
         Client& own = *clients[i % 2];
-        std::string id = "a" + std::to_string(i) + "-" + std::to_string(flows[i].answered);
-        own.Request(flows[i].flow, id, 3 * kSecond, [&, i, id, next](const std::string& aResult) {
-          Record("client %s: %s ends with %s", Text(flows[i].flow->self).c_str(), id.c_str(), aResult.c_str());
-          if (aResult != "200") {
+        std::string id =
+          "a" + std::to_string(i) + "-" + std::to_string(flows[i].answered);
+        own.Request(flows[i].flow,
+                    id,
+                    3 * kSecond,
+                    [&, i, id, next](const std::string& aResult) {
+                      Record("client %s: %s ends with %s",
+                             Text(flows[i].flow->self).c_str(),
+                             id.c_str(),
+                             aResult.c_str());
+                      if (aResult != "200") {
+                        finish(i, aResult);
+                      } else if (++flows[i].answered == requests) {
+                        clients[i % 2]->Close(flows[i].flow);
+                        finish(i, "closed");
+                      } else {
+                        loop.After(pause, [&, i, next] {
+                          if (flows[i].flow->ended) {
+                            return;
+                          }
+                          (*next)();
+                        });
+                      }
+                    });
+      };
+      flows[i].flow =
+        client.Open(kRoute, [&, i, next](const std::string& aResult) {
+          if (aResult != "open") {
             finish(i, aResult);
-          } else if (++flows[i].answered == requests) {
-            clients[i % 2]->Close(flows[i].flow);
-            finish(i, "closed");
-          } else {
-            loop.After(pause, [&, i, next] {
-              if (flows[i].flow->ended) {
-                return;
-              }
-              (*next)();
-            });
+            return;
           }
+          (*next)();
         });
-      };
-      flows[i].flow = client.Open(kRoute, [&, i, next](const std::string& aResult) {
-        if (aResult != "open") {
-          finish(i, aResult);
-          return;
-        }
-        (*next)();
-      });
       flows[i].flow->onReset = [&, i](const Packet& aPacket) {
         auto key = std::make_pair(flows[i].flow->self, kRoute);
         auto open = Host::openAt.find(key);
@@ -177,10 +196,16 @@
     loop.At(start + 4 * kSecond + static_cast<Micros>(i) * 2 * kSecond,
             [&daemon] { daemon.Signal(SIGTERM); });
   }
-  loop.Run([&] { return ended == kFlows || loop.Now() > start + 60 * kSecond; });
+  loop.Run(
+    [&] { return ended == kFlows || loop.Now() > start + 60 * kSecond; });
   site.KillAll();
-  Record("%d flows, %d ended, %d packets of hosts, one of them lost: %s; broken by a reset that the flow's host didn't send: %d",
-         kFlows, ended, packets, lost ? "yes" : "no", broken);
+  Record("%d flows, %d ended, %d packets of hosts, one of them lost: %s; "
+         "broken by a reset that the flow's host didn't send: %d",
+         kFlows,
+         ended,
+         packets,
+         lost ? "yes" : "no",
+         broken);
   if (ended < kFlows || (trouble && !lost)) {
     return 2;
   }
