--- a/review/standin-2/odd-entry.cpp
+++ b/review/standin-2/odd-entry.cpp
@@ -154,12 +154,19 @@
     if (slots) {
       spec.replace(spec.find("\"slots\":2"), 9, "\"slots\":\"2\"");
     }
-    loop.At(start + 4 * kSecond + 100 * kMs, [&, spec] {
-      Record("another writer puts servers/%s: %s",
-             victim.EntryName().c_str(),
-             spec.c_str());
-      site.store->Put("servers", victim.EntryName(), spec);
-    });
+    // The writer comes back every fourth heartbeat of the host.
+    auto beats = std::make_shared<int>(0);
+    victim.onHeartbeat = [&, spec, beats] {
+      if (++*beats % 4 != 0 || loop.Now() > start + kSeconds * kSecond) {
+        return;
+      }
+      loop.After(100 * kMs, [&, spec] {
+        Record("another writer puts servers/%s: %s",
+               victim.EntryName().c_str(),
+               spec.c_str());
+        site.store->Put("servers", victim.EntryName(), spec);
+      });
+    };
   }
   loop.Run([&] { return loop.Now() > start + (kSeconds + 4) * kSecond; });
   site.KillAll();
--- a/review/standin-2/rig.cpp
+++ b/review/standin-2/rig.cpp
@@ -782,6 +782,9 @@
     if (this->alive) {
       this->Register();
       this->StartHeartbeats();
+      if (this->onHeartbeat) {
+        this->onHeartbeat();
+      }
     }
   });
 }
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -216,6 +216,8 @@
   void Unregister();
   // Writes the entry every heartbeat_ms, 1.2 s, from now on.
   void StartHeartbeats();
+  // Called after each heartbeat, if set.
+  std::function<void()> onHeartbeat;
   std::string EntryName() const;
   // The entry's content, with these values in place of its own.
   std::string Spec(const std::string& aService, const std::string& aBorn) const;
