--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -10,7 +10,10 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 RECORD=review/6/record.txt PAUSE_MS=10700 REQUESTS=2 timeout -k 2 90 \
-  "$rig" "$program" "$folder" "${TROUBLE:-1}"
+  "$rig" "$program" "$folder" "${TROUBLE:-1}" &
+child=$!
+trap 'kill "$child" 2>/dev/null' INT TERM
+wait "$child"
 result=$?
 [[ $result -le 1 ]] && exit $result
 exit 2
--- a/review/standin-2/rig.cpp
+++ b/review/standin-2/rig.cpp
@@ -11,6 +11,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -493,8 +494,14 @@
 {
   std::string settings = this->folder + "/local.toml";
   std::string log = this->folder + "/log.txt";
+  pid_t rig = getpid();
   pid_t child = fork();
   if (child == 0) {
+    // The daemon ends with this program, also if that is ended early.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != rig) {
+      _exit(99);
+    }
     int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(fd, 1);
     dup2(fd, 2);
