Keep all opening packets of a flow at one server, and refuse it if that is silent

The record that corrected the tag was erased after 5 s without packets; after a restart the instance had none.

Change: a repeated opening packet goes to the server of the first one, or is refused, so that the caller opens a new flow: if the server takes no new flows any more, or left two opening packets, or one and a probe, unanswered, or has a verdict. An unanswered opening makes the detector probe the server also if no other flow is open there. No instance has to remember anything for that: every tag that a caller can have names the flow's only server.

--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -22,7 +22,6 @@
 enum class Reason : uint8_t
 {
   Placed,        // a new flow got a server
-  PlacedAgain,   // its first server did not answer or takes no new flows
   Repeated,      // retransmitted opening packet, same server
   Known,         // the tag or the flow record gives the server
   NoView,        // configuration or servers are not known yet
@@ -42,7 +41,7 @@
   OutOfDate,     // the opening packet waited beyond its UsableTime
   // As NoServer, but there would be one without the drains of zones.
   ZoneDrained,
-  ServerSilent, // the flow's server is gone or out of reach
+  ServerSilent, // the flow's server is gone or out of reach, or seems to be
   // As NoServer, but there would be one in a region that the route does not
   // allow.
   RegionNotAllowed,
@@ -50,17 +49,39 @@
                // used
   TooLate,     // it would have to wait, and then be answered too late
   ShareFull,   // its route's share of the service's room is taken
+  // The server that got the flow's first opening packet takes no new flows any
+  // more, or its process has ended.
+  ServerUnusable,
+  RefusedBefore, // an earlier opening packet of the flow was refused
   Count,
 };
 
 constexpr std::array<std::string_view, static_cast<size_t>(Reason::Count)>
   kReasonNames{
-    "placed",       "placed_again",    "repeated",      "known",
-    "no_view",      "unknown_route",   "route_removed", "no_server",
-    "unknown_tag",  "tag_not_allowed", "server_gone",   "no_tag",
-    "held",         "held_again",      "hold_full",     "held_too_long",
-    "out_of_date",  "zone_drained",    "server_silent", "region_not_allowed",
-    "warmup_quota", "too_late",        "share_full",
+    "placed",
+    "repeated",
+    "known",
+    "no_view",
+    "unknown_route",
+    "route_removed",
+    "no_server",
+    "unknown_tag",
+    "tag_not_allowed",
+    "server_gone",
+    "no_tag",
+    "held",
+    "held_again",
+    "hold_full",
+    "held_too_long",
+    "out_of_date",
+    "zone_drained",
+    "server_silent",
+    "region_not_allowed",
+    "warmup_quota",
+    "too_late",
+    "share_full",
+    "server_unusable",
+    "refused_before",
   };
 
 constexpr std::string_view
@@ -92,13 +113,12 @@
 // How a flow ended, as far as this instance saw.
 enum class Outcome : uint8_t
 {
-  Closed,     // the caller sent a FIN
-  Reset,      // the caller sent a reset, or got one as the server was gone or
-              // silent
-  Unanswered, // the server did not answer the opening packet
-  // No packets for kQuietTime, a new flow with the same ends, or
-  // the opening packet again after the server's process was replaced.
-  Expired,
+  Closed, // the caller sent a FIN
+  Reset,  // the caller sent a reset, or got one as the server was gone or
+          // silent
+  // The server did not answer the opening packet, or may no longer be used.
+  Unanswered,
+  Expired, // no packets for kQuietTime, or a new flow with the same ends
   Count,
 };
 
--- a/src/steer/failure_detector.cpp
+++ b/src/steer/failure_detector.cpp
@@ -364,6 +364,20 @@
          known->second.state == Suspect::State::Silent;
 }
 
+bool
+FailureDetector::LeftProbeUnanswered(ServerIndex aServer,
+                                     Micros aTime,
+                                     Micros aNow) const
+{
+  auto known = this->suspects.find(aServer);
+  if (known == this->suspects.end()) {
+    return false;
+  }
+  const Suspect& suspect = known->second;
+  return suspect.state == Suspect::State::Suspected && suspect.probes > 0 &&
+         (suspect.refused > 0 || aNow - suspect.firstProbeAt >= aTime);
+}
+
 bool
 FailureDetector::ConfirmsSilence(ServerIndex aServer, Micros aNow)
 {
--- a/src/steer/failure_detector.h
+++ b/src/steer/failure_detector.h
@@ -208,6 +208,11 @@
   // Returns for how long a request may wait before its server is suspect.
   Micros OverdueTime(double aServerResponseMicros) const;
   bool IsSilent(ServerIndex aServer) const;
+  // Returns whether the server left a probe unanswered for aTime, or refused
+  // it.
+  bool LeftProbeUnanswered(ServerIndex aServer,
+                           Micros aTime,
+                           Micros aNow) const;
   // Returns whether a peer recently had a verdict on the server.
   bool HasPeerVerdict(ServerIndex aServer, Micros aNow) const;
   // Returns whether a packet with data may be answered with a reset. If there
--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -36,7 +36,11 @@
   // When the opening packet was sent to the server: at placedAt, or later if
   // the process was stopped in between.
   Micros sentAt = 0;
-  Micros handshake = 0;    // from sentAt to its answer; 0: not seen
+  Micros lastSentAt = 0; // as sentAt, of the last retransmission
+  // Opening packets that the server could have answered before the caller sent
+  // the next one.
+  uint32_t unanswered = 0;
+  Micros handshake = 0;    // from lastSentAt to the answer; 0: not seen
   Micros requestAt = 0;    // when the first data was seen; 0: not yet
   Micros lastPacketAt = 0; // when a packet last updated the record
   bool opening = true;     // the handshake is not yet answered
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -127,12 +127,12 @@
   if (record.opening && isCurrent && !aPacket.rst) {
     record.opening = false;
     record.ackBase = aPacket.ack;
-    record.handshake = aNow - record.sentAt;
+    record.handshake = aNow - record.lastSentAt;
     --health.opening;
     health.OnProgress(aNow);
     this->detector.OnProgress(aServer, aNow);
     this->sample = { .handshake = true, .duration = aNow - record.placedAt };
-    this->times.OnHandshake(aNow - record.sentAt);
+    this->times.OnHandshake(record.handshake);
     this->CountRace(record);
     if (record.second == kNoServer) {
       this->HandshakesOf(aServer).Add(aNow - record.sentAt);
@@ -183,10 +183,7 @@
     if (this->detector.HasPeerVerdict(aRecord.server, aNow)) {
       health.OnVerdict(aNow);
     }
-    // Without open flows the server's backoff is enough.
-    if (health.open > health.opening) {
-      this->detector.OnEvidence(aRecord.server, Evidence::Opening, aNow);
-    }
+    this->detector.OnEvidence(aRecord.server, Evidence::Opening, aNow);
   }
 }
 
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -127,61 +127,18 @@
   }
   auto known = this->flows.find(aPacket.flow);
   if (known != this->flows.end()) {
-    bool retransmission = known->second.openingSeq == aPacket.seq &&
-                          this->SameProcess(known->second);
-    if (retransmission) {
+    if (known->second.openingSeq == aPacket.seq) {
       return this->OnRetransmission(aPacket, known->second, *aRoute, aNow);
     }
     this->Erase(aPacket.flow, Outcome::Expired);
   }
+  if (this->closedOpenings.IsClosed(aPacket, aNow)) {
+    return { .action = Action::Reset, .reason = Reason::RefusedBefore };
+  }
   std::string_view service = PickService(*aRoute, aPacket.flow);
   return this->Admit(aPacket, *aRoute, service, aNow);
 }
 
-// The caller had seen no answer when it sent this packet again. A flow whose
-// handshake was answered stays at its server. If the server answered other
-// flows since, it is alive: the packet or its answer was lost, and a second
-// server would answer a second time. If the packet reached this instance before
-// the server could answer, it shows nothing; retransmissions that waited in the
-// socket together were all sent before the first of them was forwarded. Else,
-// or if the server takes no new flows, the flow gets another server.
-Decision
-FlowSteering::OnRetransmission(const Packet& aPacket,
-                               FlowRecord& aRecord,
-                               const Route& aRoute,
-                               Micros aNow)
-{
-  const Server& server = this->view.At(aRecord.server);
-  const ServerHealth& health = this->health[aRecord.server];
-  Micros arrivedAt = aNow - aPacket.queueTime;
-  bool couldAnswer = arrivedAt - aRecord.sentAt >= kHandshakeTimeout;
-  bool alive = !aRecord.opening || health.lastProgress > aRecord.sentAt;
-  bool stays = alive || !couldAnswer;
-  bool mayOpen =
-    server.AcceptsNewFlows() && this->view.AllowsRegion(aRoute.entry, server);
-  if (stays && (mayOpen || !aRecord.opening)) {
-    return { .action = Action::Forward,
-             .reason = Reason::Repeated,
-             .server = aRecord.server,
-             .tag = server.tag };
-  }
-  if (couldAnswer) {
-    this->SuspectServer(aRecord, aNow);
-  }
-  ServerIndex excluded = aRecord.server;
-  auto earlier = aRecord.earlier;
-  std::rotate(earlier.begin(), earlier.end() - 1, earlier.end());
-  earlier.front() = excluded;
-  this->Erase(aPacket.flow, Outcome::Unanswered);
-  std::string_view service = PickService(aRoute, aPacket.flow);
-  Decision decision = this->Place(aPacket, aRoute, service, excluded, aNow);
-  if (decision.action == Action::Forward) {
-    decision.reason = Reason::PlacedAgain;
-    this->flows.at(aPacket.flow).earlier = earlier;
-  }
-  return decision;
-}
-
 Decision
 FlowSteering::Place(const Packet& aPacket,
                     const Route& aRoute,
@@ -225,6 +182,7 @@
                                 .openingSeq = aPacket.seq,
                                 .placedAt = aNow,
                                 .sentAt = aNow,
+                                .lastSentAt = aNow,
                                 .lastPacketAt = aNow,
                                 .latencyTarget = aRoute.entry.latencyTarget,
                                 .busy = true,
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -3,6 +3,7 @@
 // in packets, ticks and the time.
 #pragma once
 
+#include "steer/closed_openings.h"
 #include "steer/decision.h"
 #include "steer/failure_detector.h"
 #include "steer/flow_record.h"
@@ -154,6 +155,10 @@
                             FlowRecord& aRecord,
                             const Route& aRoute,
                             Micros aNow);
+  // Counts an unanswered opening packet, and returns whether the flow's server
+  // seems to be silent.
+  bool SeemsSilent(const Packet& aPacket, FlowRecord& aRecord, Micros aNow);
+  Decision RefuseOpening(const Packet& aPacket, Reason aReason, Micros aNow);
   // Places the flow, or holds it if the service is at its limit. If it is held
   // already, drops the packet; if the hold queue is full, refuses the flow.
   Decision Admit(const Packet& aPacket,
@@ -311,6 +316,7 @@
   // View::ProcessCount at the last SyncWithView.
   uint64_t syncedProcessCount = 0;
   absl::flat_hash_map<FlowId, FlowRecord> flows;
+  ClosedOpenings closedOpenings;
   // By service. Flow records point to the limits, so no service is erased, and
   // the kind of map keeps their addresses.
   absl::node_hash_map<std::string, ServiceAdmission> admissions;
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -86,6 +86,7 @@
     this->ResetFlows(server, aNow);
   }
   this->ExpireFlows(aNow);
+  this->closedOpenings.Expire(aNow);
   this->UpdateLimits(aNow);
   this->UpdateLoads(aNow);
 }
@@ -120,6 +121,7 @@
     // The timer may belong to an earlier flow with the same ends.
     if (known != this->flows.end() && known->second.sentAt == timer->at) {
       known->second.sentAt = aSentAt;
+      known->second.lastSentAt = aSentAt;
     }
     timer->at = aSentAt;
   }
--- a/tests/steer/load_test.cpp
+++ b/tests/steer/load_test.cpp
@@ -95,6 +95,47 @@
   CHECK(product.ShareFailed() < 0.005);
 }
 
+namespace {
+
+// Servers that can do 1,615 requests a second, and callers that ask for 700.
+TaggedLoadOptions
+ShortRequests(uint64_t aSeed)
+{
+  TaggedLoadOptions options;
+  options.seed = aSeed;
+  options.work = 26 * kMillisecond;
+  options.arrivalRate = [](Micros) { return 700.0; };
+  options.steering = [](steer::FlowSteeringOptions& aOptions) {
+    aOptions.probesPerSecond = 5;
+  };
+  return options;
+}
+
+}
+
+// A caller of a silent server sends its second opening packet after 200 ms; it
+// is refused then, and served on a new flow. Guards against callers that pay
+// for openings that never change their server.
+TEST_CASE("Callers of silent servers are served at their second opening packet")
+{
+  constexpr Micros kSecondPacket = 200 * kMillisecond;
+  constexpr Micros kRefusal = 4 * kMillisecond;
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    INFO("seed " << seed);
+    TaggedLoadOptions options = ShortRequests(seed);
+    TaggedLoadResult healthy = RunTaggedLoad(options);
+    options.slowdown = [](size_t aServer, Micros aAt) {
+      bool silent = aServer < 3 && aAt > 8 * kSecond && aAt < 12 * kSecond;
+      return silent ? 0.0 : 1.0;
+    };
+    TaggedLoadResult result = RunTaggedLoad(options);
+    CHECK(result.LatencyAt(0.999) <=
+          healthy.LatencyAt(0.999) + kSecondPacket + kRefusal);
+    CHECK(result.executedTwice == 0);
+    CHECK(result.refusedButExecuted == 0);
+  }
+}
+
 TEST_CASE("A slow server gets fewer requests")
 {
   TaggedLoadOptions options;
