Remove second openings, which give one opening packet to two servers

After a pause, a restart or at another instance the flow's packets go to the wrong one. By construction: the removed test 'A flow without an answer gets one second opening after the delay' asks for the second server that 'With losses, pauses and restarts a flow reaches one server' forbids.

None of them keeps two live servers from one opening (docs/design/one-server.md, second-opening.md).

Change: the code, its metrics and log line are gone; race.budget other than 0 is refused with the reason. With it goes what corrected tags: FlowRecord::earlier, ServerOf, MoveTo, the exclusion of a flow's unanswered server.

--- a/src/steer/candidates.cpp
+++ b/src/steer/candidates.cpp
@@ -18,9 +18,6 @@
   if (server.tagConflict) {
     return Exclusion::TagConflict;
   }
-  if (aServer == aRequest.unanswered) {
-    return Exclusion::Unanswered;
-  }
   if (!aView.AllowsRegion(aRequest.route, server)) {
     return Exclusion::RegionNotAllowed;
   }
--- a/src/steer/candidates.h
+++ b/src/steer/candidates.h
@@ -16,7 +16,6 @@
   TagConflict,      // another server has its tag
   RegionNotAllowed, // the route may not use the region of its zone
   ZoneDrained,      // its zone is drained
-  Unanswered,       // it left this flow's opening packet unanswered
   WarmupQuota,      // its warm-up quota gives this instance no flow now
   Count,
 };
@@ -24,7 +23,7 @@
 constexpr std::array<std::string_view, static_cast<size_t>(Exclusion::Count)>
   kExclusionNames{ "none",         "unlisted",           "draining",
                    "tag_conflict", "region_not_allowed", "zone_drained",
-                   "unanswered",   "warmup_quota" };
+                   "warmup_quota" };
 
 constexpr std::string_view
 ExclusionName(Exclusion aExclusion)
@@ -41,8 +40,6 @@
 {
   std::string_view service;
   const RouteEntry& route;
-  // Server that left the flow's opening packet unanswered, if any.
-  ServerIndex unanswered = kNoServer;
   WarmupQuota* warmupQuota = nullptr; // null: no bound
   // Compare servers by the requests in flight and the learned service times,
   // in place of open flows and response times.
--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -27,8 +27,7 @@
   NoView,        // configuration or servers are not known yet
   UnknownRoute,  // no route has the packet's target
   RouteRemoved,  // only an earlier configuration had the route
-  NoServer,      // no server of the service takes new flows, or only one that
-                 // did not answer this flow
+  NoServer,      // no server of the service takes new flows
   UnknownTag,    // no server of the view has the packet's tag
   TagNotAllowed, // the route does not allow the service of the tag's server
   ServerGone,    // the flow's server is RegistryState::Gone
@@ -101,7 +100,6 @@
   // made. Another instance makes its own record, and so does this one after
   // kQuietTime without packets.
   bool firstRequest = false;
-  bool mayRace = false; // TakeRace may return the packet
   // If the flow is or was held: for how long so far, how many flows count
   // against the service's limit, and the limit.
   Micros waited = 0;
--- a/src/steer/flow_record.h
+++ b/src/steer/flow_record.h
@@ -3,12 +3,9 @@
 
 #include "steer/admission.h"
 #include "steer/flow_progress.h"
-#include "steer/opening.h"
 #include "steer/request_tracker.h"
 
 #include "steer/route_rooms.h"
-#include <algorithm>
-#include <array>
 
 namespace gentianspindle::steer {
 
@@ -44,13 +41,6 @@
   Micros requestAt = 0;    // when the first data was seen; 0: not yet
   Micros lastPacketAt = 0; // when a packet last updated the record
   bool opening = true;     // the handshake is not yet answered
-  // Server that got the second opening, if there was one.
-  ServerIndex second = kNoServer;
-  // Servers that got the opening packet before and may still answer it, newest
-  // first. Until the caller's next packet any of them can be the flow's server.
-  std::array<ServerIndex, kOpeningIntervals.size()> earlier{ kNoServer,
-                                                             kNoServer,
-                                                             kNoServer };
   // The flow can no longer make its server suspect: its opening packet went
   // unanswered already, or this process was paused before its handshake check.
   bool suspected = false;
@@ -63,14 +53,6 @@
   ConcurrencyLimit* limit = nullptr;
   // Room of its route that the flow takes up as long as it counts; null: none.
   RouteRoom* room = nullptr;
-
-  // Returns whether aServer got the opening packet before the present server.
-  bool WasSentTo(ServerIndex aServer) const
-  {
-    return aServer != kNoServer &&
-           std::find(this->earlier.begin(), this->earlier.end(), aServer) !=
-             this->earlier.end();
-  }
 };
 
 }
--- a/src/steer/flows.cpp
+++ b/src/steer/flows.cpp
@@ -16,38 +16,6 @@
   return this->view.At(aRecord.server).generation == aRecord.generation;
 }
 
-// An opening packet that went to several servers may be answered by each, and
-// the caller returns the last tag that it received. The flow opens at the
-// server whose answer came first: the caller's next packet has the tag of that
-// answer, as it is sent at once, and later ones may have another server's.
-ServerIndex
-FlowSteering::ServerOf(const Packet& aPacket, ServerIndex aTagged) const
-{
-  const FlowRecord* record = this->FindFlow(aPacket.flow);
-  bool isLateAnswer = record != nullptr && !record->opening &&
-                      record->WasSentTo(aTagged) && this->SameProcess(*record);
-  return isLateAnswer ? record->server : aTagged;
-}
-
-void
-FlowSteering::MoveTo(ServerIndex aServer, FlowRecord& aRecord)
-{
-  if (this->SameProcess(aRecord)) {
-    ServerHealth& former = this->health[aRecord.server];
-    --former.open;
-    --former.opening;
-    former.load.OnEnd(aRecord.busy);
-  }
-  std::replace(
-    aRecord.earlier.begin(), aRecord.earlier.end(), aServer, aRecord.server);
-  aRecord.server = aServer;
-  aRecord.generation = this->view.At(aServer).generation;
-  ServerHealth& health = this->health[aServer];
-  ++health.open;
-  ++health.opening;
-  health.load.OnOpen(aRecord.busy);
-}
-
 Decision
 FlowSteering::OnFlow(const Packet& aPacket, const Route* aRoute, Micros aNow)
 {
@@ -64,7 +32,6 @@
     }
     index = record->server;
   }
-  index = this->ServerOf(aPacket, index);
   if (index == kNoServer) {
     return { .reason = Reason::UnknownTag };
   }
@@ -119,9 +86,6 @@
   }
   FlowRecord& record = known->second;
   record.lastPacketAt = aNow;
-  if (record.opening && !aPacket.rst && record.WasSentTo(aServer)) {
-    this->MoveTo(aServer, record);
-  }
   ServerHealth& health = this->health[record.server];
   bool isCurrent = record.server == aServer && this->SameProcess(record);
   if (record.opening && isCurrent && !aPacket.rst) {
@@ -133,10 +97,6 @@
     this->detector.OnProgress(aServer, aNow);
     this->sample = { .handshake = true, .duration = aNow - record.placedAt };
     this->times.OnHandshake(record.handshake);
-    this->CountRace(record);
-    if (record.second == kNoServer) {
-      this->HandshakesOf(aServer).Add(aNow - record.sentAt);
-    }
   }
   ProgressEvent event = record.progress.OnCallerPacket(aPacket, aNow);
   if (isCurrent) {
@@ -196,9 +156,6 @@
   }
   FlowRecord& record = known->second;
   ReleaseFromLimit(record);
-  if (record.opening) {
-    this->CountRace(record);
-  }
   if (this->SameProcess(record)) {
     ServerHealth& health = this->health[record.server];
     --health.open;
--- a/src/steer/holding.cpp
+++ b/src/steer/holding.cpp
@@ -47,7 +47,7 @@
     return this->AdmitByShare(aPacket, aRoute, aService, admission, aNow);
   }
   if (!this->options.hold || admission.limit.Admits()) {
-    return this->PlaceNew(aPacket, aRoute, aService, aNow);
+    return this->Place(aPacket, aRoute, aService, aNow);
   }
   bool fits =
     admission.holdQueue.Put({ .packet = aPacket,
@@ -65,18 +65,6 @@
            .flowLimit = admission.limit.Limit() };
 }
 
-Decision
-FlowSteering::PlaceNew(const Packet& aPacket,
-                       const Route& aRoute,
-                       std::string_view aService,
-                       Micros aNow)
-{
-  Decision decision = this->Place(aPacket, aRoute, aService, kNoServer, aNow);
-  decision.mayRace = decision.action == Action::Forward &&
-                     this->PlanRace(aPacket, aRoute, decision.server, aNow);
-  return decision;
-}
-
 std::optional<ReleasedPacket>
 FlowSteering::Release(Micros aNow)
 {
@@ -131,7 +119,7 @@
   if (route == nullptr) {
     return { .action = Action::Reset, .reason = Reason::RouteRemoved };
   }
-  return this->Place(aHeld.packet, *route, aService, kNoServer, aNow);
+  return this->Place(aHeld.packet, *route, aService, aNow);
 }
 
 ReleasedPacket
--- a/src/steer/opening.h
+++ b/src/steer/opening.h
@@ -17,9 +17,9 @@
 
 // Returns how long after its arrival an opening packet may be sent to a server:
 // the answer, one round trip later, must reach the caller before its next step.
-// Later its next retransmission may have opened the flow at another server,
-// through another instance. Two servers that answer would share the flow, as
-// the caller returns the tag of the last answer, whichever it took.
+// Later another instance may have sent its next retransmission to another
+// server. Two servers that answer would share the flow, as the caller returns
+// the tag of the last answer, whichever it took.
 constexpr Micros
 UsableTime(const Packet& aOpening)
 {
--- a/src/steer/requests.cpp
+++ b/src/steer/requests.cpp
@@ -42,13 +42,10 @@
 }
 
 PlacementRequest
-FlowSteering::RequestFor(const Route& aRoute,
-                         std::string_view aService,
-                         ServerIndex aUnanswered)
+FlowSteering::RequestFor(const Route& aRoute, std::string_view aService)
 {
   PlacementRequest request{ .service = aService,
                             .route = aRoute.entry,
-                            .unanswered = aUnanswered,
                             .warmupQuota = &this->warmupQuota };
   if (this->options.byRequests == ByRequests::Never) {
     return request;
--- a/src/steer/retransmission.cpp
+++ b/src/steer/retransmission.cpp
@@ -31,8 +31,7 @@
   const ServerHealth& health = this->health[aRecord.server];
   Micros arrivedAt = aNow - aPacket.queueTime;
   bool couldAnswer = arrivedAt - aRecord.lastSentAt >= kHandshakeTimeout;
-  bool waits = aRecord.opening && couldAnswer;
-  if (!waits || health.lastProgress > aRecord.sentAt) {
+  if (!couldAnswer || health.lastProgress > aRecord.sentAt) {
     return false;
   }
   ++aRecord.unanswered;
@@ -58,12 +57,10 @@
   const Server& server = this->view.At(aRecord.server);
   bool mayOpen =
     server.AcceptsNewFlows() && this->view.AllowsRegion(aRoute.entry, server);
-  // With a second opening, only the record tells late answers.
-  bool mayRefuse = aRecord.opening && aRecord.second == kNoServer;
-  if (mayRefuse && !mayOpen) {
+  if (aRecord.opening && !mayOpen) {
     return this->RefuseOpening(aPacket, Reason::ServerUnusable, aNow);
   }
-  if (this->SeemsSilent(aPacket, aRecord, aNow) && mayRefuse) {
+  if (aRecord.opening && this->SeemsSilent(aPacket, aRecord, aNow)) {
     return this->RefuseOpening(aPacket, Reason::ServerSilent, aNow);
   }
   aRecord.lastSentAt = aNow;
--- a/src/steer/shares_hold.cpp
+++ b/src/steer/shares_hold.cpp
@@ -89,7 +89,7 @@
   bool admits = aAdmission.limit.Admits();
   bool withinUsual = room.queue.Size() == 0 && room.WithinUsual();
   if (withinUsual || (admits && aAdmission.rooms.Next(aNow) == nullptr)) {
-    return this->PlaceNew(aPacket, aRoute, aService, aNow);
+    return this->Place(aPacket, aRoute, aService, aNow);
   }
   Decision decision{ .action = Action::Reset,
                      .reason = Reason::HoldFull,
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -143,14 +143,10 @@
 FlowSteering::Place(const Packet& aPacket,
                     const Route& aRoute,
                     std::string_view aService,
-                    ServerIndex aExcluded,
                     Micros aNow)
 {
-  Placement placement =
-    this->placer.ChooseServer(this->view,
-                              this->health,
-                              this->RequestFor(aRoute, aService, aExcluded),
-                              aNow);
+  Placement placement = this->placer.ChooseServer(
+    this->view, this->health, this->RequestFor(aRoute, aService), aNow);
   this->counts.keptFromWarmup +=
     placement.excluded[static_cast<size_t>(Exclusion::WarmupQuota)];
   if (placement.server == kNoServer) {
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -7,7 +7,7 @@
 #include "steer/decision.h"
 #include "steer/failure_detector.h"
 #include "steer/flow_record.h"
-#include "steer/race.h"
+#include "steer/opening.h"
 #include "steer/request_times.h"
 #include "steer/route_counts.h"
 #include "steer/service_load.h"
@@ -48,7 +48,6 @@
   WarmupQuotaOptions warmupQuota;
   ByRequests byRequests = ByRequests::Never;
   ShareOptions shares;
-  RaceOptions race;
 };
 
 // Decides on each packet, and keeps the view, the servers' health, the flow
@@ -61,7 +60,6 @@
     , placer(aOptions.placer)
     , warmupQuota(aOptions.warmupQuota)
     , detector(aOptions.probesPerSecond)
-    , raceBudget(aOptions.race)
   {
   }
 
@@ -105,10 +103,6 @@
   // Returns packets whose callers get a reset now, although they sent nothing:
   // their requests wait for a silent server.
   std::vector<Packet> TakeResets() { return std::exchange(this->resets, {}); }
-  // Returns the next second opening to send. Call it after packets and ticks
-  // until it returns none.
-  std::optional<SecondOpening> TakeRace(Micros aNow);
-  const RaceCounts& Races() const { return this->raceCounts; }
   FailureDetector& Detector() { return this->detector; }
   const FailureDetector& Detector() const { return this->detector; }
 
@@ -172,22 +166,12 @@
                         std::string_view aService,
                         ServiceAdmission& aAdmission,
                         Micros aNow);
-  // Places a flow that was not held, and plans its second opening.
-  Decision PlaceNew(const Packet& aPacket,
-                    const Route& aRoute,
-                    std::string_view aService,
-                    Micros aNow);
   Decision Place(const Packet& aPacket,
                  const Route& aRoute,
                  std::string_view aService,
-                 ServerIndex aExcluded,
                  Micros aNow);
   // Decides on a packet that is not an opening packet.
   Decision OnFlow(const Packet& aPacket, const Route* aRoute, Micros aNow);
-  // Returns the server of a packet whose tag leads to aTagged.
-  ServerIndex ServerOf(const Packet& aPacket, ServerIndex aTagged) const;
-  // The flow opened at an earlier server than the record has.
-  void MoveTo(ServerIndex aServer, FlowRecord& aRecord);
   void TrackProgress(const Packet& aPacket,
                      ServerIndex aServer,
                      Decision& aDecision,
@@ -195,23 +179,6 @@
   // Follows the flow's requests, and learns from their times.
   void TrackRequests(const Packet& aPacket, FlowRecord& aRecord, Micros aNow);
   void SuspectServer(FlowRecord& aRecord, Micros aNow);
-  // Plans the second opening of a flow that was placed now. Returns whether
-  // there may be one.
-  bool PlanRace(const Packet& aPacket,
-                const Route& aRoute,
-                ServerIndex aServer,
-                Micros aNow);
-  // Returns kNoServer if no server may get the second opening.
-  ServerIndex ChooseSecond(const Packet& aPacket,
-                           const FlowRecord& aRecord,
-                           Micros aNow);
-  SecondOpening Race(const Packet& aPacket,
-                     FlowRecord& aRecord,
-                     ServerIndex aSecond,
-                     Micros aNow);
-  // Counts how the flow's second opening ended, if it had one.
-  void CountRace(const FlowRecord& aRecord);
-  HandshakeTimes& HandshakesOf(ServerIndex aServer);
   // Passes what a packet showed on to the detector.
   void OnFlowProgress(const ProgressEvent& aEvent,
                       const FlowRecord& aRecord,
@@ -238,9 +205,7 @@
   {
     return this->serviceLoads[this->view.At(aServer).entry.service];
   }
-  PlacementRequest RequestFor(const Route& aRoute,
-                              std::string_view aService,
-                              ServerIndex aUnanswered);
+  PlacementRequest RequestFor(const Route& aRoute, std::string_view aService);
   static void ReleaseFromLimit(FlowRecord& aRecord);
   void UpdateLimits(Micros aNow);
   void UpdateRooms(std::string_view aService,
@@ -332,12 +297,6 @@
   std::priority_queue<RequestTimer, std::vector<RequestTimer>, std::greater<>>
     requestTimers;
   std::vector<Packet> resets;
-  RaceBudget raceBudget;
-  HandshakeTimes localHandshakes; // with servers of this instance's zone
-  HandshakeTimes remoteHandshakes;
-  std::priority_queue<RaceTimer, std::vector<RaceTimer>, std::greater<>>
-    raceTimers;
-  RaceCounts raceCounts;
   RequestTimes times;
   Micros laterRequestTime = 0; // of flows that had a request before
   Micros loadPeriodStart = 0;
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -137,7 +137,6 @@
     }
   }
   this->handshakeTimers.clear();
-  this->raceTimers = {};
   this->requestTimers = {};
   this->detector.OnProcessPause();
   for (ServerHealth& health : this->health) {
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -251,20 +251,6 @@
           "Servers in their warm-up that were passed over as their quota was "
           "used, once a placement",
           aSource.steer.Counts().keptFromWarmup);
-  const steer::RaceCounts& races = aSource.steer.Races();
-  counter("second_openings_total",
-          "Opening packets that were sent to a second server",
-          races.raced);
-  counter("second_openings_won_total",
-          "Of these, flows that opened at the second server",
-          races.won);
-  counter("second_openings_wasted_total",
-          "Of these, flows that opened at another server or were not seen to "
-          "open",
-          races.wasted);
-  counter("second_openings_refused_total",
-          "Second openings that the budget did not allow",
-          races.refused);
   gauge("flows",
         "Flows that this instance has a record of",
         static_cast<double>(aSource.steer.Flows()));
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -16,7 +16,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <deque>
 #include <sys/stat.h>
 
 namespace gentianspindle::tagged {
@@ -76,9 +75,6 @@
                        const steer::Packet& aPacket,
                        std::span<uint8_t> aBytes);
   void ReleaseHeld();
-  void KeepOpening(const steer::FlowId& aFlow, std::span<uint8_t> aBytes);
-  void SendSecondOpenings();
-  void LogSecondOpening(const steer::SecondOpening& aSecond);
   // Sends the probes and resets that are due, and logs verdicts.
   void DetectSilence();
   void SendResets();
@@ -129,15 +125,6 @@
   SendBatch sendBatch;
   // Held packets, each with its headroom.
   absl::flat_hash_map<steer::FlowId, std::vector<uint8_t>> held;
-  // An opening packet, with its headroom, kept while a second server may get
-  // it.
-  struct KeptOpening
-  {
-    steer::FlowId flow;
-    Micros at = 0;
-    std::vector<uint8_t> bytes;
-  };
-  std::deque<KeptOpening> openings; // oldest first
   steer::FlowSteering steer;
   Prober prober;
   std::unique_ptr<Sync> sync;
@@ -172,4 +159,3 @@
 #include "tagged/node_detect.h"
 #include "tagged/node_impl.h"
 #include "tagged/node_packets.h"
-#include "tagged/node_race.h"
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -26,7 +26,6 @@
     .shares = { .mode =
                   static_cast<steer::ShareMode>(aSettings.admission.shares),
                 .leastShare = aSettings.admission.leastShare },
-    .race = { .budget = aSettings.race.budget, .burst = aSettings.race.burst },
   };
 }
 
@@ -257,10 +256,6 @@
   this->DetectSilence();
   this->LogShareChanges();
   this->ReleaseHeld();
-  if (!this->openings.empty()) {
-    // Second openings may be due, but answers to the first may wait.
-    this->OnReadable();
-  }
   this->CheckSendDelay();
   if (!this->log) {
     this->StartLogAndMetrics();
--- a/src/tagged/node_packets.h
+++ b/src/tagged/node_packets.h
@@ -21,10 +21,6 @@
   this->socketEmptyAt = this->lastBatchFull ? this->socketEmptyAt : polledAt;
   this->SendAll();
   this->ReleaseHeld();
-  // Answers may wait among the packets that are left.
-  if (!this->lastBatchFull) {
-    this->SendSecondOpenings();
-  }
   this->CheckSendDelay();
 }
 
@@ -66,9 +62,6 @@
     this->response.Add(sample.duration);
   }
   this->LogDecision(decision, *packet, bytes.subspan(kHeadroom));
-  if (decision.mayRace) {
-    this->KeepOpening(packet->flow, bytes);
-  }
   this->ExecuteDecision(decision, *packet, bytes);
 }
 
--- a/src/tagged/settings.cpp
+++ b/src/tagged/settings.cpp
@@ -6,13 +6,9 @@
 
 namespace {
 
-constexpr double kMaxRaceBudget = 0.2;
-// A fault refers to its text, which has to outlive it.
-constexpr std::string_view kRaceBudgetFault = "must be at most 0.2";
-
 // Checks rules that the type and range of a setting can't express: the zone
-// must not be empty, each zone has one region, and race.budget is at most
-// kMaxRaceBudget (the schema's bounds are whole numbers).
+// must not be empty, each zone has one region, and a budget of second openings
+// is refused with the reason.
 void
 CheckConsistency(const TaggedSettings& aSettings,
                  std::vector<SettingFault>& aFaults)
@@ -20,8 +16,12 @@
   if (aSettings.instance.zone.empty()) {
     aFaults.push_back({ "instance", "zone", "must not be empty" });
   }
-  if (aSettings.race.budget > kMaxRaceBudget) {
-    aFaults.push_back({ "race", "budget", kRaceBudgetFault });
+  if (aSettings.race.budget != 0) {
+    aFaults.push_back(
+      { "race",
+        "budget",
+        "second openings are no longer sent, as they could move "
+        "an open flow to another server; remove the key" });
   }
   if (!ParseRegions(aSettings.regions.zones).ok()) {
     aFaults.push_back(
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -93,7 +93,6 @@
 struct TaggedRaceSettings
 {
   double budget = 0;
-  double burst = 0;
 };
 
 struct TaggedSettings
@@ -115,7 +114,7 @@
   TaggedRaceSettings race;
 };
 
-inline constexpr std::array<SettingField<TaggedSettings>, 26>
+inline constexpr std::array<SettingField<TaggedSettings>, 25>
   kTaggedSettingsFields{ {
     {
       { "instance", "name", SettingType::String,
@@ -312,19 +311,11 @@
     {
       { "race", "budget", SettingType::Real,
       false, "", 0, 0, 1,
-      "", "second openings at another server, as a share of the openings of routes whose requests may be repeated, at most 0.2; 0: none" },
+      "", "only 0: second openings at another server are no longer sent, as they could move an open flow; remove the key" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.race.budget;
       },
     },
-    {
-      { "race", "burst", SettingType::Real,
-      false, "", 5, 1, 1000,
-      "flows", "most second openings that race.budget can save up" },
-      [](TaggedSettings& aSettings) -> SettingSlot {
-        return &aSettings.race.burst;
-      },
-    },
   } };
 
 }
