Ask other instances before a repeated opening packet is placed without a record

Weighed: refusing always (a caller whose first packet was lost would be refused), telling peers of unanswered openings (may come too late), hashing. docs/design/one-server.md.

Change: the packet says that it is a repetition. The instance holds it and asks its zone's instances and the readers of the other zones; it places the flow only if all reply that they sent none and promise to send none, sends it to the server that one of them names, and refuses it otherwise: no reply in 0.1 s, a process younger than 2 s, a pause, or an incomplete list of instances. Nothing is kept for longer than an opening takes.

Tests count a daemon as ready once it is 2 s old, as it refuses repeated packets without a record before that; those with peers send first packets.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -1,5 +1,6 @@
 // Messages between instances of the tagged transport: whole views over HTTP,
-// heartbeats as datagrams. Fields are only ever added.
+// heartbeats and queries about openings as datagrams. Fields are only ever
+// added.
 namespace cpp gentianspindle.tagged.msg
 
 // Weight of one service among those of a route.
@@ -113,3 +114,16 @@
                              // of warm-up quotas, in ascending order
   31: bool handsOutQuota     // the sender says that they hold them now
 }
+
+// Datagram about an opening packet that a caller sent again: the query of an
+// instance that has no record of the flow, or the reply to it. A byte 0x0F goes
+// before it, with which no heartbeat starts.
+struct Opening {
+  1: i64 caller // endpoint, as in Route
+  2: i64 target
+  3: i32 seq             // of the opening packet
+  4: i32 retransmissions // how often the caller had sent it before
+  5: i8 state // -1 query; reply: 0 not sent to a server, 1 sent, 2 not known
+  6: i64 server    // that got it: its id
+  7: i64 startedAt // and start, as in Verdict
+}
--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -340,6 +340,26 @@
   this->quotaSharing.Tick(this->members, leads, aNow);
 }
 
+OpeningPeers
+Replicator::FindOpeningPeers(Micros aNow) const
+{
+  OpeningPeers peers;
+  uint32_t known = 1;
+  for (const auto& [address, member] : this->members.All()) {
+    bool sameZone = this->members.IsSameZone(member);
+    known += sameZone ? 1 : 0;
+    if (sameZone || member.reads) {
+      peers.addresses.push_back(address);
+    }
+  }
+  bool settled = aNow - this->startedReadingAt >= kReaderSettleTime;
+  bool hearsReader = !this->reads && this->heardReader &&
+                     this->members.KnowsReader(aNow) && known >= this->zoneSize;
+  peers.complete =
+    this->options.standalone || (this->reads ? settled : hearsReader);
+  return peers;
+}
+
 bool
 Replicator::HasBetterReader(Micros aNow) const
 {
@@ -412,6 +432,7 @@
 Replicator::StartReading(ReadReason aReadReason, Micros aNow)
 {
   this->reads = true;
+  this->startedReadingAt = aNow;
   this->readReason = aReadReason;
   this->storeAnswers = false;
   this->takeoverReason = ReadReason::None;
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -25,6 +25,9 @@
 constexpr Micros kMinHeartbeatGap = 50 * kMillisecond;
 // The same for new verdicts on servers, of which many may come in a second.
 constexpr Micros kMinVerdictGap = 100 * kMillisecond;
+// A reader knows the instances of its zone after this time: each follower sends
+// it a hello within kHelloPeriod.
+constexpr Micros kReaderSettleTime = 2500 * kMillisecond;
 // A hello heartbeat is the one that a follower sends: to its zone's readers, or
 // to members and seeds while it lacks a view or knows no reader. These are the
 // times between two of them, the shorter one for the latter case.
@@ -130,6 +133,14 @@
   bool servers = false;
 };
 
+// The instances that may have got a caller's opening packet before it came to
+// this one.
+struct OpeningPeers
+{
+  std::vector<Address> addresses;
+  bool complete = false; // there are no others
+};
+
 // Reason why an instance starts or stops reading the store, for the log.
 enum class ReadReason : uint8_t
 {
@@ -213,6 +224,12 @@
   bool Stale(Micros aNow) const;
   // End of the last store outage that this instance or a peer noticed.
   Micros StoreBackAt() const { return this->storeBackAt; }
+  // Returns the other instances of this zone and the readers of other zones:
+  // the fabric hands a flow to another instance of its zone or, if that has
+  // none, to another zone's. They are complete if this instance knows as many
+  // of its zone as the zone's reader; one that has just become the reader may
+  // not have heard from all yet.
+  OpeningPeers FindOpeningPeers(Micros aNow) const;
   // Number of instances of all zones: a reader counts them, a follower has the
   // number from the readers of its zone.
   uint32_t FleetSize() const { return this->fleetSize; }
@@ -275,6 +292,7 @@
   ReadReason takeoverReason = ReadReason::None;
   Micros takeoverAt = 0;
   Micros betterReaderSince = 0; // 0: no better reader is heard
+  Micros startedReadingAt = kNever;
   Micros stoppedAt = kNever;    // when this instance last stopped reading
   bool heardReader = false;     // of this zone, while this instance followed
   Micros nextReadAttemptAt = 0; // no read attempt before this time
--- a/src/steer/closed_openings.cpp
+++ b/src/steer/closed_openings.cpp
@@ -3,19 +3,47 @@
 namespace gentianspindle::steer {
 
 void
-ClosedOpenings::Close(const Packet& aOpening, Micros aNow)
+ClosedOpenings::Put(const FlowId& aFlow, const Entry& aEntry)
 {
-  Micros until = aNow + kOpeningMemory;
-  this->closed[aOpening.flow] = { aOpening.seq, until };
-  this->expiries.emplace_back(aOpening.flow, until);
+  this->closed[aFlow] = aEntry;
+  this->expiries.emplace_back(aFlow, aEntry.until);
+}
+
+void
+ClosedOpenings::Refuse(const Packet& aOpening, Micros aNow)
+{
+  this->Put(aOpening.flow,
+            { ClosedBy::Refusal, aOpening.seq, 0, aNow + kOpeningMemory });
 }
 
 bool
-ClosedOpenings::IsClosed(const Packet& aOpening, Micros aNow) const
+ClosedOpenings::LeaveToPeer(const FlowId& aFlow,
+                            uint32_t aSeq,
+                            uint32_t aRetransmissions,
+                            Micros aNow)
+{
+  if (this->expiries.size() >= kMaxLeftOpenings) {
+    return false;
+  }
+  this->Put(
+    aFlow,
+    { ClosedBy::Promise, aSeq, aRetransmissions, aNow + kOpeningMemory });
+  return true;
+}
+
+// A caller's later retransmission is open to a new query.
+std::optional<ClosedBy>
+ClosedOpenings::Find(const Packet& aOpening, Micros aNow) const
 {
   auto known = this->closed.find(aOpening.flow);
-  return known != this->closed.end() && known->second.seq == aOpening.seq &&
-         aNow < known->second.until;
+  if (known == this->closed.end() || known->second.seq != aOpening.seq ||
+      aNow >= known->second.until) {
+    return std::nullopt;
+  }
+  const Entry& entry = known->second;
+  bool isLater = entry.by == ClosedBy::Promise &&
+                 aOpening.retransmissions > entry.retransmissions;
+  return isLater ? std::nullopt : std::optional(entry.by);
 }
 
 void
--- a/src/steer/decision.h
+++ b/src/steer/decision.h
@@ -52,6 +52,10 @@
   // more, or its process has ended.
   ServerUnusable,
   RefusedBefore, // an earlier opening packet of the flow was refused
+  Queried,       // other instances are asked whether the flow has a server
+  // Another instance may have sent an earlier opening packet of the flow to a
+  // server, and none says to which one.
+  Unconfirmed,
   Count,
 };
 
@@ -81,6 +85,8 @@
     "share_full",
     "server_unusable",
     "refused_before",
+    "queried",
+    "unconfirmed",
   };
 
 constexpr std::string_view
--- a/src/steer/hold_queue.h
+++ b/src/steer/hold_queue.h
@@ -73,6 +73,10 @@
   // Returns whether an opening is usable.
   bool HasUsable(Micros aNow);
   size_t Size() const { return this->held.size(); }
+  bool Holds(const FlowId& aFlow) const
+  {
+    return this->numbers.contains(aFlow);
+  }
 
 private:
   // Held openings are numbered in the order in which they came.
--- a/src/steer/holding.cpp
+++ b/src/steer/holding.cpp
@@ -68,10 +68,18 @@
 std::optional<ReleasedPacket>
 FlowSteering::Release(Micros aNow)
 {
+  this->SyncWithView();
+  if (auto expired = this->queries.TakeExpired(aNow)) {
+    this->resolvedOpenings.push_back(this->DecideOn(*expired, aNow));
+  }
+  if (!this->resolvedOpenings.empty()) {
+    ReleasedPacket resolved = this->resolvedOpenings.front();
+    this->resolvedOpenings.pop_front();
+    return resolved;
+  }
   if (this->heldCount == 0) {
     return std::nullopt;
   }
-  this->SyncWithView();
   for (auto& [service, admission] : this->admissions) {
     std::optional<ReleasedPacket> released =
       this->ReleaseFrom(service, admission, aNow);
@@ -115,6 +123,9 @@
     // Placed meanwhile: by another instance, or with another service here.
     return { .action = Action::Drop, .reason = Reason::HeldAgain };
   }
+  if (this->closedOpenings.Find(aHeld.packet, aNow)) {
+    return { .action = Action::Drop, .reason = Reason::OutOfDate };
+  }
   const Route* route = this->view.FindRoute(aHeld.packet.flow.target);
   if (route == nullptr) {
     return { .action = Action::Reset, .reason = Reason::RouteRemoved };
--- /dev/null
+++ b/src/steer/opening_query.h
@@ -0,0 +1,129 @@
+// What instances ask each other about an opening packet that a caller sent
+// again and that came to another instance than the first one: whether its flow
+// has a server already.
+#pragma once
+
+#include "steer/closed_openings.h"
+
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace gentianspindle::steer {
+
+// Peers on one machine answer within a few milliseconds; a busy one answers
+// with its next batch of packets.
+constexpr Micros kQueryTimeout = 100 * kMillisecond;
+// Bounds of the queries, in datagrams: they are for control. Beyond them a flow
+// is refused without a query.
+constexpr double kQueryDatagramsPerSecond = 20;
+constexpr double kMaxQueryDatagrams = 1000;
+
+struct OpeningQuery
+{
+  FlowId flow;
+  uint32_t seq = 0; // of the opening packet
+  uint32_t retransmissions = 0;
+};
+
+// What an instance knows of a flow's opening packets.
+enum class OpeningState : uint8_t
+{
+  NotSent, // it sent none to a server, and sends none from now on
+  Sent,    // it sent one to the server that the reply names
+  Unknown, // it may have sent one
+  Count,
+};
+
+struct OpeningReply
+{
+  OpeningQuery query;
+  OpeningState state = OpeningState::Unknown;
+  // If state is Sent: the server, and when its process started, in milliseconds
+  // since 1970.
+  ServerId server = 0;
+  int64_t startedAt = 0;
+};
+
+// A query and the instances that get it.
+struct OutgoingOpeningQuery
+{
+  std::vector<Address> to;
+  OpeningQuery query;
+};
+
+// An opening packet and what is known of its flow by now.
+struct ResolvedOpening
+{
+  Packet packet;
+  Micros arrivedAt = 0;
+  OpeningReply reply;
+};
+
+// The queries of one instance that wait for replies.
+class OpeningQueries
+{
+public:
+  // Sets the instances that may have sent an opening packet of a flow that
+  // comes here now. aComplete says that there are no others.
+  void SetPeers(std::vector<Address> aPeers, bool aComplete)
+  {
+    this->peers = std::move(aPeers);
+    this->complete = aComplete;
+  }
+  // This process started; a former one may have sent opening packets.
+  void OnStart(Micros aNow) { this->startedAt = aNow; }
+  // This process runs again; other instances had its flows meanwhile.
+  void OnPause(Micros aNow) { this->resumedAt = aNow; }
+
+  // Returns whether this process ran when the opening packets that callers may
+  // still repeat first came, so that it knows which of them went through this
+  // instance.
+  bool KnowsOwn(Micros aNow) const
+  {
+    return aNow - this->startedAt >= kOpeningMemory;
+  }
+  // Returns whether the peers are all that may have sent the first packet of a
+  // flow that comes here now.
+  bool KnowsAll(Micros aNow) const
+  {
+    return this->complete && this->KnowsOwn(aNow) &&
+           aNow - this->resumedAt >= kOpeningMemory;
+  }
+  // Returns whether other instances are to be asked.
+  bool HasPeers() const { return !this->peers.empty(); }
+  // Starts a query. Returns false if the bound is reached.
+  bool Start(const Packet& aOpening, Micros aNow);
+  bool IsPending(const FlowId& aFlow) const
+  {
+    return this->pending.contains(aFlow);
+  }
+  std::vector<OutgoingOpeningQuery> TakeQueries();
+  // Returns the opening packet if the reply decides on it.
+  std::optional<ResolvedOpening> OnReply(Address aFrom,
+                                         const OpeningReply& aReply);
+  // Returns an opening packet whose peers did not all reply in time.
+  std::optional<ResolvedOpening> TakeExpired(Micros aNow);
+
+private:
+  struct Pending
+  {
+    Packet packet;
+    Micros arrivedAt = 0;
+    Micros startedAt = 0;
+    std::vector<Address> waitsFor;
+  };
+  ResolvedOpening Resolve(const FlowId& aFlow, const OpeningReply& aReply);
+
+  std::vector<Address> peers;
+  bool complete = true;
+  Micros startedAt = -kOpeningMemory;
+  Micros resumedAt = -kOpeningMemory;
+  double datagrams = kMaxQueryDatagrams; // that may be sent now
+  Micros datagramsAt = 0;
+  absl::flat_hash_map<FlowId, Pending> pending;
+  std::deque<std::pair<FlowId, Micros>> timeouts; // the first one is due first
+  std::vector<OutgoingOpeningQuery> outgoing;
+};
+
+}
--- a/src/steer/route_rooms.h
+++ b/src/steer/route_rooms.h
@@ -151,6 +151,11 @@
     return std::nullopt;
   }
   size_t Held() const;
+  bool Holds(const FlowId& aFlow) const
+  {
+    auto room = this->rooms.find(aFlow.target);
+    return room != this->rooms.end() && room->second.queue.Holds(aFlow);
+  }
 
 private:
   void ReviewGuarantee(const ConcurrencyLimit& aLimit, Micros aNow);
--- a/src/steer/steer.cpp
+++ b/src/steer/steer.cpp
@@ -132,8 +132,9 @@
     }
     this->Erase(aPacket.flow, Outcome::Expired);
   }
-  if (this->closedOpenings.IsClosed(aPacket, aNow)) {
-    return { .action = Action::Reset, .reason = Reason::RefusedBefore };
+  if (std::optional<Decision> decision =
+        this->OnUnknownOpening(aPacket, *aRoute, aNow)) {
+    return *decision;
   }
   std::string_view service = PickService(*aRoute, aPacket.flow);
   return this->Admit(aPacket, *aRoute, service, aNow);
@@ -159,10 +160,6 @@
   if (server.entry.zone != this->options.placer.zone) {
     ++this->counts.crossings[aRoute.entry.name];
   }
-  ServerHealth& health = this->health[placement.server];
-  ++health.open;
-  ++health.opening;
-  health.load.OnOpen(true);
   ServiceAdmission& admission = this->AdmissionOf(aService);
   admission.limit.OnStart();
   RouteRoom* room =
@@ -173,19 +170,12 @@
   admission.counted.push_back(
     { aPacket.flow,
       aNow + kCountedLatencyTargets * aRoute.entry.latencyTarget });
-  this->flows[aPacket.flow] = { .server = placement.server,
-                                .generation = server.generation,
-                                .openingSeq = aPacket.seq,
-                                .placedAt = aNow,
-                                .sentAt = aNow,
-                                .lastSentAt = aNow,
-                                .lastPacketAt = aNow,
-                                .latencyTarget = aRoute.entry.latencyTarget,
-                                .busy = true,
-                                .limit = &admission.limit,
-                                .room = room };
-  this->handshakeTimers.push_back({ aPacket.flow, aNow });
-  this->idleTimers.push_back({ aPacket.flow, aNow + kQuietTime });
+  this->AddOpening(aPacket,
+                   { .server = placement.server,
+                     .latencyTarget = aRoute.entry.latencyTarget,
+                     .limit = &admission.limit,
+                     .room = room },
+                   aNow);
   return { .action = Action::Forward,
            .reason = Reason::Placed,
            .server = placement.server,
@@ -193,4 +183,28 @@
            .placement = placement };
 }
 
+// Adds the record of a flow whose opening packet goes to its server now, and
+// counts it there.
+void
+FlowSteering::AddOpening(const Packet& aPacket,
+                         const FlowRecord& aRecord,
+                         Micros aNow)
+{
+  ServerHealth& health = this->health[aRecord.server];
+  ++health.open;
+  ++health.opening;
+  health.load.OnOpen(true);
+  FlowRecord& record = this->flows[aPacket.flow];
+  record = aRecord;
+  record.generation = this->view.At(aRecord.server).generation;
+  record.openingSeq = aPacket.seq;
+  record.placedAt = aNow;
+  record.sentAt = aNow;
+  record.lastSentAt = aNow;
+  record.lastPacketAt = aNow;
+  record.busy = true;
+  this->handshakeTimers.push_back({ aPacket.flow, aNow });
+  this->idleTimers.push_back({ aPacket.flow, aNow + kQuietTime });
+}
+
 }
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -3,11 +3,11 @@
 // in packets, ticks and the time.
 #pragma once
 
-#include "steer/closed_openings.h"
 #include "steer/decision.h"
 #include "steer/failure_detector.h"
 #include "steer/flow_record.h"
 #include "steer/opening.h"
+#include "steer/opening_query.h"
 #include "steer/request_times.h"
 #include "steer/route_counts.h"
 #include "steer/service_load.h"
@@ -80,8 +80,8 @@
   // aConfigFresh says that the configuration was confirmed recently, so that a
   // route that it lacks does not exist.
   Decision OnPacket(const Packet& aPacket, bool aConfigFresh, Micros aNow);
-  // Returns the next held packet to forward or reset. Call it after packets
-  // and ticks until it returns none.
+  // Returns the next held packet to forward or reset, or to hold further. Call
+  // it after packets and ticks until it returns none.
   std::optional<ReleasedPacket> Release(Micros aNow);
   // Checks the view, handshakes, idle flows and limits. Call it at least every
   // 50 ms: only the next call notices a handshake that has been unanswered for
@@ -94,6 +94,24 @@
   // about the servers, and servers in backoff may be tried again.
   void OnProcessPause(Micros aNow);
 
+  // Sets the instances that may have sent a packet of a flow that comes here
+  // now to a server. aComplete says that there are no others. Without any, and
+  // complete, no instance is ever asked.
+  void SetOpeningPeers(std::vector<Address> aPeers, bool aComplete)
+  {
+    this->queries.SetPeers(std::move(aPeers), aComplete);
+  }
+  // This process has just started; a former one may have sent opening packets.
+  void OnProcessStart(Micros aNow) { this->queries.OnStart(aNow); }
+  // Returns the queries to send now. Call it after packets.
+  std::vector<OutgoingOpeningQuery> TakeOpeningQueries()
+  {
+    return this->queries.TakeQueries();
+  }
+  OpeningReply OnOpeningQuery(const OpeningQuery& aQuery, Micros aNow);
+  // Release may return the packet that the reply is about.
+  void OnOpeningReply(Address aFrom, const OpeningReply& aReply, Micros aNow);
+
   // Returns the probes to send now. Call it after each tick.
   std::vector<Probe> TakeProbes(Micros aNow);
   void OnProbeResult(const Probe& aProbe, ProbeResult aResult, Micros aNow);
@@ -153,6 +171,20 @@
   // seems to be silent.
   bool SeemsSilent(const Packet& aPacket, FlowRecord& aRecord, Micros aNow);
   Decision RefuseOpening(const Packet& aPacket, Reason aReason, Micros aNow);
+  bool IsHeld(const Packet& aPacket, const Route& aRoute);
+  std::optional<Decision> OnUnknownOpening(const Packet& aPacket,
+                                           const Route& aRoute,
+                                           Micros aNow);
+  // Decide on an opening packet by what other instances know of its flow.
+  ReleasedPacket DecideOn(const ResolvedOpening& aResolved, Micros aNow);
+  Decision DecideBy(const OpeningReply& aReply,
+                    const Packet& aPacket,
+                    const Route& aRoute,
+                    Micros aNow);
+  Decision AdoptOpening(const OpeningReply& aReply,
+                        const Packet& aPacket,
+                        const Route& aRoute,
+                        Micros aNow);
   // Places the flow, or holds it if the service is at its limit. If it is held
   // already, drops the packet; if the hold queue is full, refuses the flow.
   Decision Admit(const Packet& aPacket,
@@ -170,6 +202,9 @@
                  const Route& aRoute,
                  std::string_view aService,
                  Micros aNow);
+  void AddOpening(const Packet& aPacket,
+                  const FlowRecord& aRecord,
+                  Micros aNow);
   // Decides on a packet that is not an opening packet.
   Decision OnFlow(const Packet& aPacket, const Route* aRoute, Micros aNow);
   void TrackProgress(const Packet& aPacket,
@@ -282,6 +317,8 @@
   uint64_t syncedProcessCount = 0;
   absl::flat_hash_map<FlowId, FlowRecord> flows;
   ClosedOpenings closedOpenings;
+  OpeningQueries queries;
+  std::deque<ReleasedPacket> resolvedOpenings; // for Release
   // By service. Flow records point to the limits, so no service is erased, and
   // the kind of map keeps their addresses.
   absl::node_hash_map<std::string, ServiceAdmission> admissions;
--- a/src/steer/ticks.cpp
+++ b/src/steer/ticks.cpp
@@ -138,6 +138,7 @@
   }
   this->handshakeTimers.clear();
   this->requestTimers = {};
+  this->queries.OnPause(aNow);
   this->detector.OnProcessPause();
   for (ServerHealth& health : this->health) {
     health.backoffUntil = std::min(health.backoffUntil, aNow);
--- a/src/tagged/gen/peers_types.cpp
+++ b/src/tagged/gen/peers_types.cpp
@@ -2261,4 +2261,216 @@
   out << ")";
 }
 
+
+Opening::~Opening() noexcept {
+}
+
+
+void Opening::__set_caller(const int64_t val) {
+  this->caller = val;
+}
+
+void Opening::__set_target(const int64_t val) {
+  this->target = val;
+}
+
+void Opening::__set_seq(const int32_t val) {
+  this->seq = val;
+}
+
+void Opening::__set_retransmissions(const int32_t val) {
+  this->retransmissions = val;
+}
+
+void Opening::__set_state(const int8_t val) {
+  this->state = val;
+}
+
+void Opening::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void Opening::__set_startedAt(const int64_t val) {
+  this->startedAt = val;
+}
+std::ostream& operator<<(std::ostream& out, const Opening& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Opening::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->caller);
+          this->__isset.caller = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->seq);
+          this->__isset.seq = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retransmissions);
+          this->__isset.retransmissions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAt);
+          this->__isset.startedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Opening::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Opening");
+
+  xfer += oprot->writeFieldBegin("caller", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->caller);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seq", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->seq);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retransmissions", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->retransmissions);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_BYTE, 5);
+  xfer += oprot->writeByte(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAt", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->startedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Opening &a, Opening &b) {
+  using ::std::swap;
+  swap(a.caller, b.caller);
+  swap(a.target, b.target);
+  swap(a.seq, b.seq);
+  swap(a.retransmissions, b.retransmissions);
+  swap(a.state, b.state);
+  swap(a.server, b.server);
+  swap(a.startedAt, b.startedAt);
+  swap(a.__isset, b.__isset);
+}
+
+Opening::Opening(const Opening& other96) noexcept {
+  caller = other96.caller;
+  target = other96.target;
+  seq = other96.seq;
+  retransmissions = other96.retransmissions;
+  state = other96.state;
+  server = other96.server;
+  startedAt = other96.startedAt;
+  __isset = other96.__isset;
+}
+Opening& Opening::operator=(const Opening& other97) noexcept {
+  caller = other97.caller;
+  target = other97.target;
+  seq = other97.seq;
+  retransmissions = other97.retransmissions;
+  state = other97.state;
+  server = other97.server;
+  startedAt = other97.startedAt;
+  __isset = other97.__isset;
+  return *this;
+}
+void Opening::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Opening(";
+  out << "caller=" << to_string(caller);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "seq=" << to_string(seq);
+  out << ", " << "retransmissions=" << to_string(retransmissions);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "startedAt=" << to_string(startedAt);
+  out << ")";
+}
+
 }}} // namespace
--- a/src/tagged/gen/peers_types.h
+++ b/src/tagged/gen/peers_types.h
@@ -39,6 +39,8 @@
 
 class Heartbeat;
 
+class Opening;
+
 typedef struct _Weight__isset {
   _Weight__isset() : serviceName(false), weight(false) {}
   bool serviceName :1;
@@ -818,6 +820,91 @@
 
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
+typedef struct _Opening__isset {
+  _Opening__isset() : caller(false), target(false), seq(false), retransmissions(false), state(false), server(false), startedAt(false) {}
+  bool caller :1;
+  bool target :1;
+  bool seq :1;
+  bool retransmissions :1;
+  bool state :1;
+  bool server :1;
+  bool startedAt :1;
+} _Opening__isset;
+
+class Opening : public virtual ::apache::thrift::TBase {
+ public:
+
+  Opening(const Opening&) noexcept;
+  Opening& operator=(const Opening&) noexcept;
+  Opening() noexcept
+          : caller(0),
+            target(0),
+            seq(0),
+            retransmissions(0),
+            state(0),
+            server(0),
+            startedAt(0) {
+  }
+
+  virtual ~Opening() noexcept;
+  int64_t caller;
+  int64_t target;
+  int32_t seq;
+  int32_t retransmissions;
+  int8_t state;
+  int64_t server;
+  int64_t startedAt;
+
+  _Opening__isset __isset;
+
+  void __set_caller(const int64_t val);
+
+  void __set_target(const int64_t val);
+
+  void __set_seq(const int32_t val);
+
+  void __set_retransmissions(const int32_t val);
+
+  void __set_state(const int8_t val);
+
+  void __set_server(const int64_t val);
+
+  void __set_startedAt(const int64_t val);
+
+  bool operator == (const Opening & rhs) const
+  {
+    if (!(caller == rhs.caller))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(seq == rhs.seq))
+      return false;
+    if (!(retransmissions == rhs.retransmissions))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(startedAt == rhs.startedAt))
+      return false;
+    return true;
+  }
+  bool operator != (const Opening &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Opening & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Opening &a, Opening &b);
+
+std::ostream& operator<<(std::ostream& out, const Opening& obj);
+
 }}} // namespace
 
 #endif
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -288,10 +288,17 @@
           "Heartbeats to be sent to peers, failed ones included",
           aSource.peers.heartbeatsOut);
   counter("bad_beats_total",
-          "Datagrams from peers that are not valid heartbeats",
+          "Datagrams from peers that are no valid message",
           aSource.peers.badHeartbeats);
+  counter("opening_messages_in_total",
+          "Queries and replies about openings received from peers",
+          aSource.peers.openingsIn);
+  counter("opening_messages_out_total",
+          "Queries and replies about openings to be sent to peers, failed ones "
+          "included",
+          aSource.peers.openingsOut);
   counter("peer_bytes_out_total",
-          "Bytes of heartbeats and views to peers",
+          "Bytes of messages and views to peers",
           aSource.peers.bytesOut);
   counter("peer_views_total", "Views received from peers", aSource.peers.views);
   writer.Table("peer_retries_total",
--- a/src/tagged/node.h
+++ b/src/tagged/node.h
@@ -75,6 +75,7 @@
                        const steer::Packet& aPacket,
                        std::span<uint8_t> aBytes);
   void ReleaseHeld();
+  void SendOpeningQueries();
   // Sends the probes and resets that are due, and logs verdicts.
   void DetectSilence();
   void SendResets();
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -102,6 +102,7 @@
 {
   this->lastTickAt = SteadyNow();
   this->lastTickBootTime = BootNow();
+  this->steer.OnProcessStart(this->lastTickAt);
   this->tickTimer.Start(kTickPeriod);
   stat(this->settingsPath.c_str(), &this->settingsStat);
   event_base_dispatch(this->base);
@@ -156,6 +157,16 @@
     this->steer.OnPeerVerdict(
       aVerdict.server, aVerdict.startedAt, aVerdict.at, SteadyNow());
   };
+  events.onOpeningQuery = [this](const steer::OpeningQuery& aQuery) {
+    return this->steer.OnOpeningQuery(aQuery, SteadyNow());
+  };
+  events.onOpeningReply = [this](Address aFrom,
+                                 const steer::OpeningReply& aReply) {
+    this->now = SteadyNow();
+    this->steer.OnOpeningReply(aFrom, aReply, this->now);
+    this->ReleaseHeld();
+    this->CheckSendDelay();
+  };
   events.log = [this](const LogLine& aLine) { this->Write(aLine); };
   this->sync = Sync::Make(this->base,
                           this->settings,
@@ -252,6 +263,8 @@
   this->steer.SetInstanceCount(this->sync->FleetSize(), this->sync->ZoneSize());
   this->steer.SetQuotaHolders(this->sync->QuotaHolders(at),
                               this->sync->QuotaValidUntil());
+  spread::OpeningPeers peers = this->sync->FindOpeningPeers(at);
+  this->steer.SetOpeningPeers(std::move(peers.addresses), peers.complete);
   this->steer.Tick(at);
   this->DetectSilence();
   this->LogShareChanges();
--- a/src/tagged/node_packets.h
+++ b/src/tagged/node_packets.h
@@ -20,6 +20,7 @@
   this->lastBatchFull = count == kBatchSize;
   this->socketEmptyAt = this->lastBatchFull ? this->socketEmptyAt : polledAt;
   this->SendAll();
+  this->SendOpeningQueries();
   this->ReleaseHeld();
   this->CheckSendDelay();
 }
@@ -98,6 +99,9 @@
     this->LogDecision(released->decision,
                       released->packet,
                       std::span(bytes->second).subspan(kHeadroom));
+    if (released->decision.action == steer::Action::Hold) {
+      continue; // for another reason than before
+    }
     this->ExecuteDecision(released->decision, released->packet, bytes->second);
     // The batch refers to the bytes, so it is sent before they are erased.
     this->SendAll();
@@ -105,6 +109,16 @@
   }
 }
 
+template<Platform P>
+void
+Node<P>::SendOpeningQueries()
+{
+  for (const steer::OutgoingOpeningQuery& query :
+       this->steer.TakeOpeningQueries()) {
+    this->sync->SendOpeningQuery(query);
+  }
+}
+
 template<Platform P>
 void
 Node<P>::Send(std::span<uint8_t> aBytes, Endpoint aTo)
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -392,4 +392,75 @@
   return heartbeat;
 }
 
+namespace {
+
+// First byte of a datagram about an opening. A compact Thrift struct never
+// starts with it, as there is no type 15.
+constexpr char kOpeningMark = 0x0F;
+// Value of msg::Opening::state in a query; in a reply it is an OpeningState.
+constexpr int8_t kIsQuery = -1;
+
+msg::Opening
+ToMessage(const steer::OpeningQuery& aQuery)
+{
+  msg::Opening message;
+  message.caller = ToNumber(aQuery.flow.caller);
+  message.target = ToNumber(aQuery.flow.target);
+  message.seq = static_cast<int32_t>(aQuery.seq);
+  message.retransmissions = static_cast<int32_t>(aQuery.retransmissions);
+  message.state = kIsQuery;
+  return message;
+}
+
+msg::Opening
+ToMessage(const steer::OpeningReply& aReply)
+{
+  msg::Opening message = ToMessage(aReply.query);
+  message.state = static_cast<int8_t>(aReply.state);
+  message.server = static_cast<int64_t>(aReply.server);
+  message.startedAt = aReply.startedAt;
+  return message;
+}
+
+}
+
+bool
+IsOpeningMessage(std::string_view aBytes)
+{
+  return !aBytes.empty() && aBytes.front() == kOpeningMark;
+}
+
+std::string
+EncodeOpeningMessage(const OpeningMessage& aMessage)
+{
+  msg::Opening message = std::visit(
+    [](const auto& aContent) { return ToMessage(aContent); }, aMessage);
+  return kOpeningMark + Encode(message);
+}
+
+absl::StatusOr<OpeningMessage>
+DecodeOpeningMessage(std::string_view aBytes)
+{
+  absl::StatusOr<msg::Opening> message =
+    Decode<msg::Opening>(aBytes.substr(1), "opening");
+  if (!message.ok()) {
+    return message.status();
+  }
+  steer::OpeningQuery query{ { ToEndpoint(message->caller),
+                               ToEndpoint(message->target) },
+                             static_cast<uint32_t>(message->seq),
+                             static_cast<uint32_t>(message->retransmissions) };
+  if (message->state == kIsQuery) {
+    return query;
+  }
+  constexpr auto kStates = static_cast<int8_t>(steer::OpeningState::Count);
+  if (message->state < 0 || message->state >= kStates) {
+    return absl::DataLossError("read opening of a peer: state is not known");
+  }
+  return steer::OpeningReply{ query,
+                              static_cast<steer::OpeningState>(message->state),
+                              static_cast<steer::ServerId>(message->server),
+                              message->startedAt };
+}
+
 }
--- a/src/tagged/peer_codec.h
+++ b/src/tagged/peer_codec.h
@@ -1,14 +1,16 @@
-// Encodes and decodes the messages between instances: views, and heartbeats
-// with the revisions and ages of what the sender knows.
+// Encodes and decodes the messages between instances: views, heartbeats with
+// the revisions and ages of what the sender knows, and queries about openings.
 #pragma once
 
 #include "spread/beat.h"
+#include "steer/opening_query.h"
 #include "steer/view.h"
 
 #include "absl/status/statusor.h"
 
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace gentianspindle::tagged {
@@ -36,4 +38,15 @@
 absl::StatusOr<spread::Heartbeat>
 DecodeHeartbeat(std::string_view aBytes);
 
+using OpeningMessage = std::variant<steer::OpeningQuery, steer::OpeningReply>;
+
+// Returns whether a datagram is one about an opening, and not a heartbeat.
+bool
+IsOpeningMessage(std::string_view aBytes);
+// Encode and decode such a datagram.
+std::string
+EncodeOpeningMessage(const OpeningMessage& aMessage);
+absl::StatusOr<OpeningMessage>
+DecodeOpeningMessage(std::string_view aBytes);
+
 }
--- a/src/tagged/peers.cpp
+++ b/src/tagged/peers.cpp
@@ -66,14 +66,27 @@
   size_t count = this->receiveBatch.Receive(this->socket.Descriptor());
   for (size_t i = 0; i < count; ++i) {
     std::span<uint8_t> bytes = this->receiveBatch.At(i).subspan(kHeadroom);
-    absl::StatusOr<spread::Heartbeat> heartbeat = DecodeHeartbeat(
-      { reinterpret_cast<const char*>(bytes.data()), bytes.size() });
-    if (!heartbeat.ok()) {
-      ++this->counts.badHeartbeats;
-      continue;
+    this->OnDatagram(
+      { reinterpret_cast<const char*>(bytes.data()), bytes.size() },
+      this->receiveBatch.From(i).address);
+  }
+}
+
+void
+Peers::OnDatagram(std::string_view aBytes, Address aFrom)
+{
+  if (IsOpeningMessage(aBytes)) {
+    absl::StatusOr<OpeningMessage> message = DecodeOpeningMessage(aBytes);
+    ++(message.ok() ? this->counts.openingsIn : this->counts.badHeartbeats);
+    if (message.ok()) {
+      this->events.onOpening(aFrom, *message);
     }
-    ++this->counts.heartbeatsIn;
-    this->events.onHeartbeat(this->receiveBatch.From(i).address, *heartbeat);
+    return;
+  }
+  absl::StatusOr<spread::Heartbeat> heartbeat = DecodeHeartbeat(aBytes);
+  ++(heartbeat.ok() ? this->counts.heartbeatsIn : this->counts.badHeartbeats);
+  if (heartbeat.ok()) {
+    this->events.onHeartbeat(aFrom, *heartbeat);
   }
 }
 
@@ -87,9 +100,22 @@
 void
 Peers::Send(std::span<const Address> aTo, const spread::Heartbeat& aHeartbeat)
 {
-  std::string bytes = EncodeHeartbeat(aHeartbeat);
-  std::span<uint8_t> data(reinterpret_cast<uint8_t*>(bytes.data()),
-                          bytes.size());
+  this->counts.heartbeatsOut += aTo.size();
+  this->SendDatagram(aTo, EncodeHeartbeat(aHeartbeat));
+}
+
+void
+Peers::Send(std::span<const Address> aTo, const OpeningMessage& aMessage)
+{
+  this->counts.openingsOut += aTo.size();
+  this->SendDatagram(aTo, EncodeOpeningMessage(aMessage));
+}
+
+void
+Peers::SendDatagram(std::span<const Address> aTo, std::string aBytes)
+{
+  std::span<uint8_t> data(reinterpret_cast<uint8_t*>(aBytes.data()),
+                          aBytes.size());
   SendBatch batch;
   for (Address to : aTo) {
     if (!batch.Add(data, { to, this->self.port })) {
@@ -98,8 +124,7 @@
     }
   }
   batch.Send(this->socket.Descriptor());
-  this->counts.heartbeatsOut += aTo.size();
-  this->counts.bytesOut += aTo.size() * bytes.size();
+  this->counts.bytesOut += aTo.size() * aBytes.size();
 }
 
 HttpReply
--- a/src/tagged/peers.h
+++ b/src/tagged/peers.h
@@ -1,5 +1,5 @@
-// Communication between instances: heartbeats as datagrams, and views over
-// HTTP.
+// Communication between instances: heartbeats and queries about openings as
+// datagrams, and views over HTTP.
 #pragma once
 
 #include "tagged/http_client.h"
@@ -42,8 +42,11 @@
   uint64_t heartbeatsIn = 0;
   uint64_t heartbeatsOut = 0; // handed to the socket, sent or not
   uint64_t bytesOut = 0;      // of these heartbeats, and of views
-  uint64_t badHeartbeats = 0; // datagrams that are not heartbeats
-  uint64_t views = 0;         // received from peers, with or without servers
+  uint64_t badHeartbeats = 0; // datagrams that are no message
+  // Datagrams about openings.
+  uint64_t openingsIn = 0;
+  uint64_t openingsOut = 0; // handed to the socket, sent or not
+  uint64_t views = 0;       // received from peers, with or without servers
   std::array<uint64_t, static_cast<size_t>(ViewRequestFailure::Count)>
     failures{};
 };
@@ -61,6 +64,8 @@
 // sends.
 struct PeerEvents
 {
+  // Called with each datagram about an opening, and its sender.
+  std::function<void(Address, const OpeningMessage&)> onOpening;
   // Called with each heartbeat and its sender.
   std::function<void(Address, const spread::Heartbeat&)> onHeartbeat;
   // Returns the version of this instance's view; nullopt while there is none.
@@ -82,6 +87,7 @@
                                                      PeerEvents aEvents);
 
   void Send(std::span<const Address> aTo, const spread::Heartbeat& aHeartbeat);
+  void Send(std::span<const Address> aTo, const OpeningMessage& aMessage);
   // Requests the view of aPeer, with or without the servers. Does nothing while
   // another request is pending, or shortly after a failed one.
   void RequestView(Address aPeer, bool aWithServers);
@@ -97,6 +103,9 @@
         UdpSocket aSocket,
         PeerEvents aEvents);
   void OnReadable();
+  void OnDatagram(std::string_view aBytes, Address aFrom);
+  // Counts the bytes that it sends.
+  void SendDatagram(std::span<const Address> aTo, std::string aBytes);
   // An encoded view, to be sent again while it doesn't change.
   struct CachedView
   {
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -43,6 +43,10 @@
   // Called when the view may have changed: also after a store response for
   // servers without changes, or a peer's view with nothing new.
   std::function<void()> onView;
+  // Called with each query of a peer about an opening; returns the reply.
+  std::function<steer::OpeningReply(const steer::OpeningQuery&)> onOpeningQuery;
+  // Called with each reply of a peer to such a query.
+  std::function<void(Address, const steer::OpeningReply&)> onOpeningReply;
   // Called with each verdict on a server that a peer of this zone sent.
   std::function<void(const spread::Verdict&)> onVerdict;
   std::function<void(const LogLine&)> log;
@@ -70,6 +74,13 @@
   {
     this->spread.SetVerdicts(aVerdicts, aNow);
   }
+  void SendOpeningQuery(const steer::OutgoingOpeningQuery& aQuery);
+  // Returns the instances that may have got an opening packet before it came
+  // here.
+  spread::OpeningPeers FindOpeningPeers(Micros aNow) const
+  {
+    return this->spread.FindOpeningPeers(aNow);
+  }
   // Returns whether the configuration was confirmed recently enough.
   bool IsConfigFresh(Micros aNow) const
   {
@@ -146,6 +157,7 @@
                 bool aDrained,
                 const std::string& aSource);
   void OnHeartbeat(Address aFrom, const spread::Heartbeat& aHeartbeat);
+  void OnOpening(Address aFrom, const OpeningMessage& aMessage);
   std::optional<ViewVersion> CurrentViewVersion() const;
   PeerView CopyView(bool aWithServers) const;
   void OnPeerView(const PeerView& aView, const std::string& aPeer);
--- a/src/tagged/sync_peers.cpp
+++ b/src/tagged/sync_peers.cpp
@@ -1,4 +1,5 @@
-// What Sync exchanges with other instances: heartbeats and views.
+// What Sync exchanges with other instances: heartbeats, queries about openings
+// and views.
 #include "tagged/sync.h"
 
 #include <iostream>
@@ -15,6 +16,9 @@
                                   const spread::Heartbeat& aHeartbeat) {
     this->OnHeartbeat(aFrom, aHeartbeat);
   };
+  peerEvents.onOpening = [this](Address aFrom, const OpeningMessage& aMessage) {
+    this->OnOpening(aFrom, aMessage);
+  };
   peerEvents.viewVersion = [this] { return this->CurrentViewVersion(); };
   peerEvents.view = [this](bool aWithServers) {
     return this->CopyView(aWithServers);
@@ -56,6 +60,24 @@
   this->ExchangeWithPeers(now);
 }
 
+void
+Sync::OnOpening(Address aFrom, const OpeningMessage& aMessage)
+{
+  if (const auto* query = std::get_if<steer::OpeningQuery>(&aMessage)) {
+    this->peers->Send({ &aFrom, 1 }, this->events.onOpeningQuery(*query));
+  } else {
+    this->events.onOpeningReply(aFrom, std::get<steer::OpeningReply>(aMessage));
+  }
+}
+
+void
+Sync::SendOpeningQuery(const steer::OutgoingOpeningQuery& aQuery)
+{
+  if (this->peers) {
+    this->peers->Send(aQuery.to, aQuery.query);
+  }
+}
+
 std::optional<ViewVersion>
 Sync::CurrentViewVersion() const
 {
--- a/tests/support/tagged_process.h
+++ b/tests/support/tagged_process.h
@@ -6,6 +6,7 @@
 #include "support/loopback.h"
 #include "support/object_store.h"
 #include "support/wait.h"
+#include "tagged/loop.h"
 #include "tagged/udp.h"
 
 #include <catch2/catch.hpp>
@@ -126,6 +127,7 @@
   DaemonOptions options;
   pid_t pid = -1;
   int output = -1;
+  Micros startedAt = tagged::SteadyNow();
   Endpoint packets{ 0, NextPort() };
   uint16_t readyPort = NextPort();
   uint16_t metricsPort = NextPort();
@@ -212,6 +214,14 @@
     return response ? response->status : 0;
   }
 
+  // Returns whether the daemon serves callers, and has run for so long that it
+  // knows which repeated opening packets it has not seen before.
+  bool IsReady() const
+  {
+    return tagged::SteadyNow() - this->startedAt >= steer::kOpeningMemory &&
+           this->ReadinessStatus() == 200;
+  }
+
   std::string Metrics() const
   {
     httplib::Client client(this->Host(), this->metricsPort);
--- a/tests/tagged/peer_codec_test.cpp
+++ b/tests/tagged/peer_codec_test.cpp
@@ -175,4 +175,44 @@
   }
 }
 
+TEST_CASE("Messages about openings are read as they were written")
+{
+  steer::OpeningQuery query{ { { 0xFFFFFFFE, 65535 }, kWebTarget },
+                             0xFEDCBA98,
+                             2 };
+  std::string bytes = tagged::EncodeOpeningMessage(query);
+  CHECK(tagged::IsOpeningMessage(bytes));
+  CHECK_FALSE(tagged::DecodeHeartbeat(bytes).ok());
+  auto decoded = tagged::DecodeOpeningMessage(bytes);
+  REQUIRE(decoded.ok());
+  const auto& read = std::get<steer::OpeningQuery>(*decoded);
+  CHECK(read.flow == query.flow);
+  CHECK(read.seq == query.seq);
+  CHECK(read.retransmissions == 2);
+  steer::OpeningReply reply{
+    query, steer::OpeningState::Sent, 0xF000000000000001, -7
+  };
+  decoded = tagged::DecodeOpeningMessage(tagged::EncodeOpeningMessage(reply));
+  REQUIRE(decoded.ok());
+  const auto& answer = std::get<steer::OpeningReply>(*decoded);
+  CHECK(answer.query.flow == query.flow);
+  CHECK(answer.state == steer::OpeningState::Sent);
+  CHECK(answer.server == reply.server);
+  CHECK(answer.startedAt == -7);
+  CHECK_FALSE(tagged::IsOpeningMessage(tagged::EncodeHeartbeat({})));
+  CHECK_FALSE(tagged::IsOpeningMessage(""));
+}
+
+TEST_CASE("A damaged message about an opening is refused")
+{
+  std::string bytes =
+    tagged::EncodeOpeningMessage(steer::OpeningReply{ {}, {}, 1, 1 });
+  for (size_t size = 1; size < bytes.size(); ++size) {
+    CHECK_FALSE(tagged::DecodeOpeningMessage(bytes.substr(0, size)).ok());
+  }
+  steer::OpeningReply wrong{ .state = steer::OpeningState::Count };
+  CHECK_FALSE(
+    tagged::DecodeOpeningMessage(tagged::EncodeOpeningMessage(wrong)).ok());
+}
+
 }
