--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -151,6 +151,63 @@
 
 // An entry of another writer may name an address that later belongs to a server
 // of another service.
+// Guards against flows that reach another service's server (review/8): an entry
+// of another writer, with a text as "born", counted as a server's own.
+TEST_CASE("An entry with a member of another type gives no server")
+{
+  const std::vector<std::string> texts{
+    "service", "address", "zone", "version", "state"
+  };
+  const std::vector<std::string> numbers{
+    "slots", "warmup_left_ms", "seq", "born"
+  };
+  auto isRead = [](const std::string& aMember, const std::string& aValue) {
+    INFO(aMember << ": " << aValue);
+    // Of two members with one name the first counts.
+    std::string spec = absl::StrCat(
+      "{\"", aMember, "\":", aValue, ",", MakeServerSpec("ready").substr(1));
+    auto page =
+      ObjectFormat::ParseServersList(MakeList(MakeObject("i-2", spec)));
+    REQUIRE(page.ok());
+    REQUIRE(page->changes.size() == 1);
+    return page->changes[0].entry.has_value();
+  };
+  for (const char* value :
+       { "null", "true", "[]", "{}", "5", "1.5", "1e999", "[\"ready\"]" }) {
+    for (const std::string& member : texts) {
+      INFO(member << ": " << value);
+      CHECK_FALSE(isRead(member, value));
+    }
+  }
+  for (const char* value : { "null",
+                             "true",
+                             "[]",
+                             "{}",
+                             "\"5\"",
+                             "\"\"",
+                             "\"2026-12-07\"",
+                             "1.5",
+                             "1e999",
+                             "[5]" }) {
+    for (const std::string& member : numbers) {
+      INFO(member << ": " << value);
+      CHECK_FALSE(isRead(member, value));
+    }
+  }
+  CHECK(isRead("born", "1700000000124"));
+}
+
+TEST_CASE("An entry may lack the start of its server's process")
+{
+  std::string spec = MakeServerSpec("ready");
+  spec.resize(spec.find(",\"born\""));
+  auto page =
+    ObjectFormat::ParseServersList(MakeList(MakeObject("i-2", spec + "}")));
+  REQUIRE(page.ok());
+  REQUIRE(page->changes.at(0).entry);
+  CHECK(page->changes[0].entry->startedAt == 0);
+}
+
 TEST_CASE("An entry without a version or a sequence number gives no server")
 {
   auto [member, replacement] = GENERATE(table<std::string, std::string>({
