--- a/src/tagged/sync_peers.cpp
+++ b/src/tagged/sync_peers.cpp
@@ -72,8 +72,8 @@
   }
 }
 
-// An instance of this zone that this one does not know yet is asked by nobody,
-// but it has just started, and so knows nothing.
+// An instance of this zone that this one doesn't know yet is asked by nobody.
+// It has started less than kReaderSettleTime ago.
 std::optional<std::vector<Address>>
 Sync::ZoneFor(Address aAsker) const
 {
