Count a test's daemon as ready 2 s after it serves, not after its start

Cause: the daemon refuses such packets for 2 s from when it receives packets; the tests counted from its fork, and a start with sanitizers beside load takes longer. Ruled out: a lost packet (each time it is the first one). Change: IsReady counts from the first check that finds the daemon ready. After it tagged_test passed with sanitizers and without, once each, side by side. A comment is corrected.

--- a/src/steer/opening_query.h
+++ b/src/steer/opening_query.h
@@ -11,8 +11,8 @@
 
 namespace gentianspindle::steer {
 
-// Peers on one machine answer within a few milliseconds; a busy one answers
-// with its next batch of packets.
+// Instances of a zone reply within a few milliseconds, a busy one after its
+// present batch of packets.
 constexpr Micros kQueryTimeout = 100 * kMillisecond;
 // Bounds of the queries, in datagrams: they are for control. Beyond them a flow
 // is refused without a query.
--- a/tests/support/tagged_process.h
+++ b/tests/support/tagged_process.h
@@ -127,7 +127,7 @@
   DaemonOptions options;
   pid_t pid = -1;
   int output = -1;
-  Micros startedAt = tagged::SteadyNow();
+  Micros readyAt = 0; // when IsReady first saw that it serves; 0: not yet
   Endpoint packets{ 0, NextPort() };
   uint16_t readyPort = NextPort();
   uint16_t metricsPort = NextPort();
@@ -214,12 +214,16 @@
     return response ? response->status : 0;
   }
 
-  // Returns whether the daemon serves callers, and has run for so long that it
-  // knows which repeated opening packets it has not seen before.
-  bool IsReady() const
+  // Returns whether the daemon serves callers, and has done so for so long that
+  // it knows which repeated opening packets it has not seen before.
+  bool IsReady()
   {
-    return tagged::SteadyNow() - this->startedAt >= steer::kOpeningMemory &&
-           this->ReadinessStatus() == 200;
+    if (this->ReadinessStatus() != 200) {
+      return false;
+    }
+    Micros now = tagged::SteadyNow();
+    this->readyAt = this->readyAt == 0 ? now : this->readyAt;
+    return now - this->readyAt >= steer::kOpeningMemory;
   }
 
   std::string Metrics() const
