Check one opening packet at a time again in the tests with peers

That is weaker than before. Change: each first packet has to arrive, or be refused and counted exactly once; only one that the daemon itself counts as out of date is sent again. The three tests pass, with sanitizers and without.

--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -8,16 +8,30 @@
 
 namespace {
 
-// Sends first opening packets from new ports until one reaches the server. A
-// busy machine may make some of them out of date.
+double
+Decisions(const Daemon& aDaemon, const std::string& aReason)
+{
+  return aDaemon.Metric("gentianspindle_decisions_total{reason=\"" + aReason +
+                        "\"}");
+}
+
+// Sends the first opening packet of a new flow and returns whether it reaches
+// the server. Only one that a busy daemon counts as out of date is sent again,
+// from another port.
 bool
 OpensAFlow(const Daemon& aDaemon, const Fixture& aFixture)
 {
-  uint16_t port = 7000;
-  return Eventually([&] {
+  static uint16_t port = 7000;
+  for (;;) {
+    double outOfDate = Decisions(aDaemon, "out_of_date");
     aDaemon.Send(MakePacket(port++, true, 0, 0), aFixture.fabricSocket);
-    return aFixture.serverSocket.Receive(300).size() == 40;
-  });
+    if (aFixture.serverSocket.Receive(300).size() == 40) {
+      return true;
+    }
+    if (Decisions(aDaemon, "out_of_date") == outOfDate) {
+      return false;
+    }
+  }
 }
 
 }
@@ -361,16 +375,10 @@
                           seeds,
                           "[drain]\nbound_ms = 5000\n" };
   };
-  // Sends opening packets until one is refused as its zone is drained; none
-  // may reach the server.
   auto isRefused = [&](const Daemon& aDaemon) {
-    uint16_t refusedPort = 20000;
-    return Eventually([&] {
-      aDaemon.Send(MakePacket(refusedPort++, true, 0, 0), fixture.fabricSocket);
-      CHECK(fixture.serverSocket.Receive(300).empty());
-      return aDaemon.Metric("gentianspindle_decisions_total{reason=\"zone_"
-                            "drained\"}") >= 1;
-    });
+    double before = Decisions(aDaemon, "zone_drained");
+    return !OpensAFlow(aDaemon, fixture) &&
+           Decisions(aDaemon, "zone_drained") == before + 1;
   };
   auto drainedZones = [](const Daemon& aDaemon, double aCount) {
     return Eventually(
