--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Exit codes: 1 the rule was broken, 0 it held, 2 the case could not run.
+# TROUBLE=0 leaves out the disruption.
+here="$(cd "$(dirname "$0")" && pwd)"
+cd "$here/../.." || exit 2
+program=review/standin-3/bin/drill-config
+[ -x "$program" ] && [ -x target/gentianspindled-tagged ] || exit 2
+"$program" "$here"
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/standin-3/rig.cpp
+++ b/review/standin-3/rig.cpp
@@ -679,9 +679,7 @@
                 const std::string& aType,
                 const std::string& aService)
 {
-  At target{ (198U << 24) | (18U << 16) |
-               static_cast<uint32_t>(this->routes.size() + 1),
-             8443 };
+  At target{ (198U << 24) | (18U << 16) | ++this->lastRoute, 8443 };
   this->routes.push_back(
     "{\"name\":\"" + aName + "\",\"host\":\"" + Text(target.address) +
     "\",\"path_prefix\":\"/8443/\",\"type\":\"" + aType +
@@ -690,6 +688,14 @@
   return target;
 }
 
+void
+World::DropRoute(const std::string& aName)
+{
+  std::erase_if(this->routes, [&](const std::string& aRoute) {
+    return aRoute.find("\"name\":\"" + aName + "\"") != std::string::npos;
+  });
+}
+
 void
 World::WriteConfig()
 {
@@ -771,7 +777,11 @@
 {
   Ms at = Now();
   aHost.nextBeatAt = at + this->options.beatMs;
-  if (!aHost.registered || this->store.IsAway()) {
+  if (!aHost.registered) {
+    return;
+  }
+  if (this->store.IsAway()) {
+    aHost.nextBeatAt = at + this->beatRetryMs;
     return;
   }
   aHost.lastBeatAt = at;
--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -247,6 +247,7 @@
   At AddRoute(const std::string& aName,
               const std::string& aType,
               const std::string& aService);
+  void DropRoute(const std::string& aName);
   void WriteConfig();
   Flow& OpenFlow(At aTarget, bool aLong, Ms aPeriodMs);
   void Run(Ms aMs, const std::function<void()>& aEach = {});
@@ -269,6 +270,8 @@
   std::function<void(const Flow&, const Packet&)> onBalancerReset;
   std::function<void(const Flow&)> onNoAnswer;
   std::function<void(const Flow&, Ms)> onAnswer;
+  // Hosts whose heartbeat fails try again after this time.
+  Ms beatRetryMs = 1200;
   uint64_t sent = 0, answered = 0, refused = 0, lost = 0, hostResets = 0;
 
   friend class Store;
@@ -312,6 +315,7 @@
   int client = -1;
   std::map<int, Connection> connections;
   std::vector<std::string> routes;
+  uint32_t lastRoute = 0;
   uint16_t nextPort = 2000;
   uint64_t nextId = 1;
   uint32_t random = 12345;
