review: senders of datagrams, and a stand-in for cold hosts

Cause: the rig should say which instance sent a packet, and never signal a process that isn't there. Change: rig and one more program.

--- a/review/standin-3/rig.cpp
+++ b/review/standin-3/rig.cpp
@@ -527,7 +527,11 @@
          << ":" << this->readyPort << "\"";
   }
   file << "]\n[detect]\nprobes_per_s = 5\n[admission]\nshares = 1\n"
-       << "[stop]\ngrace_ms = 6e3\n[warmup]\n[load]\nby_requests = 1\n";
+       << "[stop]\ngrace_ms = 6e3\n[warmup]\n";
+  if (this->options.warmupPerS > 0) {
+    file << "overage = 1.5e0\nslack = 5e0\n";
+  }
+  file << "[load]\nby_requests = 1\n";
   file.close();
   pid_t pid = fork();
   if (pid == 0) {
@@ -538,14 +542,15 @@
     dup2(out, 1);
     dup2(out, 2);
     setenv("GENTIANSPINDLE_CONFIG", aInstance.settings.c_str(), 1);
-    execl("target/gentianspindled-tagged",
-          "target/gentianspindled-tagged",
-          static_cast<char*>(nullptr));
+    const char* other = getenv("REVIEW_PROGRAM");
+    const char* program = other ? other : "target/gentianspindled-tagged";
+    execl(program, program, static_cast<char*>(nullptr));
     _exit(127);
   }
   aInstance.pid = pid;
   aInstance.misses = 2;
   aInstance.ready = false;
+  aInstance.stopping = false;
   this->Say("started " + aInstance.name + " at " + own);
 }
 
@@ -567,7 +572,7 @@
       this->Say(instance->name + " ended by itself, status " +
                 std::to_string(status));
       instance->pid = -1;
-      all = false;
+      all = all && instance->stopping;
     }
   }
   return all;
@@ -576,6 +581,9 @@
 void
 World::Signal(Instance& aInstance, int aSignal)
 {
+  if (aInstance.pid <= 0) {
+    return;
+  }
   this->Say("signal " + std::to_string(aSignal) + " to " + aInstance.name);
   kill(aInstance.pid, aSignal);
 }
@@ -583,6 +591,9 @@
 void
 World::Kill(Instance& aInstance)
 {
+  if (aInstance.pid <= 0) {
+    return;
+  }
   this->Signal(aInstance, SIGKILL);
   waitpid(aInstance.pid, nullptr, 0);
   aInstance.pid = -1;
@@ -709,7 +720,12 @@
     "{\"version\":" + std::to_string(this->configVersion) + ",\"routes\":[" +
       routes +
       "],\"services\":[{\"name\":\"katalog\",\"health_path\":\"/health\","
-      "\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
+      "\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false" +
+      (this->options.warmupPerS > 0
+         ? ",\"warmup_s\":8,\"warmup_per_s\":" +
+             std::to_string(this->options.warmupPerS)
+         : "") +
+      "}],\"limits\":{"
       "\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
       "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
 }
@@ -817,10 +833,18 @@
 {
   char buffer[2048];
   for (;;) {
-    ssize_t size = recv(aHost.udp, buffer, sizeof buffer, 0);
+    sockaddr_in source{};
+    socklen_t sourceSize = sizeof source;
+    ssize_t size = recvfrom(aHost.udp,
+                            buffer,
+                            sizeof buffer,
+                            0,
+                            reinterpret_cast<sockaddr*>(&source),
+                            &sourceSize);
     if (size < 40) {
       return;
     }
+    this->sender = ntohl(source.sin_addr.s_addr);
     uint64_t id = (static_cast<uint64_t>(Get(buffer, 4)) << 32) |
                   Get(buffer + 4, 4);
     auto packet = Decode(buffer + 8, static_cast<size_t>(size) - 8);
@@ -1054,10 +1078,18 @@
 {
   char buffer[2048];
   for (;;) {
-    ssize_t size = recv(this->client, buffer, sizeof buffer, 0);
+    sockaddr_in source{};
+    socklen_t sourceSize = sizeof source;
+    ssize_t size = recvfrom(this->client,
+                            buffer,
+                            sizeof buffer,
+                            0,
+                            reinterpret_cast<sockaddr*>(&source),
+                            &sourceSize);
     if (size < 0) {
       return;
     }
+    this->sender = ntohl(source.sin_addr.s_addr);
     auto packet = Decode(buffer, static_cast<size_t>(size));
     if (!packet) {
       continue;
--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -147,6 +147,7 @@
   Ms lastBeatAt = 0;
   uint64_t seq = 0;
   Ms workMs = 12;
+  Ms restartedAt = 0;
 
   struct Conn
   {
@@ -188,6 +189,7 @@
   Ms probeAt = 0;
   Ms nextProbeAt = 0;
   std::string probeReply;
+  bool stopping = false; // its end is expected
 };
 
 struct Flow
@@ -224,6 +226,7 @@
   std::vector<std::string> zones{ "jkt" }; // of instances, in turn
   bool evacuations = false;
   Ms beatMs = 1200;
+  int warmupPerS = 0; // of a cold host; 0: no bound
 };
 
 class World
@@ -270,6 +273,8 @@
   std::function<void(const Flow&, const Packet&)> onBalancerReset;
   std::function<void(const Flow&)> onNoAnswer;
   std::function<void(const Flow&, Ms)> onAnswer;
+  // Who sent the datagram that is handled now.
+  uint32_t sender = 0;
   // Hosts whose heartbeat fails try again after this time.
   Ms beatRetryMs = 1200;
   uint64_t sent = 0, answered = 0, refused = 0, lost = 0, hostResets = 0;
