--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -242,6 +242,8 @@
                 const std::string& aZone,
                 Ms aWarmupMs,
                 Ms aFirstBeatIn = 0);
+  // Its heartbeat comes now.
+  void Beat(Host& aHost);
   void Drain(Host& aHost);
   // Its process ends, and its entry is removed.
   void Leave(Host& aHost);
@@ -300,7 +302,6 @@
   void OnHostDatagram(Host& aHost);
   void HostSend(Host& aHost, Packet aPacket);
   void HostTick(Host& aHost);
-  void Beat(Host& aHost);
   void OnClientDatagram();
   void ClientSend(Flow& aFlow, Packet aPacket);
   void ClientTick();
