--- a/review/standin-3/rig.cpp
+++ b/review/standin-3/rig.cpp
@@ -514,9 +514,6 @@
        << "\"\n[ready]\nlisten = \"" << own << ":" << this->readyPort
        << "\"\n[store]\naddress = \"" << Text(this->Address(0, 1)) << ":"
        << this->storePort << "\"\n[drain]\n";
-  if (this->options.evacuations) {
-    file << "bound_ms = 5000\n";
-  }
   file << "[regions]\nzones = [";
   for (size_t i = 0; i < this->options.zones.size(); ++i) {
     file << (i == 0 ? "" : ",") << "\"" << this->options.zones[i] << "=jawa\"";
@@ -527,11 +524,7 @@
          << ":" << this->readyPort << "\"";
   }
   file << "]\n[detect]\nprobes_per_s = 5\n[admission]\nshares = 1\n"
-       << "[stop]\ngrace_ms = 6e3\n[warmup]\n";
-  if (this->options.warmupPerS > 0) {
-    file << "overage = 1.5e0\nslack = 5e0\n";
-  }
-  file << "[load]\nby_requests = 1\n";
+       << "[stop]\ngrace_ms = 6e3\n[warmup]\n[load]\nby_requests = 1\n";
   file.close();
   pid_t pid = fork();
   if (pid == 0) {
@@ -720,12 +713,7 @@
     "{\"version\":" + std::to_string(this->configVersion) + ",\"routes\":[" +
       routes +
       "],\"services\":[{\"name\":\"katalog\",\"health_path\":\"/health\","
-      "\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false" +
-      (this->options.warmupPerS > 0
-         ? ",\"warmup_s\":8,\"warmup_per_s\":" +
-             std::to_string(this->options.warmupPerS)
-         : "") +
-      "}],\"limits\":{"
+      "\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
       "\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
       "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
 }
--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -147,7 +147,6 @@
   Ms lastBeatAt = 0;
   uint64_t seq = 0;
   Ms workMs = 12;
-  Ms restartedAt = 0;
 
   struct Conn
   {
@@ -224,9 +223,7 @@
 {
   int instances = 3;
   std::vector<std::string> zones{ "jkt" }; // of instances, in turn
-  bool evacuations = false;
   Ms beatMs = 1200;
-  int warmupPerS = 0; // of a cold host; 0: no bound
 };
 
 class World
