review: a script that is ended early ends its daemons

Cause: run.sh left the rig running when a signal ended it. Change: run.sh becomes the rig, which ends its daemons and its folder on a signal.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,7 +5,4 @@
 cd "$here/../.." || exit 2
 program=review/standin-3/bin/drill-flow
 [ -x "$program" ] && [ -x target/gentianspindled-tagged ] || exit 2
-"$program" "$here"
-code=$?
-[ "$code" -le 2 ] || code=2
-exit "$code"
+exec "$program" "$here"
--- a/review/standin-3/rig.cpp
+++ b/review/standin-3/rig.cpp
@@ -50,6 +50,9 @@
 
 namespace {
 
+// A signal asked for the end.
+volatile sig_atomic_t stopped = 0;
+
 void
 Put32(std::string& aBytes, uint32_t aValue)
 {
@@ -413,6 +416,9 @@
   , folder(aFolder)
 {
   signal(SIGPIPE, SIG_IGN);
+  for (int one : { SIGTERM, SIGINT, SIGHUP }) {
+    signal(one, [](int) { stopped = 1; });
+  }
   this->record = fopen((aFolder + "/record.txt").c_str(), "w");
   char name[] = "/tmp/review-3-XXXXXX";
   this->temporary = mkdtemp(name);
@@ -459,6 +465,12 @@
 }
 
 World::~World()
+{
+  this->End();
+}
+
+void
+World::End()
 {
   for (auto& instance : this->instances) {
     if (instance->pid > 0) {
@@ -530,6 +542,9 @@
   if (pid == 0) {
     // It ends with this process, whatever ends that.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    for (int one : { SIGTERM, SIGINT, SIGHUP, SIGPIPE }) {
+      signal(one, SIG_DFL);
+    }
     std::string log = this->temporary + "/" + aInstance.name + ".log";
     int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, 1);
@@ -1266,6 +1281,11 @@
 void
 World::Step(Ms aTimeout)
 {
+  if (stopped != 0) {
+    this->Say("ended by a signal");
+    this->End();
+    _exit(2);
+  }
   std::vector<pollfd> fds;
   fds.push_back({ this->storeListener, POLLIN, 0 });
   fds.push_back({ this->client, POLLIN, 0 });
--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -293,6 +293,8 @@
   };
   uint32_t Address(int aThird, int aFourth) const;
   void Step(Ms aTimeout);
+  // Ends all processes and removes the temporary folder.
+  void End();
   void Accept(int aListener, Connection::Kind aKind);
   void OnConnection(int aFd);
   void CloseConnection(int aFd);
