--- a/review/standin-3/odd-neighbour.cpp
+++ b/review/standin-3/odd-neighbour.cpp
@@ -7,12 +7,11 @@
 int
 main(int aCount, char** aArguments)
 {
-  World world({ .instances = 2, .sloMs = 800 }, aCount > 1 ? aArguments[1] : ".");
+  World world({ .instances = 2, .sloMs = 800, .maxConns = 8 }, aCount > 1 ? aArguments[1] : ".");
   At queue = world.AddRoute("r-queue", "idempotent", "katalog");
   world.WriteConfig();
   for (int i = 0; i < 6; ++i) {
-    // As long as a long request of the small deployments.
-    world.AddHost("katalog", "jkt", 0, 190 * i).workMs = 450;
+    world.AddHost("katalog", "jkt", 0, 190 * i).workMs = 40;
   }
   world.StartInstances();
   if (!world.WaitReady(10000)) {
@@ -24,10 +23,21 @@
                    Now() - aFlow.openedAt < 60000;
     resets += counted ? 1 : 0;
   };
-  // 24 clients, each with a flow of many requests.
+  // 50 clients keep a flow each, or try to, as the hosts hold 48; others open one
+  // for each request.
+  world.hostsAckAtOnce = true;
+  Ms nextFlowAt = 0;
   auto traffic = [&] {
-    while (world.flows.size() < 24) {
-      world.OpenFlow(queue, true, 500 + 17 * (world.sent % 13));
+    size_t kept = 0;
+    for (const auto& [port, flow] : world.flows) {
+      kept += flow.longLived ? 1 : 0;
+    }
+    if (kept < 50) {
+      world.OpenFlow(queue, true, 3000 + 390 * static_cast<Ms>(world.sent % 10));
+    }
+    if (Now() >= nextFlowAt) {
+      nextFlowAt = Now() + 100;
+      world.OpenFlow(queue, false, 0);
     }
   };
   world.Run(8000, traffic);
@@ -60,6 +70,12 @@
   if (!world.AllRun()) {
     world.Say("a process ended by itself");
   }
+  uint64_t unheard = 0;
+  for (auto& host : world.hosts) {
+    unheard += host->unheard;
+  }
+  world.Say("opening packets to which a full host was silent: " +
+            std::to_string(unheard));
   printf("resets %d, before %d, answered %d, refused %d\n",
          resets,
          before,
--- a/review/standin-3/rig.cpp
+++ b/review/standin-3/rig.cpp
@@ -729,7 +729,9 @@
     "{\"version\":" + std::to_string(this->configVersion) + ",\"routes\":[" +
       routes +
       "],\"services\":[{\"name\":\"katalog\",\"health_path\":\"/health\","
-      "\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
+      "\"max_conns\":" +
+      std::to_string(this->options.maxConns) +
+      ",\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
       "\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
       "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
 }
@@ -868,7 +870,17 @@
       if (aHost.onSyn) {
         aHost.onSyn(*packet);
       }
+      // A flow that has been idle for 12 s is closed.
+      size_t held = 0;
+      for (const auto& [flow, conn] : aHost.conns) {
+        held += !conn.ended && Now() - conn.lastAt < 12000 ? 1 : 0;
+      }
+      if (known == aHost.conns.end() && held >= static_cast<size_t>(this->options.maxConns)) {
+        ++aHost.unheard;
+        continue;
+      }
       Host::Conn& conn = aHost.conns[key];
+      conn.lastAt = Now();
       if (known == aHost.conns.end() || conn.theirs != packet->seq + 1) {
         conn = {};
         conn.own = this->Random();
@@ -901,6 +913,7 @@
     }
     Host::Conn& conn = known->second;
     conn.echo = packet->echo;
+    conn.lastAt = Now();
     if (!conn.open && packet->ack == conn.own + 1) {
       conn.open = true;
       conn.openedAt = Now();
@@ -914,6 +927,12 @@
         ++aHost.runs[attempt];
         this->Say("host " + aHost.name + " runs " + attempt);
         aHost.jobs.push_back({ Now() + aHost.workMs, key, attempt });
+        if (this->hostsAckAtOnce) {
+          reply.seq = conn.sent;
+          reply.ack = conn.theirs;
+          reply.flags = kAck;
+          this->HostSend(aHost, reply);
+        }
       } else if (!conn.response.empty() &&
                  packet->seq == conn.lastRequestSeq) {
         reply.seq = conn.sent - static_cast<uint32_t>(conn.response.size());
@@ -1136,6 +1155,10 @@
       this->SendRequest(flow, false);
       continue;
     }
+    if (packet->data.empty() && packet->ack == flow.next) {
+      // The request has arrived.
+      flow.repeatAt = flow.requestAt + 60000;
+    }
     if (!packet->data.empty() && packet->seq == flow.expected) {
       flow.expected += static_cast<uint32_t>(packet->data.size());
       std::string seal = Field(packet->data, "Server-Seal: ", '\r');
--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -159,6 +159,7 @@
     uint32_t lastRequestSeq = 0;
     std::string response; // last packet, to be repeated
     Ms openedAt = 0;
+    Ms lastAt = 0; // of the last packet
   };
   std::map<std::pair<At, At>, Conn> conns;
   struct Job
@@ -170,6 +171,7 @@
   std::vector<Job> jobs;
 
   uint64_t syns = 0;
+  uint64_t unheard = 0; // of these, while it was full
   // Called with each SYN that the host gets, its own id checked.
   std::function<void(const Packet&)> onSyn;
   std::map<std::string, int> runs; // by attempt id
@@ -225,6 +227,7 @@
   std::vector<std::string> zones{ "jkt" }; // of instances, in turn
   Ms beatMs = 1200;
   Ms sloMs = 400; // of all routes
+  int maxConns = 2000; // flows that a host holds
 };
 
 class World
@@ -275,6 +278,8 @@
   std::function<void(const Flow&, Ms)> onAnswer;
   // Who sent the datagram that is handled now.
   uint32_t sender = 0;
+  // Hosts acknowledge each packet at once.
+  bool hostsAckAtOnce = false;
   // Hosts whose heartbeat fails try again after this time.
   Ms beatRetryMs = 1200;
   uint64_t sent = 0, answered = 0, refused = 0, lost = 0, hostResets = 0;
