--- a/benchmarks/server_choice.cpp
+++ b/benchmarks/server_choice.cpp
@@ -25,7 +25,7 @@
     entry.service = "service";
     entry.zone = "zone-" + std::to_string(i % kZones);
     entry.slots = 2;
-    list.push_back({ "i-" + std::to_string(i), i + 1, false, entry });
+    list.push_back({ "i-" + std::to_string(i), { 1, i + 1 }, false, entry });
   }
   View view;
   view.PutServers(list, 0);
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -58,6 +58,13 @@
   11: i64 drainsRevision // store revision of drainedZones; 0: not known
   12: i64 drainsChanged  // store revision of the last change of a zone
   13: list<string> drainedZones
+  // Eras of the store that the revisions above belong to; that of the servers
+  // is also their entries'. 0, as from a former version of this program: not
+  // known.
+  14: i64 configEra
+  15: i64 serversEra
+  16: i64 drainsEra
+  17: i64 drainsChangedEra
 }
 
 // A change of one server's entry in the store.
@@ -113,6 +120,11 @@
   30: list<i32> quotaHolders // instances of the sender's zone that hold slots
                              // of warm-up quotas, in ascending order
   31: bool handsOutQuota     // the sender says that they hold them now
+  // As in ViewCopy; serversEra is also that of the changes.
+  32: i64 configEra
+  33: i64 serversEra
+  34: i64 drainsEra
+  35: i64 drainsChangedEra
 }
 
 // Datagram about an opening packet that a caller sent again: the query of an
--- a/src/spread/beat.h
+++ b/src/spread/beat.h
@@ -36,12 +36,12 @@
   std::string zone;
 };
 
-// All changes of servers after one revision of the store, up to and including
+// All changes of servers after one position of the store, up to and including
 // another.
 struct ChangeRange
 {
-  uint64_t from = 0;
-  uint64_t to = 0;
+  StorePosition from;
+  StorePosition to;
   std::vector<steer::ServerChange> changes;
 };
 
@@ -56,12 +56,12 @@
   bool hasView = false;      // the sender knows configuration and servers
   bool wantsAnswer = false;  // the sender asks for a heartbeat in return
   int64_t configVersion = 0;
-  // Revisions of the store up to which the sender knows all changes.
-  uint64_t configRevision = 0;
+  // Positions of the store up to which the sender knows all changes.
+  StorePosition configPosition;
   Micros configAge = 0;
-  uint64_t serversRevision = 0;
+  StorePosition serversPosition;
   Micros serversAge = 0;
-  // Drained zones; revision 0: the sender does not know them.
+  // Drained zones; without a position the sender does not know them.
   steer::DrainState drains;
   Micros drainsAge = 0;
   // The zones are left out, as they are too many for a datagram.
--- a/src/spread/change_log.cpp
+++ b/src/spread/change_log.cpp
@@ -25,16 +25,16 @@
 }
 
 void
-ChangeLog::ResetTo(uint64_t aRevision)
+ChangeLog::ResetTo(const StorePosition& aPosition)
 {
   this->entries.clear();
-  this->baseRevision = aRevision;
-  this->revision = aRevision;
+  this->basePosition = aPosition;
+  this->position = aPosition;
 }
 
 void
 ChangeLog::Add(std::span<const steer::ServerChange> aChanges,
-               uint64_t aRevision,
+               const StorePosition& aPosition,
                Micros aNow)
 {
   std::vector<steer::ServerChange> sorted(aChanges.begin(), aChanges.end());
@@ -42,16 +42,18 @@
     sorted.begin(),
     sorted.end(),
     [](const steer::ServerChange& aLeft, const steer::ServerChange& aRight) {
-      return aLeft.revision < aRight.revision;
+      return aLeft.position.revision < aRight.position.revision;
     });
   for (steer::ServerChange& change : sorted) {
-    if (change.revision > this->revision) {
+    if (change.position.revision > this->position.revision) {
       this->entries.push_back({ std::move(change), aNow });
     }
   }
-  this->revision = std::max(this->revision, aRevision);
+  if (aPosition.revision > this->position.revision) {
+    this->position = aPosition;
+  }
   while (this->entries.size() > kMaxEntries) {
-    this->baseRevision = this->entries.front().change.revision;
+    this->basePosition = this->entries.front().change.position;
     this->entries.pop_front();
   }
 }
@@ -61,25 +63,25 @@
 {
   while (!this->entries.empty() &&
          aNow - this->entries.front().at > kResendTime) {
-    this->baseRevision = this->entries.front().change.revision;
+    this->basePosition = this->entries.front().change.position;
     this->entries.pop_front();
   }
   std::vector<ChangeRange> ranges;
-  ChangeRange range{ .from = this->baseRevision, .to = this->baseRevision };
+  ChangeRange range{ .from = this->basePosition, .to = this->basePosition };
   size_t bytes = 0;
   for (const Entry& entry : this->entries) {
     size_t size = SizeOf(entry.change);
     if (bytes + size > kMaxChangeBytes && !range.changes.empty()) {
-      uint64_t last = range.to;
+      StorePosition last = range.to;
       ranges.push_back(std::move(range));
       range = { .from = last, .to = last };
       bytes = 0;
     }
-    range.to = entry.change.revision;
+    range.to = entry.change.position;
     range.changes.push_back(entry.change);
     bytes += size;
   }
-  range.to = this->revision;
+  range.to = this->position;
   ranges.push_back(std::move(range));
   if (ranges.size() > kMaxChangeRanges) {
     ranges.erase(ranges.begin(), ranges.end() - kMaxChangeRanges);
--- a/src/spread/change_log.h
+++ b/src/spread/change_log.h
@@ -21,15 +21,15 @@
 class ChangeLog
 {
 public:
-  // Empties the log: a list or view gave the state at aRevision, and the single
+  // Empties the log: a list or view gave the state at aPosition, and the single
   // changes before it are not known.
-  void ResetTo(uint64_t aRevision);
+  void ResetTo(const StorePosition& aPosition);
   // Adds those of aChanges, in any order, that the log does not have yet. The
-  // log then has all changes up to aRevision.
+  // log then has all changes up to aPosition.
   void Add(std::span<const steer::ServerChange> aChanges,
-           uint64_t aRevision,
+           const StorePosition& aPosition,
            Micros aNow);
-  uint64_t Revision() const { return this->revision; }
+  const StorePosition& Position() const { return this->position; }
 
   // Returns the changes of the last kResendTime in ranges that each fit a
   // datagram, and evicts older ones. Returns at least one range, which may have
@@ -42,9 +42,9 @@
     steer::ServerChange change;
     Micros at = 0; // when this instance learnt of the change
   };
-  std::deque<Entry> entries; // by revision
-  uint64_t baseRevision = 0; // entries has all changes after this revision
-  uint64_t revision = 0;     // up to which all changes are known
+  std::deque<Entry> entries;  // by position
+  StorePosition basePosition; // entries has all changes after it
+  StorePosition position;     // up to which all changes are known
 };
 
 }
--- a/src/spread/sending.cpp
+++ b/src/spread/sending.cpp
@@ -25,15 +25,15 @@
   heartbeat.storeAnswers = this->storeAnswers;
   heartbeat.hasView = this->HasView();
   heartbeat.configVersion = this->configVersion;
-  heartbeat.configRevision = this->config.revision;
+  heartbeat.configPosition = this->config.position;
   // An unknown age is counted from kNever, so it is sent as more than 1000 s.
   heartbeat.configAge = aNow - this->config.confirmedAt;
-  heartbeat.serversRevision = this->servers.revision;
+  heartbeat.serversPosition = this->servers.position;
   heartbeat.serversAge = aNow - this->servers.confirmedAt;
   this->PutDrainsInto(heartbeat, aNow);
   heartbeat.storeBackAge =
     this->storeBackAt == kNever ? -1 : aNow - this->storeBackAt;
-  heartbeat.recent = { this->servers.revision, this->servers.revision, {} };
+  heartbeat.recent = { this->servers.position, this->servers.position, {} };
   heartbeat.zoneSize = this->members.ZoneSize();
   heartbeat.fleetSize = this->fleetSize;
   heartbeat.verdicts = this->verdicts.Newest(this->reads, aNow);
@@ -45,8 +45,8 @@
 void
 Replicator::PutDrainsInto(Heartbeat& aHeartbeat, Micros aNow) const
 {
-  aHeartbeat.drains.revision = this->drains.revision;
-  aHeartbeat.drains.changedRevision = this->drains.changedRevision;
+  aHeartbeat.drains.position = this->drains.position;
+  aHeartbeat.drains.changedPosition = this->drains.changedPosition;
   aHeartbeat.drainsAge = aNow - this->drainsConfirmedAt;
   size_t bytes = 0;
   for (const std::string& zone : this->drains.zones) {
--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -6,9 +6,11 @@
 namespace gentianspindle::spread {
 
 void
-Freshness::Confirm(uint64_t aRevision, Micros aAt)
+Freshness::Confirm(const StorePosition& aPosition, Micros aAt)
 {
-  this->revision = std::max(this->revision, aRevision);
+  if (aPosition.revision > this->position.revision) {
+    this->position = aPosition;
+  }
   this->confirmedAt = std::max(this->confirmedAt, aAt);
 }
 
@@ -45,50 +47,52 @@
 }
 
 void
-Replicator::OnConfigResponse(int64_t aVersion, uint64_t aRevision, Micros aNow)
+Replicator::OnConfigResponse(int64_t aVersion,
+                             const StorePosition& aPosition,
+                             Micros aNow)
 {
   this->OnStoreAnswer(aNow);
   this->updatePending = this->updatePending || aVersion > this->configVersion;
   this->configVersion = std::max(this->configVersion, aVersion);
-  this->config.Confirm(aRevision, aNow);
+  this->config.Confirm(aPosition, aNow);
 }
 
 void
-Replicator::OnServersList(uint64_t aRevision, Micros aNow)
+Replicator::OnServersList(const StorePosition& aPosition, Micros aNow)
 {
   this->OnStoreAnswer(aNow);
   this->hasServers = true;
   this->updatePending = true;
-  this->changeLog.ResetTo(aRevision);
-  this->servers.Confirm(aRevision, aNow);
+  this->changeLog.ResetTo(aPosition);
+  this->servers.Confirm(aPosition, aNow);
 }
 
 void
 Replicator::OnServersChanges(std::span<const steer::ServerChange> aChanges,
-                             uint64_t aRevision,
+                             const StorePosition& aPosition,
                              Micros aNow)
 {
   this->OnStoreAnswer(aNow);
   this->updatePending = this->updatePending || !aChanges.empty();
-  this->changeLog.Add(aChanges, aRevision, aNow);
-  this->servers.Confirm(aRevision, aNow);
+  this->changeLog.Add(aChanges, aPosition, aNow);
+  this->servers.Confirm(aPosition, aNow);
 }
 
 bool
 Replicator::OnDrainsResponse(std::span<const steer::DrainChange> aChanges,
-                             uint64_t aRevision,
+                             const StorePosition& aPosition,
                              bool aList,
                              Micros aNow)
 {
   this->OnStoreAnswer(aNow);
-  bool changed = aList ? this->drains.PutList(aChanges, aRevision)
-                       : this->drains.PutChanges(aChanges, aRevision);
+  bool changed = aList ? this->drains.PutList(aChanges, aPosition)
+                       : this->drains.PutChanges(aChanges, aPosition);
   this->drainsConfirmedAt = aNow;
   this->updatePending = this->updatePending || changed;
   return changed;
 }
 
-// A state of an earlier revision confirms the present one, which was the
+// A state of an earlier position confirms the present one, which was the
 // store's at a later time.
 bool
 Replicator::OnPeerDrains(const steer::DrainState& aState, Micros aConfirmedAt)
@@ -103,13 +107,13 @@
 }
 
 // Where the heartbeat leaves out the zones, they are the same as here if they
-// last changed before the revision that this instance knows.
+// last changed before the position that this instance knows.
 void
 Replicator::OnHeartbeatDrains(const Heartbeat& aHeartbeat, Micros aNow)
 {
   steer::DrainState state = aHeartbeat.drains;
   if (aHeartbeat.drainsLeftOut) {
-    if (state.changedRevision > this->drains.revision) {
+    if (state.changedPosition.revision > this->drains.position.revision) {
       return;
     }
     state.zones = this->drains.zones;
@@ -134,20 +138,22 @@
 }
 
 void
-Replicator::OnPeerConfig(int64_t aVersion, uint64_t aRevision)
+Replicator::OnPeerConfig(int64_t aVersion, const StorePosition& aPosition)
 {
   this->configVersion = std::max(this->configVersion, aVersion);
-  this->config.revision = std::max(this->config.revision, aRevision);
+  if (aPosition.revision > this->config.position.revision) {
+    this->config.position = aPosition;
+  }
   this->updatePending = true;
 }
 
 void
-Replicator::OnPeerServers(uint64_t aRevision)
+Replicator::OnPeerServers(const StorePosition& aPosition)
 {
   this->hasServers = true;
-  if (aRevision > this->servers.revision) {
-    this->servers.revision = aRevision;
-    this->changeLog.ResetTo(aRevision);
+  if (aPosition.revision > this->servers.position.revision) {
+    this->servers.position = aPosition;
+    this->changeLog.ResetTo(aPosition);
   }
   this->updatePending = true;
 }
@@ -196,16 +202,16 @@
   std::vector<steer::ServerChange> newChanges;
   const ChangeRange& recent = aHeartbeat.recent;
   bool isContiguous = this->hasServers &&
-                      recent.from <= this->servers.revision &&
-                      recent.to > this->servers.revision;
+                      recent.from.revision <= this->servers.position.revision &&
+                      recent.to.revision > this->servers.position.revision;
   if (isContiguous) {
     for (const steer::ServerChange& change : recent.changes) {
-      if (change.revision > this->servers.revision) {
+      if (change.position.revision > this->servers.position.revision) {
         newChanges.push_back(change);
       }
     }
     this->changeLog.Add(newChanges, recent.to, aNow);
-    this->servers.revision = recent.to;
+    this->servers.position = recent.to;
     this->updatePending = this->updatePending || !newChanges.empty();
   }
   this->CompareWithPeer(aFrom, aHeartbeat, aNow);
@@ -229,16 +235,18 @@
 {
   bool configBehind = aHeartbeat.configVersion > this->configVersion;
   bool serversBehind =
-    !this->hasServers || aHeartbeat.serversRevision > this->servers.revision;
+    !this->hasServers ||
+    aHeartbeat.serversPosition.revision > this->servers.position.revision;
   if (!configBehind && this->configVersion > 0) {
-    this->config.Confirm(aHeartbeat.configRevision,
+    this->config.Confirm(aHeartbeat.configPosition,
                          aNow - aHeartbeat.configAge);
   }
   if (!serversBehind) {
-    this->servers.Confirm(this->servers.revision, aNow - aHeartbeat.serversAge);
+    this->servers.Confirm(this->servers.position, aNow - aHeartbeat.serversAge);
   }
-  bool drainsBehind = this->options.drains && aHeartbeat.drainsLeftOut &&
-                      aHeartbeat.drains.changedRevision > this->drains.revision;
+  bool drainsBehind =
+    this->options.drains && aHeartbeat.drainsLeftOut &&
+    aHeartbeat.drains.changedPosition.revision > this->drains.position.revision;
   if (!configBehind && !serversBehind && !drainsBehind) {
     return;
   }
@@ -246,9 +254,9 @@
     this->behindSince = aNow;
   }
   this->aheadConfigVersion = aHeartbeat.configVersion;
-  this->aheadServersRevision = aHeartbeat.serversRevision;
-  this->aheadDrainsRevision =
-    drainsBehind ? aHeartbeat.drains.changedRevision : 0;
+  this->aheadServersPosition = aHeartbeat.serversPosition;
+  this->aheadDrainsPosition =
+    drainsBehind ? aHeartbeat.drains.changedPosition : StorePosition{};
   this->aheadPeer = aFrom;
 }
 
@@ -256,8 +264,9 @@
 Replicator::IsBehind() const
 {
   return this->aheadConfigVersion > this->configVersion ||
-         this->aheadServersRevision > this->servers.revision ||
-         this->aheadDrainsRevision > this->drains.revision;
+         this->aheadServersPosition.revision >
+           this->servers.position.revision ||
+         this->aheadDrainsPosition.revision > this->drains.position.revision;
 }
 
 std::optional<ViewRequest>
@@ -270,7 +279,8 @@
                                                   : kViewRequestDelay;
   bool configBehind = this->aheadConfigVersion > this->configVersion;
   bool serversBehind =
-    !this->hasServers || this->aheadServersRevision > this->servers.revision;
+    !this->hasServers ||
+    this->aheadServersPosition.revision > this->servers.position.revision;
   bool urgent = !this->HasView() || (!this->reads && configBehind);
   bool waited = aNow - this->behindSince >= wait;
   if (!urgent && !waited) {
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -97,15 +97,15 @@
 constexpr size_t kMaxDrainedZones = 32;
 constexpr size_t kMaxDrainedZoneBytes = 400;
 
-// Up to which revision of the store this instance knows the configuration or
+// Up to which position of the store this instance knows the configuration or
 // the servers, and when the store last confirmed that.
 struct Freshness
 {
-  uint64_t revision = 0; // all changes up to it are known
+  StorePosition position; // all changes up to it are known
   // Also kNever after a process pause, until the next confirmation.
   Micros confirmedAt = kNever;
 
-  void Confirm(uint64_t aRevision, Micros aAt);
+  void Confirm(const StorePosition& aPosition, Micros aAt);
 };
 
 // A heartbeat and the instances that get it.
@@ -167,16 +167,18 @@
   explicit Replicator(const ReplicatorOptions& aOptions);
 
   // The store answered this instance, which now knows all changes up to its
-  // revision aRevision. aVersion is the version of the configuration in force.
-  void OnConfigResponse(int64_t aVersion, uint64_t aRevision, Micros aNow);
-  void OnServersList(uint64_t aRevision, Micros aNow);
+  // position aPosition. aVersion is the version of the configuration in force.
+  void OnConfigResponse(int64_t aVersion,
+                        const StorePosition& aPosition,
+                        Micros aNow);
+  void OnServersList(const StorePosition& aPosition, Micros aNow);
   void OnServersChanges(std::span<const steer::ServerChange> aChanges,
-                        uint64_t aRevision,
+                        const StorePosition& aPosition,
                         Micros aNow);
   // Also the drained zones; aList says that the changes are all drains there
   // are. Returns whether the zones, or whether they are known, changed.
   bool OnDrainsResponse(std::span<const steer::DrainChange> aChanges,
-                        uint64_t aRevision,
+                        const StorePosition& aPosition,
                         bool aList,
                         Micros aNow);
   // A call to the store failed. Stops reading if another reader ranks above
@@ -187,9 +189,9 @@
   // This process was paused; the age of its view is unknown.
   void OnProcessPause();
   // A peer's whole configuration or list of servers was applied to the view;
-  // aRevision is the revision of the store up to which the peer knew it.
-  void OnPeerConfig(int64_t aVersion, uint64_t aRevision);
-  void OnPeerServers(uint64_t aRevision);
+  // aPosition is the position of the store up to which the peer knew it.
+  void OnPeerConfig(int64_t aVersion, const StorePosition& aPosition);
+  void OnPeerServers(const StorePosition& aPosition);
   // A peer sent its drained zones, which the store confirmed at aConfirmedAt.
   // Returns whether the zones, or whether they are known, changed.
   bool OnPeerDrains(const steer::DrainState& aState, Micros aConfirmedAt);
@@ -300,12 +302,12 @@
   bool heardReader = false;     // of this zone, while this instance followed
   Micros nextReadAttemptAt = 0; // no read attempt before this time
   // The last peer that was ahead of this instance in one of the three: the
-  // version of its configuration, the revision of its servers, that of the last
+  // version of its configuration, the position of its servers, that of the last
   // change of its drained zones if its heartbeat left them out, and its
   // address.
   int64_t aheadConfigVersion = 0;
-  uint64_t aheadServersRevision = 0;
-  uint64_t aheadDrainsRevision = 0;
+  StorePosition aheadServersPosition;
+  StorePosition aheadDrainsPosition;
   Address aheadPeer = 0;
   Micros behindSince = 0;     // when this instance last fell behind a peer
   bool updatePending = false; // a reader sends its next heartbeat early
--- a/src/steer/drains.cpp
+++ b/src/steer/drains.cpp
@@ -5,9 +5,10 @@
 namespace gentianspindle::steer {
 
 bool
-DrainState::PutList(std::span<const DrainChange> aList, uint64_t aRevision)
+DrainState::PutList(std::span<const DrainChange> aList,
+                    const StorePosition& aPosition)
 {
-  DrainState listed{ .revision = aRevision, .changedRevision = aRevision };
+  DrainState listed{ .position = aPosition, .changedPosition = aPosition };
   for (const DrainChange& change : aList) {
     listed.zones.push_back(change.zone);
   }
@@ -17,15 +18,15 @@
   return this->Adopt(listed);
 }
 
-// The changes may begin before this state's revision, as a peer can bring a
+// The changes may begin before this state's position, as a peer can bring a
 // newer one while a watch waits. To repeat those is harmless: the last change
 // of a zone decides, and a zone without any is as it was.
 bool
 DrainState::PutChanges(std::span<const DrainChange> aChanges,
-                       uint64_t aRevision)
+                       const StorePosition& aPosition)
 {
   DrainState next = *this;
-  next.revision = aRevision;
+  next.position = aPosition;
   for (const DrainChange& change : aChanges) {
     auto at =
       std::lower_bound(next.zones.begin(), next.zones.end(), change.zone);
@@ -37,7 +38,7 @@
     }
   }
   if (!aChanges.empty()) {
-    next.changedRevision = aRevision;
+    next.changedPosition = aPosition;
   }
   return this->Adopt(next);
 }
@@ -45,16 +46,16 @@
 bool
 DrainState::Adopt(const DrainState& aState)
 {
-  if (aState.revision <= this->revision) {
+  if (aState.position.revision <= this->position.revision) {
     return false;
   }
   bool isNew = !this->IsKnown() || aState.zones != this->zones;
   // A zone may have changed and changed back.
-  if (isNew || aState.changedRevision > this->revision) {
-    this->changedRevision =
-      std::max(this->changedRevision, aState.changedRevision);
+  if (isNew || aState.changedPosition.revision > this->position.revision) {
+    this->changedPosition =
+      std::max(this->changedPosition, aState.changedPosition);
   }
-  this->revision = aState.revision;
+  this->position = aState.position;
   this->zones = aState.zones;
   return isNew;
 }
--- a/src/steer/drains.h
+++ b/src/steer/drains.h
@@ -2,7 +2,8 @@
 // new flows until they withdraw that. Open flows stay where they are.
 #pragma once
 
-#include <cstdint>
+#include "base/store_position.h"
+
 #include <span>
 #include <string>
 #include <vector>
@@ -13,26 +14,28 @@
 struct DrainChange
 {
   std::string zone;
-  uint64_t revision = 0;
+  StorePosition position;
   bool removed = false;
 };
 
-// The drained zones as of one revision of the store. A state is never replaced
-// by one of an earlier revision.
+// The drained zones as of one position of the store. A state is never replaced
+// by one of an earlier position.
 struct DrainState
 {
-  uint64_t revision = 0; // 0: nothing is known
-  // No zone changed after this revision, up to and including revision.
-  uint64_t changedRevision = 0;
+  StorePosition position;
+  // No zone changed after this position, up to and including position.
+  StorePosition changedPosition;
   std::vector<std::string> zones; // sorted
 
-  bool IsKnown() const { return this->revision > 0; }
+  bool IsKnown() const { return this->position.IsKnown(); }
 
   // Each returns whether the zones or the knowledge of them changed.
-  // A list of the store: all drained zones as of aRevision.
-  bool PutList(std::span<const DrainChange> aList, uint64_t aRevision);
-  // All changes, in order, from a revision that is known up to aRevision.
-  bool PutChanges(std::span<const DrainChange> aChanges, uint64_t aRevision);
+  // A list of the store: all drained zones as of aPosition.
+  bool PutList(std::span<const DrainChange> aList,
+               const StorePosition& aPosition);
+  // All changes, in order, from a position that is known up to aPosition.
+  bool PutChanges(std::span<const DrainChange> aChanges,
+                  const StorePosition& aPosition);
   // A peer's state.
   bool Adopt(const DrainState& aState);
 };
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -62,7 +62,7 @@
   for (const auto& [name, index] : this->byName) {
     const Server& server = this->servers[index];
     if (server.registryState == RegistryState::Unreadable) {
-      copy.push_back({ name, server.revision, false, {} });
+      copy.push_back({ name, server.position, false, {} });
       continue;
     }
     if (server.registryState != RegistryState::Listed) {
@@ -70,7 +70,7 @@
     }
     ServerEntry entry = server.entry;
     entry.warmupLeft = std::max<Micros>(0, server.warmupUntil - aNow);
-    copy.push_back({ name, server.revision, false, std::move(entry) });
+    copy.push_back({ name, server.position, false, std::move(entry) });
   }
   return copy;
 }
@@ -141,7 +141,8 @@
 {
   auto known = this->byName.find(aChange.name);
   if (known != this->byName.end() &&
-      this->servers[known->second].revision > aChange.revision) {
+      this->servers[known->second].position.revision >
+        aChange.position.revision) {
     return false;
   }
   if (aChange.entry && !aChange.removed) {
@@ -152,7 +153,7 @@
     return false;
   }
   Server& server = this->servers[known->second];
-  server.revision = aChange.revision;
+  server.position = aChange.position;
   if (aChange.removed) {
     this->MarkMissing(server, aNow);
   } else {
@@ -196,7 +197,7 @@
   server.tag = TagOf(entry.id);
   server.registryState = RegistryState::Listed;
   server.inGracePeriod = false;
-  server.revision = aChange.revision;
+  server.position = aChange.position;
   server.changedAt = aNow;
   server.warmupUntil = aNow + entry.warmupLeft;
   server.zoneDrained = this->IsZoneDrained(entry.zone);
@@ -211,7 +212,7 @@
 bool
 View::PutDrains(const DrainState& aState)
 {
-  if (aState.revision < this->drains.revision) {
+  if (aState.position.revision < this->drains.position.revision) {
     return false;
   }
   this->drains = aState;
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -2,6 +2,7 @@
 // valid state, kept through any outage of the store.
 #pragma once
 
+#include "base/store_position.h"
 #include "steer/drains.h"
 #include "steer/types.h"
 
@@ -49,7 +50,7 @@
   bool inGracePeriod = false;
   bool tagConflict = false; // another server has the tag
   bool zoneDrained = false; // its zone is drained
-  uint64_t revision = 0;    // of the entry, or of its removal
+  StorePosition position;   // of the entry, or of its removal
   uint32_t generation = 0;  // number of server processes seen at this index
   Micros changedAt = 0;     // when a change or list last set the state
   Micros warmupUntil = 0;
@@ -87,7 +88,7 @@
 struct ServerChange
 {
   std::string name;
-  uint64_t revision = 0;
+  StorePosition position;
   bool removed = false;
   // Empty if the entry cannot be read; not used if it was removed.
   std::optional<ServerEntry> entry;
@@ -97,7 +98,7 @@
 struct ConfigChange
 {
   std::string name;
-  uint64_t revision = 0;
+  StorePosition position;
   bool removed = false;
   // Empty if it cannot be read; not used if it was removed.
   std::optional<Config> config;
@@ -122,7 +123,7 @@
   bool PutServer(const ServerChange& aChange, Micros aNow);
 
   // Applies the drained zones, to servers that appear later, too. Returns false
-  // if the state is of an earlier revision than the one in force.
+  // if the state is of an earlier position than the one in force.
   bool PutDrains(const DrainState& aState);
   const DrainState& Drains() const { return this->drains; }
 
--- a/src/tagged/gen/peers_types.cpp
+++ b/src/tagged/gen/peers_types.cpp
@@ -829,6 +829,22 @@
 void ViewCopy::__set_drainedZones(const std::vector<std::string> & val) {
   this->drainedZones = val;
 }
+
+void ViewCopy::__set_configEra(const int64_t val) {
+  this->configEra = val;
+}
+
+void ViewCopy::__set_serversEra(const int64_t val) {
+  this->serversEra = val;
+}
+
+void ViewCopy::__set_drainsEra(const int64_t val) {
+  this->drainsEra = val;
+}
+
+void ViewCopy::__set_drainsChangedEra(const int64_t val) {
+  this->drainsChangedEra = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewCopy& obj)
 {
   obj.printTo(out);
@@ -1005,6 +1021,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configEra);
+          this->__isset.configEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serversEra);
+          this->__isset.serversEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainsEra);
+          this->__isset.drainsEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainsChangedEra);
+          this->__isset.drainsChangedEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1106,6 +1154,22 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("configEra", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->configEra);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serversEra", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->serversEra);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainsEra", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->drainsEra);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainsChangedEra", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->drainsChangedEra);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1124,6 +1188,10 @@
   swap(a.drainsRevision, b.drainsRevision);
   swap(a.drainsChanged, b.drainsChanged);
   swap(a.drainedZones, b.drainedZones);
+  swap(a.configEra, b.configEra);
+  swap(a.serversEra, b.serversEra);
+  swap(a.drainsEra, b.drainsEra);
+  swap(a.drainsChangedEra, b.drainsChangedEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -1139,6 +1207,10 @@
   drainsRevision = other50.drainsRevision;
   drainsChanged = other50.drainsChanged;
   drainedZones = other50.drainedZones;
+  configEra = other50.configEra;
+  serversEra = other50.serversEra;
+  drainsEra = other50.drainsEra;
+  drainsChangedEra = other50.drainsChangedEra;
   __isset = other50.__isset;
 }
 ViewCopy& ViewCopy::operator=(const ViewCopy& other51) {
@@ -1153,6 +1225,10 @@
   drainsRevision = other51.drainsRevision;
   drainsChanged = other51.drainsChanged;
   drainedZones = other51.drainedZones;
+  configEra = other51.configEra;
+  serversEra = other51.serversEra;
+  drainsEra = other51.drainsEra;
+  drainsChangedEra = other51.drainsChangedEra;
   __isset = other51.__isset;
   return *this;
 }
@@ -1170,6 +1246,10 @@
   out << ", " << "drainsRevision=" << to_string(drainsRevision);
   out << ", " << "drainsChanged=" << to_string(drainsChanged);
   out << ", " << "drainedZones=" << to_string(drainedZones);
+  out << ", " << "configEra=" << to_string(configEra);
+  out << ", " << "serversEra=" << to_string(serversEra);
+  out << ", " << "drainsEra=" << to_string(drainsEra);
+  out << ", " << "drainsChangedEra=" << to_string(drainsChangedEra);
   out << ")";
 }
 
@@ -1641,6 +1721,22 @@
 void Heartbeat::__set_handsOutQuota(const bool val) {
   this->handsOutQuota = val;
 }
+
+void Heartbeat::__set_configEra(const int64_t val) {
+  this->configEra = val;
+}
+
+void Heartbeat::__set_serversEra(const int64_t val) {
+  this->serversEra = val;
+}
+
+void Heartbeat::__set_drainsEra(const int64_t val) {
+  this->drainsEra = val;
+}
+
+void Heartbeat::__set_drainsChangedEra(const int64_t val) {
+  this->drainsChangedEra = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1957,6 +2053,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 32:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configEra);
+          this->__isset.configEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 33:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serversEra);
+          this->__isset.serversEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 34:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainsEra);
+          this->__isset.drainsEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 35:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainsChangedEra);
+          this->__isset.drainsChangedEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2130,6 +2258,22 @@
   xfer += oprot->writeBool(this->handsOutQuota);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("configEra", ::apache::thrift::protocol::T_I64, 32);
+  xfer += oprot->writeI64(this->configEra);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serversEra", ::apache::thrift::protocol::T_I64, 33);
+  xfer += oprot->writeI64(this->serversEra);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainsEra", ::apache::thrift::protocol::T_I64, 34);
+  xfer += oprot->writeI64(this->drainsEra);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainsChangedEra", ::apache::thrift::protocol::T_I64, 35);
+  xfer += oprot->writeI64(this->drainsChangedEra);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2164,6 +2308,10 @@
   swap(a.verdicts, b.verdicts);
   swap(a.quotaHolders, b.quotaHolders);
   swap(a.handsOutQuota, b.handsOutQuota);
+  swap(a.configEra, b.configEra);
+  swap(a.serversEra, b.serversEra);
+  swap(a.drainsEra, b.drainsEra);
+  swap(a.drainsChangedEra, b.drainsChangedEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -2195,6 +2343,10 @@
   verdicts = other94.verdicts;
   quotaHolders = other94.quotaHolders;
   handsOutQuota = other94.handsOutQuota;
+  configEra = other94.configEra;
+  serversEra = other94.serversEra;
+  drainsEra = other94.drainsEra;
+  drainsChangedEra = other94.drainsChangedEra;
   __isset = other94.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other95) {
@@ -2225,6 +2377,10 @@
   verdicts = other95.verdicts;
   quotaHolders = other95.quotaHolders;
   handsOutQuota = other95.handsOutQuota;
+  configEra = other95.configEra;
+  serversEra = other95.serversEra;
+  drainsEra = other95.drainsEra;
+  drainsChangedEra = other95.drainsChangedEra;
   __isset = other95.__isset;
   return *this;
 }
@@ -2258,6 +2414,10 @@
   out << ", " << "verdicts=" << to_string(verdicts);
   out << ", " << "quotaHolders=" << to_string(quotaHolders);
   out << ", " << "handsOutQuota=" << to_string(handsOutQuota);
+  out << ", " << "configEra=" << to_string(configEra);
+  out << ", " << "serversEra=" << to_string(serversEra);
+  out << ", " << "drainsEra=" << to_string(drainsEra);
+  out << ", " << "drainsChangedEra=" << to_string(drainsChangedEra);
   out << ")";
 }
 
--- a/src/tagged/gen/peers_types.h
+++ b/src/tagged/gen/peers_types.h
@@ -338,7 +338,7 @@
 std::ostream& operator<<(std::ostream& out, const Server& obj);
 
 typedef struct _ViewCopy__isset {
-  _ViewCopy__isset() : configVersion(false), routes(false), idle(false), serversRevision(false), servers(false), configRevision(false), unreadable(false), services(false), drainsRevision(false), drainsChanged(false), drainedZones(false) {}
+  _ViewCopy__isset() : configVersion(false), routes(false), idle(false), serversRevision(false), servers(false), configRevision(false), unreadable(false), services(false), drainsRevision(false), drainsChanged(false), drainedZones(false), configEra(false), serversEra(false), drainsEra(false), drainsChangedEra(false) {}
   bool configVersion :1;
   bool routes :1;
   bool idle :1;
@@ -350,6 +350,10 @@
   bool drainsRevision :1;
   bool drainsChanged :1;
   bool drainedZones :1;
+  bool configEra :1;
+  bool serversEra :1;
+  bool drainsEra :1;
+  bool drainsChangedEra :1;
 } _ViewCopy__isset;
 
 class ViewCopy : public virtual ::apache::thrift::TBase {
@@ -363,7 +367,11 @@
              serversRevision(0),
              configRevision(0),
              drainsRevision(0),
-             drainsChanged(0) {
+             drainsChanged(0),
+             configEra(0),
+             serversEra(0),
+             drainsEra(0),
+             drainsChangedEra(0) {
   }
 
   virtual ~ViewCopy() noexcept;
@@ -378,6 +386,10 @@
   int64_t drainsRevision;
   int64_t drainsChanged;
   std::vector<std::string>  drainedZones;
+  int64_t configEra;
+  int64_t serversEra;
+  int64_t drainsEra;
+  int64_t drainsChangedEra;
 
   _ViewCopy__isset __isset;
 
@@ -403,6 +415,14 @@
 
   void __set_drainedZones(const std::vector<std::string> & val);
 
+  void __set_configEra(const int64_t val);
+
+  void __set_serversEra(const int64_t val);
+
+  void __set_drainsEra(const int64_t val);
+
+  void __set_drainsChangedEra(const int64_t val);
+
   bool operator == (const ViewCopy & rhs) const
   {
     if (!(configVersion == rhs.configVersion))
@@ -427,6 +447,14 @@
       return false;
     if (!(drainedZones == rhs.drainedZones))
       return false;
+    if (!(configEra == rhs.configEra))
+      return false;
+    if (!(serversEra == rhs.serversEra))
+      return false;
+    if (!(drainsEra == rhs.drainsEra))
+      return false;
+    if (!(drainsChangedEra == rhs.drainsChangedEra))
+      return false;
     return true;
   }
   bool operator != (const ViewCopy &rhs) const {
@@ -602,7 +630,7 @@
 std::ostream& operator<<(std::ostream& out, const Verdict& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false), drainsRevision(false), drainsAge(false), drainsChanged(false), drainedZones(false), drainsLeftOut(false), verdicts(false), quotaHolders(false), handsOutQuota(false) {}
+  _Heartbeat__isset() : zone(false), share(false), reads(false), storeAnswers(false), hasView(false), wantsAnswer(false), configVersion(false), configRevision(false), configAge(false), serversRevision(false), serversAge(false), storeBackAge(false), changesFrom(false), changesTo(false), changes(false), members(false), readers(false), zoneSize(false), fleetSize(false), drainsRevision(false), drainsAge(false), drainsChanged(false), drainedZones(false), drainsLeftOut(false), verdicts(false), quotaHolders(false), handsOutQuota(false), configEra(false), serversEra(false), drainsEra(false), drainsChangedEra(false) {}
   bool zone :1;
   bool share :1;
   bool reads :1;
@@ -630,6 +658,10 @@
   bool verdicts :1;
   bool quotaHolders :1;
   bool handsOutQuota :1;
+  bool configEra :1;
+  bool serversEra :1;
+  bool drainsEra :1;
+  bool drainsChangedEra :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -658,7 +690,11 @@
               drainsAge(0),
               drainsChanged(0),
               drainsLeftOut(0),
-              handsOutQuota(0) {
+              handsOutQuota(0),
+              configEra(0),
+              serversEra(0),
+              drainsEra(0),
+              drainsChangedEra(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -689,6 +725,10 @@
   std::vector<Verdict>  verdicts;
   std::vector<int32_t>  quotaHolders;
   bool handsOutQuota;
+  int64_t configEra;
+  int64_t serversEra;
+  int64_t drainsEra;
+  int64_t drainsChangedEra;
 
   _Heartbeat__isset __isset;
 
@@ -746,6 +786,14 @@
 
   void __set_handsOutQuota(const bool val);
 
+  void __set_configEra(const int64_t val);
+
+  void __set_serversEra(const int64_t val);
+
+  void __set_drainsEra(const int64_t val);
+
+  void __set_drainsChangedEra(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(zone == rhs.zone))
@@ -802,6 +850,14 @@
       return false;
     if (!(handsOutQuota == rhs.handsOutQuota))
       return false;
+    if (!(configEra == rhs.configEra))
+      return false;
+    if (!(serversEra == rhs.serversEra))
+      return false;
+    if (!(drainsEra == rhs.drainsEra))
+      return false;
+    if (!(drainsChangedEra == rhs.drainsChangedEra))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/tagged/http_client.cpp
+++ b/src/tagged/http_client.cpp
@@ -27,11 +27,13 @@
 
 HttpClient::HttpClient(event_base* aBase,
                        Endpoint aServer,
-                       size_t aMaxBodyBytes)
+                       size_t aMaxBodyBytes,
+                       const char* aHeader)
   : base(aBase)
   , host(FormatAddress(aServer.address))
   , server(aServer)
   , maxBodyBytes(aMaxBodyBytes)
+  , headerName(aHeader)
   , timeout(aBase, [this] {
     this->broken = true;
     this->Finish(absl::DeadlineExceededError(
@@ -156,7 +158,12 @@
       "GET from ", FormatEndpoint(this->server), ": connection failed")));
     return;
   }
-  HttpResponse response{ status, {} };
+  HttpResponse response{ status, {}, {} };
+  if (this->headerName != nullptr) {
+    const char* value = evhttp_find_header(
+      evhttp_request_get_input_headers(aRequest), this->headerName);
+    response.header = value == nullptr ? "" : value;
+  }
   evbuffer* body = evhttp_request_get_input_buffer(aRequest);
   response.body.resize(evbuffer_get_length(body));
   evbuffer_remove(body, response.body.data(), response.body.size());
--- a/src/tagged/http_client.h
+++ b/src/tagged/http_client.h
@@ -15,6 +15,7 @@
 {
   int status = 0;
   std::string body;
+  std::string header; // value of the header that the client reads, if any
 };
 
 // Keeps its connection open for the next request.
@@ -27,8 +28,11 @@
   using ResponseCallback = std::function<void(absl::StatusOr<HttpResponse>)>;
 
   // A response whose body is longer than aMaxBodyBytes counts as a failed
-  // connection.
-  HttpClient(event_base* aBase, Endpoint aServer, size_t aMaxBodyBytes);
+  // connection. aHeader is the name of the header that is read, if any.
+  HttpClient(event_base* aBase,
+             Endpoint aServer,
+             size_t aMaxBodyBytes,
+             const char* aHeader = nullptr);
 
   // Sends a request. Cancels a pending one without calling its callback.
   void Get(const std::string& aPath,
@@ -59,6 +63,7 @@
   std::string host;
   Endpoint server;
   size_t maxBodyBytes;
+  const char* headerName;
   std::unique_ptr<evhttp_connection, FreeConnection> connection;
   bool broken = false; // the connection must not be used again
   bool busy = false;   // a request is pending
--- a/src/tagged/list_watcher.h
+++ b/src/tagged/list_watcher.h
@@ -6,6 +6,7 @@
 #include "tagged/http_client.h"
 #include "tagged/transport.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
@@ -74,18 +75,19 @@
 {
   std::string (*listPath)(std::string_view aAfter);
   std::string (*watchPath)(uint64_t aRevision, int64_t aWaitMs);
-  absl::StatusOr<Page<C>> (*parseList)(std::string_view aBody);
-  absl::StatusOr<Page<C>> (*parseWatch)(std::string_view aBody);
+  absl::StatusOr<Page<C>> (*parseList)(std::string_view aBody, uint64_t aEra);
+  absl::StatusOr<Page<C>> (*parseWatch)(std::string_view aBody, uint64_t aEra);
+  const char* eraHeader = nullptr; // header of the responses with the era
 };
 
 template<typename C>
 struct ListWatcherEvents
 {
   // Called with a complete list, or with the changes of a watch response, of
-  // which there may be none; and with the store's revision up to which
+  // which there may be none; and with the store's position up to which
   // everything is known then.
-  std::function<void(std::span<const C>, uint64_t)> onList;
-  std::function<void(std::span<const C>, uint64_t)> onChanges;
+  std::function<void(std::span<const C>, const StorePosition&)> onList;
+  std::function<void(std::span<const C>, const StorePosition&)> onChanges;
   // Called for each failed request, with the error and with whether it is the
   // first failure of an outage. Not called for a revision that is too old.
   std::function<void(const std::string&, bool)> onStoreLost;
@@ -118,7 +120,7 @@
               const ListWatcherOptions& aOptions,
               ListWatcherEvents<C> aEvents,
               uint32_t aSeed)
-    : client(aBase, aStore, kMaxStoreBodyBytes)
+    : client(aBase, aStore, kMaxStoreBodyBytes, aFormat.eraHeader)
     , format(aFormat)
     , options(aOptions)
     , events(std::move(aEvents))
@@ -149,20 +151,22 @@
     }
   }
 
-  // Records that everything up to aRevision is known, as from a peer. The next
-  // watch continues from there, or from the present revision if that is later.
-  // No list is needed then, so one that is under way is stopped; the revision
+  // Records that everything up to aPosition is known, as from a peer. The next
+  // watch continues from there, or from the present position if that is later.
+  // No list is needed then, so one that is under way is stopped; the position
   // of its first page is not kept, as the rest of it is not known.
-  void AdvanceTo(uint64_t aRevision)
+  void AdvanceTo(const StorePosition& aPosition)
   {
     if (!this->listed) {
       this->Stop();
       this->ResetList();
       this->listed = true;
-      this->revision = aRevision;
+      this->position = aPosition;
       this->requestTimer.Start(0);
     }
-    this->revision = std::max(this->revision, aRevision);
+    if (aPosition.revision > this->position.revision) {
+      this->position = aPosition;
+    }
   }
 
   // Fails the pending request, so that it is sent again on a new connection, as
@@ -186,9 +190,9 @@
       wait = std::min(
         wait, this->firstWatchPending ? kFirstWatchWait : kOutageWatchWait);
     }
-    std::string path =
-      list ? this->format.listPath(this->lastName)
-           : this->format.watchPath(this->revision, wait / kMillisecond);
+    std::string path = list ? this->format.listPath(this->lastName)
+                            : this->format.watchPath(this->position.revision,
+                                                     wait / kMillisecond);
     ++(list ? this->counts.lists : this->counts.watches);
     Micros timeout = list ? kListTimeout : wait + kWatchTimeoutMargin;
     this->client.Get(
@@ -216,9 +220,10 @@
                   absl::StrCat("HTTP ", aResponse->status));
       return;
     }
-    absl::StatusOr<Page<C>> page = aList
-                                     ? this->format.parseList(aResponse->body)
-                                     : this->format.parseWatch(aResponse->body);
+    uint64_t era = EraOf(*aResponse);
+    absl::StatusOr<Page<C>> page =
+      aList ? this->format.parseList(aResponse->body, era)
+            : this->format.parseWatch(aResponse->body, era);
     if (!page.ok()) {
       this->ResetList();
       this->Retry(StoreFailure::Unreadable, page.status().ToString());
@@ -239,6 +244,13 @@
     }
   }
 
+  // A response without a readable era counts as before the first one.
+  static uint64_t EraOf(const HttpResponse& aResponse)
+  {
+    uint64_t era = 0;
+    return absl::SimpleAtoi(aResponse.header, &era) ? era : 0;
+  }
+
   // Returns whether the list can end: a page that others follow has to bring a
   // new name, after which the next one starts.
   bool Advances(const Page<C>& aPage) const
@@ -252,9 +264,9 @@
   void OnListPage(Page<C> aPage)
   {
     if (this->lastName.empty()) {
-      // Watches start from the revision of the first page: changes that are
+      // Watches start from the position of the first page: changes that are
       // made while later pages are read come again with the watch.
-      this->revision = aPage.revision;
+      this->position = aPage.position;
     }
     this->lastName = std::move(aPage.lastName);
     std::move(aPage.changes.begin(),
@@ -271,14 +283,16 @@
     std::vector<C> list = std::move(this->collected);
     this->collected.clear();
     this->lastName.clear();
-    this->events.onList(list, this->revision);
+    this->events.onList(list, this->position);
     this->requestTimer.Start(this->options.pace);
   }
 
   void OnWatchPage(const Page<C>& aPage)
   {
-    this->revision = std::max(this->revision, aPage.revision);
-    this->events.onChanges(aPage.changes, this->revision);
+    if (aPage.position.revision > this->position.revision) {
+      this->position = aPage.position;
+    }
+    this->events.onChanges(aPage.changes, this->position);
     this->requestTimer.Start(aPage.changes.empty() ? 0 : this->options.pace);
   }
 
@@ -346,7 +360,7 @@
   std::string lastName;
   uint32_t pagesRead = 0;
   std::vector<C> collected;
-  uint64_t revision = 0;  // of the store; the next watch continues from here
+  StorePosition position; // the next watch continues from here
   Micros outageSince = 0; // 0: there is no outage
   Micros retryDelay = kMinRetryDelay;
   ListWatcherCounts counts;
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -139,15 +139,18 @@
     .servers = { P::ServersListPath,
                  P::ServersWatchPath,
                  P::ParseServersList,
-                 P::ParseServersWatch },
+                 P::ParseServersWatch,
+                 P::kEraHeader },
     .config = { P::ConfigListPath,
                 P::ConfigWatchPath,
                 P::ParseConfigList,
-                P::ParseConfigWatch },
+                P::ParseConfigWatch,
+                P::kEraHeader },
     .drains = { P::DrainsListPath,
                 P::DrainsWatchPath,
                 P::ParseDrainsList,
-                P::ParseDrainsWatch },
+                P::ParseDrainsWatch,
+                P::kEraHeader },
   };
   this->steer.CurrentView().SetRegions(
     ParseRegions(this->settings.regions.zones).value());
--- a/src/tagged/node_packets.h
+++ b/src/tagged/node_packets.h
@@ -163,7 +163,7 @@
   aLine.Text("server", FormatEndpoint(server.entry.endpoint))
     .Text("server_id", absl::StrCat(absl::Hex(server.entry.id)))
     .Number("server_started", server.entry.startedAt)
-    .Number("server_revision", static_cast<int64_t>(server.revision))
+    .Number("server_revision", static_cast<int64_t>(server.position.revision))
     .Text("server_zone", server.entry.zone)
     .Number("open", health.open)
     .Number("unanswered", health.unanswered)
--- a/src/tagged/peer_codec.cpp
+++ b/src/tagged/peer_codec.cpp
@@ -105,7 +105,7 @@
 {
   msg::Server server;
   server.name = aChange.name;
-  server.revision = static_cast<int64_t>(aChange.revision);
+  server.revision = static_cast<int64_t>(aChange.position.revision);
   if (!aChange.entry) {
     return server; // removed or unreadable, as ToChange marks it
   }
@@ -121,8 +121,15 @@
   return server;
 }
 
+StorePosition
+ToPosition(int64_t aEra, int64_t aRevision)
+{
+  return { static_cast<uint64_t>(aEra), static_cast<uint64_t>(aRevision) };
+}
+
+// The entries of a message are all of one era, which they do not repeat.
 steer::ServerChange
-FromMessage(const msg::Server& aServer)
+FromMessage(const msg::Server& aServer, int64_t aEra)
 {
   steer::ServerEntry entry;
   entry.id = static_cast<steer::ServerId>(aServer.id);
@@ -133,10 +140,9 @@
   entry.slots = static_cast<uint32_t>(aServer.slots);
   entry.draining = aServer.draining;
   entry.warmupLeft = aServer.coldFor;
-  return { aServer.name,
-           static_cast<uint64_t>(aServer.revision),
-           false,
-           std::move(entry) };
+  return {
+    aServer.name, ToPosition(aEra, aServer.revision), false, std::move(entry)
+  };
 }
 
 // ViewCopy and Heartbeat have the same fields for the drained zones.
@@ -144,8 +150,11 @@
 void
 WriteDrains(const steer::DrainState& aDrains, M& aMessage)
 {
-  aMessage.drainsRevision = static_cast<int64_t>(aDrains.revision);
-  aMessage.drainsChanged = static_cast<int64_t>(aDrains.changedRevision);
+  aMessage.drainsEra = static_cast<int64_t>(aDrains.position.era);
+  aMessage.drainsRevision = static_cast<int64_t>(aDrains.position.revision);
+  aMessage.drainsChangedEra = static_cast<int64_t>(aDrains.changedPosition.era);
+  aMessage.drainsChanged =
+    static_cast<int64_t>(aDrains.changedPosition.revision);
   aMessage.drainedZones = aDrains.zones;
 }
 
@@ -155,8 +164,8 @@
 ReadDrains(const M& aMessage)
 {
   steer::DrainState drains{
-    static_cast<uint64_t>(aMessage.drainsRevision),
-    static_cast<uint64_t>(aMessage.drainsChanged),
+    ToPosition(aMessage.drainsEra, aMessage.drainsRevision),
+    ToPosition(aMessage.drainsChangedEra, aMessage.drainsChanged),
     aMessage.drainedZones,
   };
   std::sort(drains.zones.begin(), drains.zones.end());
@@ -165,13 +174,18 @@
   return drains;
 }
 
-// A revision that no store can reach would keep out all later states.
+// A position that no store can reach would keep out all later states.
 template<typename M>
 bool
-HasValidDrains(const M& aMessage)
+HasValidPositions(const M& aMessage)
 {
-  return aMessage.drainsRevision >= 0 && aMessage.drainsChanged >= 0 &&
-         aMessage.drainsChanged <= aMessage.drainsRevision;
+  bool isNegative = aMessage.configEra < 0 || aMessage.configRevision < 0 ||
+                    aMessage.serversEra < 0 || aMessage.serversRevision < 0 ||
+                    aMessage.drainsEra < 0 || aMessage.drainsRevision < 0 ||
+                    aMessage.drainsChangedEra < 0 || aMessage.drainsChanged < 0;
+  return !isNegative &&
+         ToPosition(aMessage.drainsChangedEra, aMessage.drainsChanged) <=
+           ToPosition(aMessage.drainsEra, aMessage.drainsRevision);
 }
 
 }
@@ -191,8 +205,10 @@
     copy.services.push_back(std::move(message));
   }
   copy.idle = aView.config.idle;
-  copy.configRevision = static_cast<int64_t>(aView.configRevision);
-  copy.serversRevision = static_cast<int64_t>(aView.serversRevision);
+  copy.configEra = static_cast<int64_t>(aView.configPosition.era);
+  copy.configRevision = static_cast<int64_t>(aView.configPosition.revision);
+  copy.serversEra = static_cast<int64_t>(aView.serversPosition.era);
+  copy.serversRevision = static_cast<int64_t>(aView.serversPosition.revision);
   for (const steer::ServerChange& change : aView.servers) {
     (change.entry ? copy.servers : copy.unreadable)
       .push_back(ToMessage(change));
@@ -208,9 +224,9 @@
   if (!copy.ok()) {
     return copy.status();
   }
-  if (!HasValidDrains(*copy)) {
+  if (!HasValidPositions(*copy)) {
     return absl::DataLossError(
-      "read view of a peer: invalid revisions of the drains");
+      "read view of a peer: an era or a revision is invalid");
   }
   PeerView view;
   view.config.version = copy->configVersion;
@@ -221,14 +237,16 @@
   for (const msg::Service& service : copy->services) {
     view.config.services.push_back({ service.name, service.warmupQuota });
   }
-  view.configRevision = static_cast<uint64_t>(copy->configRevision);
-  view.serversRevision = static_cast<uint64_t>(copy->serversRevision);
+  view.configPosition = ToPosition(copy->configEra, copy->configRevision);
+  view.serversPosition = ToPosition(copy->serversEra, copy->serversRevision);
   for (const msg::Server& server : copy->servers) {
-    view.servers.push_back(FromMessage(server));
+    view.servers.push_back(FromMessage(server, copy->serversEra));
   }
   for (const msg::Server& server : copy->unreadable) {
-    view.servers.push_back(
-      { server.name, static_cast<uint64_t>(server.revision), false, {} });
+    view.servers.push_back({ server.name,
+                             ToPosition(copy->serversEra, server.revision),
+                             false,
+                             {} });
   }
   view.drains = ReadDrains(*copy);
   return view;
@@ -253,9 +271,9 @@
 }
 
 steer::ServerChange
-FromChange(const msg::Change& aChange)
+FromChange(const msg::Change& aChange, int64_t aEra)
 {
-  steer::ServerChange change = FromMessage(aChange.server);
+  steer::ServerChange change = FromMessage(aChange.server, aEra);
   change.removed = aChange.kind == kRemoved;
   if (aChange.kind != kListed) {
     change.entry.reset();
@@ -264,34 +282,42 @@
 }
 
 void
-WriteRevisions(const spread::Heartbeat& aHeartbeat, msg::Heartbeat& aMessage)
+WritePositions(const spread::Heartbeat& aHeartbeat, msg::Heartbeat& aMessage)
 {
   aMessage.configVersion = aHeartbeat.configVersion;
-  aMessage.configRevision = static_cast<int64_t>(aHeartbeat.configRevision);
+  aMessage.configEra = static_cast<int64_t>(aHeartbeat.configPosition.era);
+  aMessage.configRevision =
+    static_cast<int64_t>(aHeartbeat.configPosition.revision);
   aMessage.configAge = aHeartbeat.configAge;
-  aMessage.serversRevision = static_cast<int64_t>(aHeartbeat.serversRevision);
+  aMessage.serversEra = static_cast<int64_t>(aHeartbeat.serversPosition.era);
+  aMessage.serversRevision =
+    static_cast<int64_t>(aHeartbeat.serversPosition.revision);
   aMessage.serversAge = aHeartbeat.serversAge;
   aMessage.storeBackAge = aHeartbeat.storeBackAge;
-  aMessage.changesFrom = static_cast<int64_t>(aHeartbeat.recent.from);
-  aMessage.changesTo = static_cast<int64_t>(aHeartbeat.recent.to);
+  aMessage.changesFrom = static_cast<int64_t>(aHeartbeat.recent.from.revision);
+  aMessage.changesTo = static_cast<int64_t>(aHeartbeat.recent.to.revision);
   for (const steer::ServerChange& change : aHeartbeat.recent.changes) {
     aMessage.changes.push_back(ToChange(change));
   }
 }
 
 void
-ReadRevisions(const msg::Heartbeat& aMessage, spread::Heartbeat& aHeartbeat)
+ReadPositions(const msg::Heartbeat& aMessage, spread::Heartbeat& aHeartbeat)
 {
   aHeartbeat.configVersion = aMessage.configVersion;
-  aHeartbeat.configRevision = static_cast<uint64_t>(aMessage.configRevision);
+  aHeartbeat.configPosition =
+    ToPosition(aMessage.configEra, aMessage.configRevision);
   aHeartbeat.configAge = aMessage.configAge;
-  aHeartbeat.serversRevision = static_cast<uint64_t>(aMessage.serversRevision);
+  aHeartbeat.serversPosition =
+    ToPosition(aMessage.serversEra, aMessage.serversRevision);
   aHeartbeat.serversAge = aMessage.serversAge;
   aHeartbeat.storeBackAge = aMessage.storeBackAge;
-  aHeartbeat.recent.from = static_cast<uint64_t>(aMessage.changesFrom);
-  aHeartbeat.recent.to = static_cast<uint64_t>(aMessage.changesTo);
+  aHeartbeat.recent.from =
+    ToPosition(aMessage.serversEra, aMessage.changesFrom);
+  aHeartbeat.recent.to = ToPosition(aMessage.serversEra, aMessage.changesTo);
   for (const msg::Change& change : aMessage.changes) {
-    aHeartbeat.recent.changes.push_back(FromChange(change));
+    aHeartbeat.recent.changes.push_back(
+      FromChange(change, aMessage.serversEra));
   }
 }
 
@@ -323,7 +349,7 @@
   message.storeAnswers = aHeartbeat.storeAnswers;
   message.hasView = aHeartbeat.hasView;
   message.wantsAnswer = aHeartbeat.wantsAnswer;
-  WriteRevisions(aHeartbeat, message);
+  WritePositions(aHeartbeat, message);
   WriteDrains(aHeartbeat.drains, message);
   message.drainsAge = aHeartbeat.drainsAge;
   message.drainsLeftOut = aHeartbeat.drainsLeftOut;
@@ -364,7 +390,7 @@
   heartbeat.storeAnswers = message->storeAnswers;
   heartbeat.hasView = message->hasView;
   heartbeat.wantsAnswer = message->wantsAnswer;
-  ReadRevisions(*message, heartbeat);
+  ReadPositions(*message, heartbeat);
   heartbeat.drains = ReadDrains(*message);
   heartbeat.drainsAge = message->drainsAge;
   heartbeat.drainsLeftOut = message->drainsLeftOut;
@@ -384,9 +410,9 @@
                                 message->quotaHolders.end());
   std::sort(heartbeat.quotaHolders.begin(), heartbeat.quotaHolders.end());
   heartbeat.handsOutQuota = message->handsOutQuota;
-  if (!HasValidDrains(*message) || !IsValid(heartbeat)) {
+  if (!HasValidPositions(*message) || !IsValid(heartbeat)) {
     return absl::DataLossError(
-      "read heartbeat of a peer: negative age or revision, a change before its "
+      "read heartbeat of a peer: negative age or position, a change before its "
       "start, or too many holders of quotas");
   }
   return heartbeat;
--- a/src/tagged/peer_codec.h
+++ b/src/tagged/peer_codec.h
@@ -1,5 +1,5 @@
 // Encodes and decodes the messages between instances: views, heartbeats with
-// the revisions and ages of what the sender knows, and queries about openings.
+// the positions and ages of what the sender knows, and queries about openings.
 #pragma once
 
 #include "spread/beat.h"
@@ -19,9 +19,9 @@
 struct PeerView
 {
   steer::Config config;
-  // Revisions of the store up to which the sender knows everything.
-  uint64_t configRevision = 0;
-  uint64_t serversRevision = 0; // 0: the servers are left out
+  // Positions of the store up to which the sender knows everything.
+  StorePosition configPosition;
+  StorePosition serversPosition; // not known: the servers are left out
   std::vector<steer::ServerChange> servers;
   steer::DrainState drains; // with and without the servers
 };
--- a/src/tagged/peers.h
+++ b/src/tagged/peers.h
@@ -55,8 +55,8 @@
 struct ViewVersion
 {
   int64_t configVersion = 0;
-  uint64_t serversRevision = 0;
-  uint64_t drainsChanged = 0; // revision of the last change
+  StorePosition serversPosition;
+  StorePosition drainsChanged; // of the last change
   friend bool operator==(const ViewVersion&, const ViewVersion&) = default;
 };
 
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -126,11 +126,13 @@
 Sync::MakeWatcherEvents(std::string_view aKind)
 {
   ListWatcherEvents<C> created;
-  created.onList = [this](std::span<const C> aList, uint64_t aRevision) {
-    this->OnStoreResponse(aList, aRevision, true);
+  created.onList = [this](std::span<const C> aList,
+                          const StorePosition& aPosition) {
+    this->OnStoreResponse(aList, aPosition, true);
   };
-  created.onChanges = [this](std::span<const C> aChanges, uint64_t aRevision) {
-    this->OnStoreResponse(aChanges, aRevision, false);
+  created.onChanges = [this](std::span<const C> aChanges,
+                             const StorePosition& aPosition) {
+    this->OnStoreResponse(aChanges, aPosition, false);
   };
   created.onStoreLost = [this, aKind](const std::string& aError, bool aFirst) {
     this->OnStoreLost(aKind, aError, aFirst);
@@ -171,14 +173,14 @@
 
 void
 Sync::OnStoreResponse(std::span<const steer::ServerChange> aChanges,
-                      uint64_t aRevision,
+                      const StorePosition& aPosition,
                       bool aList)
 {
   Micros now = SteadyNow();
   if (aList) {
-    this->spread.OnServersList(aRevision, now);
+    this->spread.OnServersList(aPosition, now);
   } else {
-    this->spread.OnServersChanges(aChanges, aRevision, now);
+    this->spread.OnServersChanges(aChanges, aPosition, now);
   }
   // Set before the changes are applied, as it decides whether missing entries
   // get a grace period.
@@ -192,7 +194,7 @@
   this->LogServers(aChanges, "store");
   for (const steer::ServerChange& change : aChanges) {
     if (!change.removed && !change.entry) {
-      this->ReportUnreadable(EntryKind::Server, change.name, change.revision);
+      this->ReportUnreadable(EntryKind::Server, change.name, change.position);
     }
   }
   this->ExchangeWithPeers(now);
@@ -200,18 +202,18 @@
 
 void
 Sync::OnStoreResponse(std::span<const steer::ConfigChange> aChanges,
-                      uint64_t aRevision,
+                      const StorePosition& aPosition,
                       bool /*aList*/)
 {
   for (const steer::ConfigChange& change : aChanges) {
     // A removed configuration counts as unreadable, too. In both cases the one
     // in force stays.
     if (change.removed || !change.config) {
-      this->ReportUnreadable(EntryKind::Config, change.name, change.revision);
+      this->ReportUnreadable(EntryKind::Config, change.name, change.position);
       continue;
     }
     for (const std::string& route : change.unreadableRoutes) {
-      this->ReportUnreadable(EntryKind::Route, route, change.revision);
+      this->ReportUnreadable(EntryKind::Route, route, change.position);
     }
     int64_t formerVersion = this->view.Version();
     if (this->view.PutConfig(*change.config)) {
@@ -219,23 +221,23 @@
       LogLine line("config");
       line.Number("version", change.config->version)
         .Number("former", formerVersion)
-        .Number("revision", static_cast<int64_t>(change.revision))
+        .Number("revision", static_cast<int64_t>(change.position.revision))
         .Number("routes", static_cast<int64_t>(this->view.Routes()));
       this->events.log(line);
     }
   }
   Micros now = SteadyNow();
-  this->spread.OnConfigResponse(this->view.Version(), aRevision, now);
+  this->spread.OnConfigResponse(this->view.Version(), aPosition, now);
   this->ExchangeWithPeers(now);
 }
 
 void
 Sync::OnStoreResponse(std::span<const steer::DrainChange> aChanges,
-                      uint64_t aRevision,
+                      const StorePosition& aPosition,
                       bool aList)
 {
   Micros now = SteadyNow();
-  if (this->spread.OnDrainsResponse(aChanges, aRevision, aList, now)) {
+  if (this->spread.OnDrainsResponse(aChanges, aPosition, aList, now)) {
     this->ApplyDrains("store");
   }
   this->ExchangeWithPeers(now);
@@ -250,7 +252,7 @@
   steer::DrainState former = this->view.Drains();
   this->view.PutDrains(next);
   if (!former.IsKnown()) {
-    this->drains.AdvanceTo(next.revision);
+    this->drains.AdvanceTo(next.position);
     this->events.onView();
   }
   auto hasZone = [](const steer::DrainState& aState, const std::string& aZone) {
@@ -269,7 +271,7 @@
 }
 
 // Starts or stops the watches when the replicator has changed this instance's
-// role. Started watches continue from the known revision, whether it came from
+// role. Started watches continue from the known position, whether it came from
 // the store or from a peer.
 void
 Sync::ApplyReaderRole()
@@ -280,14 +282,14 @@
   }
   this->isReader = reads;
   if (reads && this->spread.HasView()) {
-    this->servers.AdvanceTo(this->spread.Servers().revision);
-    this->config.AdvanceTo(this->spread.Config().revision);
+    this->servers.AdvanceTo(this->spread.Servers().position);
+    this->config.AdvanceTo(this->spread.Config().position);
   }
   this->servers.SetWatching(reads);
   this->config.SetWatching(reads);
   if (this->readsDrains) {
     if (reads && this->spread.Drains().IsKnown()) {
-      this->drains.AdvanceTo(this->spread.Drains().revision);
+      this->drains.AdvanceTo(this->spread.Drains().position);
     }
     this->drains.SetWatching(reads);
   }
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -143,13 +143,13 @@
                    bool aFirst);
   void OnStoreBack(std::string_view aKind, Micros aOutage);
   void OnStoreResponse(std::span<const steer::ServerChange> aChanges,
-                       uint64_t aRevision,
+                       const StorePosition& aPosition,
                        bool aList);
   void OnStoreResponse(std::span<const steer::ConfigChange> aChanges,
-                       uint64_t aRevision,
+                       const StorePosition& aPosition,
                        bool aList);
   void OnStoreResponse(std::span<const steer::DrainChange> aChanges,
-                       uint64_t aRevision,
+                       const StorePosition& aPosition,
                        bool aList);
   // Puts the replicator's drained zones in force, and logs those that changed.
   void ApplyDrains(const std::string& aSource);
@@ -173,7 +173,7 @@
   // Counts and logs an entry that cannot be read, once a version.
   void ReportUnreadable(EntryKind aKind,
                         std::string_view aName,
-                        uint64_t aRevision);
+                        const StorePosition& aPosition);
 
   steer::View& view;
   SyncEvents events;
--- a/src/tagged/sync_log.cpp
+++ b/src/tagged/sync_log.cpp
@@ -34,22 +34,23 @@
     .Text("state", aDrained ? "in_force" : "lifted")
     .Text("source", aSource)
     .Number("age_ms", this->DrainsAge(SteadyNow()) / kMillisecond)
-    .Number("revision", static_cast<int64_t>(this->spread.Drains().revision));
+    .Number("revision",
+            static_cast<int64_t>(this->spread.Drains().position.revision));
   this->events.log(line);
 }
 
 void
 Sync::ReportUnreadable(EntryKind aKind,
                        std::string_view aName,
-                       uint64_t aRevision)
+                       const StorePosition& aPosition)
 {
-  if (!this->unreadable.Record(aKind, aName, aRevision)) {
+  if (!this->unreadable.Record(aKind, aName, aPosition)) {
     return;
   }
   LogLine line("entry_unreadable");
   line.Text("kind", kEntryKindNames[static_cast<size_t>(aKind)])
     .Text("name", aName.substr(0, kMaxLoggedNameBytes))
-    .Number("revision", static_cast<int64_t>(aRevision));
+    .Number("revision", static_cast<int64_t>(aPosition.revision));
   this->events.log(line);
 }
 
@@ -69,7 +70,7 @@
   for (const steer::ServerChange& change : aChanges) {
     LogLine line("server");
     line.Text("id", change.name)
-      .Number("revision", static_cast<int64_t>(change.revision))
+      .Number("revision", static_cast<int64_t>(change.position.revision))
       .Text("state", StateName(change))
       .Text("source", aSource);
     this->events.log(line);
--- a/src/tagged/sync_peers.cpp
+++ b/src/tagged/sync_peers.cpp
@@ -44,8 +44,8 @@
   Micros now = SteadyNow();
   std::vector<steer::ServerChange> newChanges =
     this->spread.OnHeartbeat(aFrom, aHeartbeat, now);
-  if (this->spread.Drains().changedRevision !=
-      this->view.Drains().changedRevision) {
+  if (this->spread.Drains().changedPosition !=
+      this->view.Drains().changedPosition) {
     this->ApplyDrains(FormatAddress(aFrom));
   }
   this->view.SetStoreBackAt(this->spread.StoreBackAt());
@@ -99,8 +99,8 @@
     return std::nullopt;
   }
   return ViewVersion{ this->view.Version(),
-                      this->spread.Servers().revision,
-                      this->spread.Drains().changedRevision };
+                      this->spread.Servers().position,
+                      this->spread.Drains().changedPosition };
 }
 
 PeerView
@@ -108,10 +108,10 @@
 {
   PeerView copy;
   copy.config = this->view.CopyConfig();
-  copy.configRevision = this->spread.Config().revision;
+  copy.configPosition = this->spread.Config().position;
   copy.drains = this->spread.Drains();
   if (aWithServers) {
-    copy.serversRevision = this->spread.Servers().revision;
+    copy.serversPosition = this->spread.Servers().position;
     copy.servers = this->view.CopyServers(SteadyNow());
   }
   return copy;
@@ -123,11 +123,12 @@
   this->peerViewPending = false;
   int64_t formerVersion = this->view.Version();
   bool newConfig = this->view.PutConfig(aView.config);
-  this->spread.OnPeerConfig(this->view.Version(), aView.configRevision);
-  bool newServers = aView.serversRevision > this->spread.Servers().revision;
+  this->spread.OnPeerConfig(this->view.Version(), aView.configPosition);
+  bool newServers =
+    aView.serversPosition.revision > this->spread.Servers().position.revision;
   if (newServers) {
     this->view.PutServers(aView.servers, SteadyNow());
-    this->spread.OnPeerServers(aView.serversRevision);
+    this->spread.OnPeerServers(aView.serversPosition);
   }
   // This instance watches the store itself, but a peer knew more: the watch's
   // connection may no longer deliver changes.
@@ -138,10 +139,10 @@
     this->servers.Reconnect();
   }
   if (this->view.HasServers()) {
-    this->servers.AdvanceTo(this->spread.Servers().revision);
+    this->servers.AdvanceTo(this->spread.Servers().position);
   }
   if (this->view.Version() > 0) {
-    this->config.AdvanceTo(this->spread.Config().revision);
+    this->config.AdvanceTo(this->spread.Config().position);
   }
   // The peer does not say when the store confirmed them; a heartbeat does.
   if (this->spread.OnPeerDrains(aView.drains, spread::kNever)) {
@@ -153,7 +154,7 @@
     .Number("config_version", this->view.Version())
     .Number("former", formerVersion)
     .Number("servers_revision",
-            static_cast<int64_t>(this->spread.Servers().revision))
+            static_cast<int64_t>(this->spread.Servers().position.revision))
     .Text("servers", newServers ? "newer" : "known");
   this->events.log(line);
 }
--- a/src/tagged/transport.h
+++ b/src/tagged/transport.h
@@ -33,7 +33,7 @@
   std::string lastName; // the last name on the page that can be read
   // Of the store. The next watch continues from that of the last watch response
   // or, after a list, from that of the list's first page.
-  uint64_t revision = 0;
+  StorePosition position;
 };
 
 template<typename P>
@@ -41,7 +41,9 @@
                             std::span<const uint8_t> aRead,
                             std::string_view aText,
                             const steer::Packet& aPacket,
-                            uint64_t aNumber)
+                            uint64_t aNumber,
+                            std::string_view aBody,
+                            uint64_t aEra)
 {
   // Name of the environment variable with the path of the settings file.
   {
@@ -69,7 +71,12 @@
   {
     P::RequestId(aRead)
     } -> std::same_as<std::string_view>;
-  // Paths of the store's lists and watches, and parsers of their responses.
+  // Name of the header in which the store's responses give its era.
+  {
+    P::kEraHeader
+    } -> std::convertible_to<const char*>;
+  // Paths of the store's lists and watches, and parsers of their responses,
+  // which came in an era of the store.
   {
     P::ServersListPath(aText)
     } -> std::same_as<std::string>;
@@ -77,10 +84,10 @@
     P::ServersWatchPath(aNumber, int64_t{})
     } -> std::same_as<std::string>;
   {
-    P::ParseServersList(aText)
+    P::ParseServersList(aBody, aEra)
     } -> std::same_as<absl::StatusOr<Page<steer::ServerChange>>>;
   {
-    P::ParseServersWatch(aText)
+    P::ParseServersWatch(aBody, aEra)
     } -> std::same_as<absl::StatusOr<Page<steer::ServerChange>>>;
   {
     P::ConfigListPath(aText)
@@ -89,10 +96,10 @@
     P::ConfigWatchPath(aNumber, int64_t{})
     } -> std::same_as<std::string>;
   {
-    P::ParseConfigList(aText)
+    P::ParseConfigList(aBody, aEra)
     } -> std::same_as<absl::StatusOr<Page<steer::ConfigChange>>>;
   {
-    P::ParseConfigWatch(aText)
+    P::ParseConfigWatch(aBody, aEra)
     } -> std::same_as<absl::StatusOr<Page<steer::ConfigChange>>>;
   {
     P::DrainsListPath(aText)
@@ -101,10 +108,10 @@
     P::DrainsWatchPath(aNumber, int64_t{})
     } -> std::same_as<std::string>;
   {
-    P::ParseDrainsList(aText)
+    P::ParseDrainsList(aBody, aEra)
     } -> std::same_as<absl::StatusOr<Page<steer::DrainChange>>>;
   {
-    P::ParseDrainsWatch(aText)
+    P::ParseDrainsWatch(aBody, aEra)
     } -> std::same_as<absl::StatusOr<Page<steer::DrainChange>>>;
 };
 
--- a/src/tagged/unreadable_entries.h
+++ b/src/tagged/unreadable_entries.h
@@ -2,6 +2,8 @@
 // although lists and watches repeat it.
 #pragma once
 
+#include "base/store_position.h"
+
 #include "absl/container/flat_hash_map.h"
 
 #include <array>
@@ -31,16 +33,18 @@
 public:
   // Records an unreadable entry. Returns whether this version of it is new; it
   // is counted then.
-  bool Record(EntryKind aKind, std::string_view aName, uint64_t aRevision)
+  bool Record(EntryKind aKind,
+              std::string_view aName,
+              const StorePosition& aPosition)
   {
-    if (this->revisions.size() >= kMaxRemembered) {
-      this->revisions.clear();
+    if (this->positions.size() >= kMaxRemembered) {
+      this->positions.clear();
     }
     std::string key(1, static_cast<char>(aKind));
     key += aName;
-    auto [known, inserted] = this->revisions.try_emplace(key, aRevision);
-    bool isNew = inserted || known->second != aRevision;
-    known->second = aRevision;
+    auto [known, inserted] = this->positions.try_emplace(key, aPosition);
+    bool isNew = inserted || known->second != aPosition;
+    known->second = aPosition;
     this->counts[static_cast<size_t>(aKind)] += isNew ? 1 : 0;
     return isNew;
   }
@@ -52,7 +56,7 @@
   // reached, all are forgotten, and counted and logged once more.
   static constexpr size_t kMaxRemembered = 4096;
 
-  absl::flat_hash_map<std::string, uint64_t> revisions;
+  absl::flat_hash_map<std::string, StorePosition> positions;
   EntryCounts counts{};
 };
 
--- a/tests/fuzz/translation_fuzz.cpp
+++ b/tests/fuzz/translation_fuzz.cpp
@@ -31,9 +31,9 @@
          R"({"meta":{"name":"i-2","revision":5},"spec":)" + value + "}",
          R"({"meta":{"name":"i-2"},"spec":{"service":"s","x":)" + value +
            "}}" }) {
-    auto page =
-      ObjectFormat::ParseServersList(R"({"items":[)" + good + "," + malformed +
-                                     "," + good + R"(],"as_of":9})");
+    auto page = ObjectFormat::ParseServersList(
+      R"({"items":[)" + good + "," + malformed + "," + good + R"(],"as_of":9})",
+      1);
     bool followed = page.ok() && page->changes.size() >= 2 &&
                     page->changes.front().entry && page->changes.back().entry;
     if (!followed) {
@@ -65,13 +65,13 @@
       break;
     }
     case 1:
-      (void)platform::ObjectFormat::ParseServersList(text);
-      (void)platform::ObjectFormat::ParseServersWatch(text);
+      (void)platform::ObjectFormat::ParseServersList(text, 1);
+      (void)platform::ObjectFormat::ParseServersWatch(text, 1);
       CheckMalformedEntry(text);
       break;
     case 2:
-      (void)platform::ObjectFormat::ParseConfigList(text);
-      (void)platform::ObjectFormat::ParseConfigWatch(text);
+      (void)platform::ObjectFormat::ParseConfigList(text, 1);
+      (void)platform::ObjectFormat::ParseConfigWatch(text, 1);
       break;
     default:
       (void)ParseTaggedSettings(text, "fuzz");
--- a/tests/spread/drains_test.cpp
+++ b/tests/spread/drains_test.cpp
@@ -2,6 +2,7 @@
 // and random histories in virtual time. They guard against an opening in a
 // drained zone beyond the bound, and against a return to an earlier state.
 #include "support/spread_fleet.h"
+#include "support/tagged_view.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -36,7 +37,9 @@
 {
   Heartbeat heartbeat;
   heartbeat.zone = "a";
-  heartbeat.drains = { aRevision, aChangedRevision, std::move(aZones) };
+  heartbeat.drains = { PositionAt(aRevision),
+                       PositionAt(aChangedRevision),
+                       std::move(aZones) };
   heartbeat.drainsAge = kSecond / 2;
   return heartbeat;
 }
@@ -73,7 +76,7 @@
   spread.OnHeartbeat(kPeer, MakeHeartbeat(60, 60, { "z1", "z2" }), kSecond);
   spread.OnHeartbeat(kPeer, MakeHeartbeat(55, 55, {}), 2 * kSecond);
   CHECK(spread.Drains().zones == Zones{ "z1", "z2" });
-  CHECK(spread.Drains().revision == 60);
+  CHECK(spread.Drains().position == PositionAt(60));
   // What it confirms is no newer than its age.
   CHECK(spread.DrainsConfirmedAt() == 2 * kSecond - kSecond / 2);
 }
@@ -82,25 +85,25 @@
           "state of its revision")
 {
   Replicator spread = MakeReplicator();
-  spread.OnDrainsResponse({}, 40, true, kSecond);
-  std::vector<steer::DrainChange> changes{ { "z1", 45, false },
-                                           { "z1", 50, true },
-                                           { "z2", 52, false },
-                                           { "z1", 55, false } };
+  spread.OnDrainsResponse({}, PositionAt(40), true, kSecond);
+  std::vector<steer::DrainChange> changes{ { "z1", PositionAt(45), false },
+                                           { "z1", PositionAt(50), true },
+                                           { "z2", PositionAt(52), false },
+                                           { "z1", PositionAt(55), false } };
   SECTION("with a peer's state in between")
   {
     spread.OnHeartbeat(kPeer, MakeHeartbeat(50, 50, {}), kSecond);
   }
   SECTION("without one") {}
-  spread.OnDrainsResponse(changes, 58, false, kSecond);
+  spread.OnDrainsResponse(changes, PositionAt(58), false, kSecond);
   CHECK(spread.Drains().zones == Zones{ "z1", "z2" });
   // A response from before what a peer told changes nothing.
   spread.OnHeartbeat(kPeer, MakeHeartbeat(70, 70, {}), kSecond);
-  spread.OnDrainsResponse(changes, 60, false, kSecond);
+  spread.OnDrainsResponse(changes, PositionAt(60), false, kSecond);
   CHECK(spread.Drains().zones.empty());
   // After a loss of the store's history the list replaces the state.
-  std::vector<steer::DrainChange> list{ { "z3", 44, false } };
-  spread.OnDrainsResponse(list, 80, true, kSecond);
+  std::vector<steer::DrainChange> list{ { "z3", PositionAt(44), false } };
+  spread.OnDrainsResponse(list, PositionAt(80), true, kSecond);
   CHECK(spread.Drains().zones == Zones{ "z3" });
 }
 
@@ -109,7 +112,8 @@
   Replicator spread = MakeReplicator(false);
   spread.OnHeartbeat(kPeer, MakeHeartbeat(50, 50, { "z1" }), kSecond);
   CHECK_FALSE(spread.Drains().IsKnown());
-  CHECK(spread.TakeHeartbeats(kSecond)[0].heartbeat.drains.revision == 0);
+  CHECK(spread.TakeHeartbeats(kSecond)[0].heartbeat.drains.position ==
+        StorePosition{});
 }
 
 TEST_CASE("More drained zones than a heartbeat holds are fetched with a view")
@@ -117,21 +121,21 @@
   Replicator sender = MakeReplicator();
   std::vector<steer::DrainChange> changes;
   for (size_t i = 0; i <= spread::kMaxDrainedZones; ++i) {
-    changes.push_back({ "zone-" + std::to_string(i), 60, false });
+    changes.push_back({ "zone-" + std::to_string(i), PositionAt(60), false });
   }
-  sender.OnConfigResponse(3, 50, kSecond);
-  sender.OnServersList(50, kSecond);
-  sender.OnDrainsResponse(changes, 60, true, kSecond);
+  sender.OnConfigResponse(3, PositionAt(50), kSecond);
+  sender.OnServersList(PositionAt(50), kSecond);
+  sender.OnDrainsResponse(changes, PositionAt(60), true, kSecond);
   Heartbeat heartbeat = sender.TakeHeartbeats(kSecond)[0].heartbeat;
   CHECK(heartbeat.drainsLeftOut);
   CHECK(heartbeat.drains.zones.empty());
 
   Replicator receiver = MakeReplicator();
-  receiver.OnConfigResponse(3, 50, kSecond);
-  receiver.OnServersList(50, kSecond);
-  receiver.OnDrainsResponse({}, 50, true, kSecond);
+  receiver.OnConfigResponse(3, PositionAt(50), kSecond);
+  receiver.OnServersList(PositionAt(50), kSecond);
+  receiver.OnDrainsResponse({}, PositionAt(50), true, kSecond);
   receiver.OnHeartbeat(kPeer, heartbeat, kSecond);
-  CHECK(receiver.Drains().revision == 50);
+  CHECK(receiver.Drains().position == PositionAt(50));
   auto request = receiver.NextViewRequest(kSecond + spread::kViewRequestDelay);
   REQUIRE(request);
   CHECK(request->peer == kPeer);
@@ -139,10 +143,10 @@
   receiver.OnPeerDrains(sender.Drains(), spread::kNever);
   CHECK_FALSE(receiver.NextViewRequest(9 * kSecond));
   // Later heartbeats without a change need no view.
-  sender.OnDrainsResponse({}, 90, false, 2 * kSecond);
+  sender.OnDrainsResponse({}, PositionAt(90), false, 2 * kSecond);
   receiver.OnHeartbeat(
     kPeer, sender.TakeHeartbeats(2 * kSecond)[0].heartbeat, 2 * kSecond);
-  CHECK(receiver.Drains().revision == 90);
+  CHECK(receiver.Drains().position == PositionAt(90));
   CHECK(receiver.Drains().zones == sender.Drains().zones);
 }
 
@@ -311,7 +315,7 @@
     options.seed = *rc::gen::inRange<uint32_t>(1, 1 << 30);
     auto fleet = MakeFleet(options);
     auto count = *rc::gen::inRange<size_t>(5, 30);
-    std::vector<uint64_t> revisions(fleet->Size(), 0);
+    std::vector<StorePosition> positions(fleet->Size());
     std::vector<uint64_t> incarnations(fleet->Size(), 0);
     for (size_t i = 0; i < count; ++i) {
       auto step = static_cast<Step>(*rc::gen::inRange<size_t>(0, kStepKinds));
@@ -326,11 +330,11 @@
         if (!instance.alive) {
           continue;
         }
-        uint64_t revision = instance.spread->Drains().revision;
+        StorePosition position = instance.spread->Drains().position;
         bool same = instance.incarnation == incarnations[index];
-        RC_ASSERT(!same || revision >= revisions[index]);
+        RC_ASSERT(!same || position >= positions[index]);
         incarnations[index] = instance.incarnation;
-        revisions[index] = revision;
+        positions[index] = position;
       }
       RC_ASSERT(fleet->WrongDrains() == 0U);
       RC_ASSERT(fleet->MaxDrainTime() <= kMaxDrainTime);
--- a/tests/spread/spread_test.cpp
+++ b/tests/spread/spread_test.cpp
@@ -40,9 +40,9 @@
   heartbeat.storeAnswers = aReads;
   heartbeat.hasView = true;
   heartbeat.configVersion = 3;
-  heartbeat.configRevision = 50;
-  heartbeat.serversRevision = 50;
-  heartbeat.recent = { 50, 50, {} };
+  heartbeat.configPosition = PositionAt(50);
+  heartbeat.serversPosition = PositionAt(50);
+  heartbeat.recent = { PositionAt(50), PositionAt(50), {} };
   return heartbeat;
 }
 
@@ -68,17 +68,21 @@
   "Changes are applied without a gap, or a view is requested from the peer")
 {
   Replicator spread = MakeReplicator();
-  spread.OnConfigResponse(3, 50, kSecond);
-  spread.OnServersList(50, kSecond);
+  spread.OnConfigResponse(3, PositionAt(50), kSecond);
+  spread.OnServersList(PositionAt(50), kSecond);
   Heartbeat heartbeat = MakeHeartbeat("a", true);
-  heartbeat.serversRevision = 60;
-  heartbeat.recent = { 50, 60, { MakeServer(1, "web", 55) } };
+  heartbeat.serversPosition = PositionAt(60);
+  heartbeat.recent = { PositionAt(50),
+                       PositionAt(60),
+                       { MakeServer(1, "web", 55) } };
   CHECK(spread.OnHeartbeat(kPeer, heartbeat, kSecond).size() == 1);
   // The same changes arrive a second time.
   CHECK(spread.OnHeartbeat(kPeer, heartbeat, kSecond).empty());
-  CHECK(spread.Servers().revision == 60);
-  heartbeat.serversRevision = 80;
-  heartbeat.recent = { 70, 80, { MakeServer(2, "web", 75) } };
+  CHECK(spread.Servers().position == PositionAt(60));
+  heartbeat.serversPosition = PositionAt(80);
+  heartbeat.recent = { PositionAt(70),
+                       PositionAt(80),
+                       { MakeServer(2, "web", 75) } };
   CHECK(spread.OnHeartbeat(kPeer, heartbeat, kSecond).empty());
   CHECK_FALSE(spread.NextViewRequest(kSecond));
   std::optional<spread::ViewRequest> viewRequest =
@@ -87,7 +91,9 @@
   CHECK(viewRequest->peer == kPeer);
   CHECK(viewRequest->servers);
   // The missing changes arrive late and close the gap.
-  heartbeat.recent = { 60, 80, { MakeServer(2, "web", 75) } };
+  heartbeat.recent = { PositionAt(60),
+                       PositionAt(80),
+                       { MakeServer(2, "web", 75) } };
   CHECK(spread.OnHeartbeat(kPeer, heartbeat, 2 * kSecond).size() == 1);
   CHECK_FALSE(spread.NextViewRequest(3 * kSecond));
 }
@@ -96,13 +102,13 @@
   "A peer with older revisions rolls nothing back and confirms what is known")
 {
   Replicator spread = MakeReplicator();
-  spread.OnConfigResponse(5, 90, kSecond);
-  spread.OnServersList(90, kSecond);
+  spread.OnConfigResponse(5, PositionAt(90), kSecond);
+  spread.OnServersList(PositionAt(90), kSecond);
   Heartbeat older = MakeHeartbeat("a", true);
   older.configAge = 100 * kMillisecond;
   older.serversAge = 100 * kMillisecond;
   CHECK(spread.OnHeartbeat(kPeer, older, 3 * kSecond).empty());
-  CHECK(spread.Servers().revision == 90);
+  CHECK(spread.Servers().position == PositionAt(90));
   CHECK_FALSE(spread.NextViewRequest(10 * kSecond));
   CHECK(spread.Config().confirmedAt == 3 * kSecond - 100 * kMillisecond);
 }
@@ -111,8 +117,8 @@
   "A peer with a newer version confirms nothing, and its view is requested")
 {
   Replicator spread = MakeReplicator();
-  spread.OnConfigResponse(3, 50, kSecond);
-  spread.OnServersList(50, kSecond);
+  spread.OnConfigResponse(3, PositionAt(50), kSecond);
+  spread.OnServersList(PositionAt(50), kSecond);
   Heartbeat heartbeat = MakeHeartbeat("a", true);
   heartbeat.configVersion = 4;
   spread.OnHeartbeat(kPeer, heartbeat, 9 * kSecond);
@@ -134,8 +140,8 @@
     spread.Tick(now);
   }
   REQUIRE(spread.Reads());
-  spread.OnConfigResponse(3, 50, now);
-  spread.OnServersList(50, now);
+  spread.OnConfigResponse(3, PositionAt(50), now);
+  spread.OnServersList(PositionAt(50), now);
   Heartbeat larger = MakeHeartbeat("a", true);
   SECTION("A larger reader without an answer of the store is not better")
   {
@@ -156,8 +162,8 @@
 TEST_CASE("After a process pause the view is stale")
 {
   Replicator spread = MakeReplicator();
-  spread.OnConfigResponse(3, 50, kSecond);
-  spread.OnServersList(50, kSecond);
+  spread.OnConfigResponse(3, PositionAt(50), kSecond);
+  spread.OnServersList(PositionAt(50), kSecond);
   CHECK_FALSE(spread.Stale(kSecond));
   spread.OnProcessPause();
   CHECK(spread.Stale(kSecond));
@@ -166,21 +172,21 @@
 TEST_CASE("An answer after a long silence means that the store was unavailable")
 {
   Replicator spread = MakeReplicator();
-  spread.OnConfigResponse(3, 50, kSecond);
-  spread.OnServersList(50, kSecond);
+  spread.OnConfigResponse(3, PositionAt(50), kSecond);
+  spread.OnServersList(PositionAt(50), kSecond);
   // The first answer, and a watch that ends without changes, are no sign of an
   // outage.
-  spread.OnServersChanges({}, 50, 2 * kSecond);
+  spread.OnServersChanges({}, PositionAt(50), 2 * kSecond);
   CHECK(spread.StoreBackAt() == spread::kNever);
   SECTION("for an instance that begins to read just then")
   {
-    spread.OnServersChanges({}, 60, 9 * kSecond);
+    spread.OnServersChanges({}, PositionAt(60), 9 * kSecond);
     CHECK(spread.StoreBackAt() == 9 * kSecond);
   }
   SECTION("but not for an instance that was paused itself")
   {
     spread.OnProcessPause();
-    spread.OnServersChanges({}, 60, 9 * kSecond);
+    spread.OnServersChanges({}, PositionAt(60), 9 * kSecond);
     CHECK(spread.StoreBackAt() == spread::kNever);
   }
 }
@@ -192,13 +198,13 @@
   options.zone = "a";
   options.watchWait = 30 * kSecond;
   Replicator spread(options);
-  spread.OnConfigResponse(3, 50, kSecond);
-  spread.OnServersList(50, kSecond);
-  spread.OnServersChanges({}, 50, 31 * kSecond);
-  spread.OnConfigResponse(3, 50, 31 * kSecond + 100 * kMillisecond);
+  spread.OnConfigResponse(3, PositionAt(50), kSecond);
+  spread.OnServersList(PositionAt(50), kSecond);
+  spread.OnServersChanges({}, PositionAt(50), 31 * kSecond);
+  spread.OnConfigResponse(3, PositionAt(50), 31 * kSecond + 100 * kMillisecond);
   CHECK(spread.StoreBackAt() == spread::kNever);
   // Without an answer for longer than that it is one.
-  spread.OnServersChanges({}, 50, 63 * kSecond);
+  spread.OnServersChanges({}, PositionAt(50), 63 * kSecond);
   CHECK(spread.StoreBackAt() == 63 * kSecond);
 }
 
@@ -220,8 +226,8 @@
   constexpr Address kReader = 30;
   reply.members = { 29, kReader, 31 };
   reply.readers = { { kReader, "a" } };
-  spread.OnConfigResponse(3, 50, kSecond);
-  spread.OnServersList(50, kSecond);
+  spread.OnConfigResponse(3, PositionAt(50), kSecond);
+  spread.OnServersList(PositionAt(50), kSecond);
   spread.OnHeartbeat(kPeer, reply, kSecond);
   // With a reader known, its hello goes there.
   std::vector<spread::OutgoingHeartbeat> heartbeats =
--- a/tests/spread/verdicts_test.cpp
+++ b/tests/spread/verdicts_test.cpp
@@ -32,8 +32,8 @@
   options.zone = "a";
   options.standalone = aReads;
   Replicator replicator(options);
-  replicator.OnPeerConfig(1, 1);
-  replicator.OnPeerServers(1);
+  replicator.OnPeerConfig(1, { 1, 1 });
+  replicator.OnPeerServers({ 1, 1 });
   replicator.OnHeartbeat(20, MakeHeartbeat("a", !aReads), kStart);
   replicator.Tick(kStart);
   replicator.TakeHeartbeats(kStart);
--- a/tests/steer/drains_test.cpp
+++ b/tests/steer/drains_test.cpp
@@ -36,7 +36,7 @@
   {
     ++this->revision;
     this->steer.CurrentView().PutDrains(
-      { this->revision, this->revision, aZones });
+      { PositionAt(this->revision), PositionAt(this->revision), aZones });
   }
 
   // Returns how many of aCount new flows each server gets, by its id.
@@ -78,7 +78,8 @@
 {
   ZonesFixture fixture;
   fixture.Drain({ "a" });
-  CHECK_FALSE(fixture.steer.CurrentView().PutDrains({ 5, 5, {} }));
+  CHECK_FALSE(fixture.steer.CurrentView().PutDrains(
+    { PositionAt(5), PositionAt(5), {} }));
   CHECK_FALSE(fixture.CountOpenings().contains(1));
 }
 
--- a/tests/steer/requests_test.cpp
+++ b/tests/steer/requests_test.cpp
@@ -139,7 +139,7 @@
   CHECK(view.At(placement.server).entry.zone == "a");
   for (ServerChange& change : list) {
     change.entry->draining = change.entry->id != 5000;
-    ++change.revision;
+    ++change.position.revision;
   }
   view.PutServers(list, kStart);
   placement = placer.ChooseServer(view, health, request, kStart);
--- a/tests/steer/view_test.cpp
+++ b/tests/steer/view_test.cpp
@@ -112,7 +112,7 @@
 TEST_CASE("A peer's view does not make a server gone whose entry is unreadable")
 {
   View sender = MakeView();
-  sender.PutServer({ "i-1", 7, false, {} }, kStart);
+  sender.PutServer({ "i-1", PositionAt(7), false, {} }, kStart);
   View receiver = MakeView();
   receiver.PutServers(sender.CopyServers(kStart), kStart);
   receiver.Tick(kStart + 10 * kSecond);
@@ -124,7 +124,7 @@
   "A server whose entry is unreadable gets no new flows but is not gone")
 {
   View view = MakeView();
-  view.PutServer({ "i-1", 7, false, {} }, kStart);
+  view.PutServer({ "i-1", PositionAt(7), false, {} }, kStart);
   CHECK_FALSE(At(view, 1).AcceptsNewFlows());
   view.Tick(kStart + 10 * kSecond);
   CHECK(At(view, 1).registryState == RegistryState::Unreadable);
--- a/tests/support/object_store.cpp
+++ b/tests/support/object_store.cpp
@@ -33,19 +33,21 @@
 {
   std::lock_guard lock(this->mutex);
   this->putAt[aKind + "/" + aName] = std::chrono::steady_clock::now();
-  auto known = this->objects[aKind].find(aName);
-  if (known != this->objects[aKind].end() && known->second["spec"] == aSpec) {
+  auto known = this->now.objects[aKind].find(aName);
+  if (known != this->now.objects[aKind].end() &&
+      known->second["spec"] == aSpec) {
     return;
   }
   nlohmann::json object{
-    { "meta", { { "name", aName }, { "revision", ++this->revision } } },
+    { "meta", { { "name", aName }, { "revision", ++this->now.revision } } },
     { "spec", aSpec },
     { "status", nullptr }
   };
-  this->objects[aKind][aName] = object;
-  this->events.push_back({ aKind,
-                           this->revision,
-                           { { "object", object }, { "tombstone", false } } });
+  this->now.objects[aKind][aName] = object;
+  this->now.events.push_back(
+    { aKind,
+      this->now.revision,
+      { { "object", object }, { "tombstone", false } } });
   this->changed.notify_all();
 }
 
@@ -81,14 +83,16 @@
 ObjectStore::Remove(const std::string& aKind, const std::string& aName)
 {
   std::lock_guard lock(this->mutex);
-  if (!this->objects[aKind].contains(aName)) {
+  if (!this->now.objects[aKind].contains(aName)) {
     return;
   }
-  nlohmann::json object = this->objects[aKind][aName];
-  this->objects[aKind].erase(aName);
-  object["meta"]["revision"] = ++this->revision;
-  this->events.push_back(
-    { aKind, this->revision, { { "object", object }, { "tombstone", true } } });
+  nlohmann::json object = this->now.objects[aKind][aName];
+  this->now.objects[aKind].erase(aName);
+  object["meta"]["revision"] = ++this->now.revision;
+  this->now.events.push_back(
+    { aKind,
+      this->now.revision,
+      { { "object", object }, { "tombstone", true } } });
   this->changed.notify_all();
 }
 
@@ -100,7 +104,7 @@
   {
     std::lock_guard lock(this->mutex);
     auto oldest = std::chrono::steady_clock::now() - aLeaseTime;
-    for (const auto& [name, object] : this->objects[aKind]) {
+    for (const auto& [name, object] : this->now.objects[aKind]) {
       std::string path = aKind;
       path += "/";
       path += name;
@@ -161,12 +165,28 @@
   }
 }
 
+void
+ObjectStore::Copy()
+{
+  std::lock_guard lock(this->mutex);
+  this->copy = this->now;
+}
+
+void
+ObjectStore::ReturnToCopy()
+{
+  std::lock_guard lock(this->mutex);
+  this->now = this->copy;
+  ++this->era;
+  this->changed.notify_all();
+}
+
 void
 ObjectStore::DropHistory()
 {
   std::lock_guard lock(this->mutex);
-  this->oldestRevision = ++this->revision;
-  this->events.clear();
+  this->now.oldestRevision = ++this->now.revision;
+  this->now.events.clear();
   this->changed.notify_all();
 }
 
@@ -175,6 +195,23 @@
                    httplib::Response& aResponse)
 {
   ++this->calls;
+  this->Answer(aRequest, aResponse);
+  this->SetEra(aResponse);
+}
+
+// Sets the header with the era once, together with the content that it names.
+void
+ObjectStore::SetEra(httplib::Response& aResponse) const
+{
+  if (this->era > 0 && !aResponse.has_header("Store-Era")) {
+    aResponse.set_header("Store-Era", std::to_string(this->era));
+  }
+}
+
+void
+ObjectStore::Answer(const httplib::Request& aRequest,
+                    httplib::Response& aResponse)
+{
   while (this->silent) {
     std::unique_lock lock(this->mutex);
     if (this->stopping) {
@@ -216,8 +253,9 @@
                   httplib::Response& aResponse)
 {
   std::lock_guard lock(this->mutex);
+  this->SetEra(aResponse);
   nlohmann::json items = nlohmann::json::array();
-  const auto& kind = this->objects[aKind];
+  const auto& kind = this->now.objects[aKind];
   auto next = kind.upper_bound(aAfter);
   while (next != kind.end() && items.size() < this->pageSize) {
     items.push_back(next->second);
@@ -225,7 +263,7 @@
   }
   nlohmann::json body{ { "items", items },
                        { "more", next != kind.end() },
-                       { "as_of", this->revision } };
+                       { "as_of", this->now.revision } };
   aResponse.set_content(this->Dump(body), "application/json");
 }
 
@@ -237,20 +275,25 @@
 {
   std::unique_lock lock(this->mutex);
   nlohmann::json found = nlohmann::json::array();
+  auto isGone = [&] {
+    return aFrom < this->now.oldestRevision || aFrom > this->now.revision;
+  };
   auto ready = [&] {
-    for (const Event& event : this->events) {
+    found.clear();
+    for (const Event& event : this->now.events) {
       if (event.kind == aKind && event.revision > aFrom) {
         found.push_back(event.body);
       }
     }
-    return !found.empty() || this->stopping || aFrom < this->oldestRevision;
+    return !found.empty() || this->stopping || isGone();
   };
   this->changed.wait_for(lock, std::chrono::milliseconds(aWaitMs), ready);
-  if (aFrom < this->oldestRevision) {
+  this->SetEra(aResponse);
+  if (isGone()) {
     aResponse.status = 410;
     return;
   }
-  nlohmann::json body{ { "events", found }, { "as_of", this->revision } };
+  nlohmann::json body{ { "events", found }, { "as_of", this->now.revision } };
   aResponse.set_content(this->Dump(body), "application/json");
 }
 
--- a/tests/support/object_store.h
+++ b/tests/support/object_store.h
@@ -38,6 +38,11 @@
   // had expired.
   void RemoveExpired(const std::string& aKind,
                      std::chrono::milliseconds aLeaseTime);
+  // Keeps a copy of the objects as they are, and returns to it later: all
+  // changes since are lost, and the era rises. The copy's revisions go on from
+  // where it was made, and a watch from a later one gets 410.
+  void Copy();
+  void ReturnToCopy();
   // Drops the history of changes. A watch from an earlier revision gets 410.
   void DropHistory();
 
@@ -47,6 +52,8 @@
   // Fault: the store accepts GET requests and responds only once the fault
   // ends. Writes, and watches that were waiting, get 503.
   std::atomic<bool> silent = false;
+  // Value of the header with the era; none is sent while it is 0.
+  std::atomic<uint64_t> era = 1;
   // Entries of one page of a list.
   std::atomic<size_t> pageSize = 3;
   // Number of GET requests.
@@ -60,9 +67,20 @@
     uint64_t revision = 0;
     nlohmann::json body;
   };
+  // What a copy of the store holds.
+  struct Content
+  {
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+    std::deque<Event> events;
+    uint64_t revision = 10;
+    // Watches from before this revision get 410.
+    uint64_t oldestRevision = 0;
+  };
   void OnWrite(const httplib::Request& aRequest, httplib::Response& aResponse);
   void OnFault(const std::string& aName, int aValue);
   void OnGet(const httplib::Request& aRequest, httplib::Response& aResponse);
+  void Answer(const httplib::Request& aRequest, httplib::Response& aResponse);
+  void SetEra(httplib::Response& aResponse) const;
   void Reply(const httplib::Request& aRequest, httplib::Response& aResponse);
   void List(const std::string& aKind,
             const std::string& aAfter,
@@ -72,7 +90,6 @@
              int aWaitMs,
              httplib::Response& aResponse);
 
-  std::map<std::string, std::map<std::string, nlohmann::json>> objects;
   // Returns the text of a body, with the specs of PutText in their places.
   std::string Dump(const nlohmann::json& aBody) const;
 
@@ -80,10 +97,8 @@
   // place.
   std::map<std::string, std::string> specTexts;
   std::map<std::string, std::chrono::steady_clock::time_point> putAt;
-  std::deque<Event> events;
-  uint64_t revision = 10;
-  // Watches from before this revision get 410.
-  uint64_t oldestRevision = 0;
+  Content now;
+  Content copy;
 };
 
 }
--- a/tests/support/spread_drains.cpp
+++ b/tests/support/spread_drains.cpp
@@ -16,7 +16,7 @@
   } else {
     this->drained.erase(aZone);
   }
-  this->drainHistory.push_back({ aZone, ++this->revision, !aDrained });
+  this->drainHistory.push_back({ aZone, this->Next(), !aDrained });
   std::vector<std::string>& zones = this->drainedAsOf[this->revision];
   for (const auto& [zone, at] : this->drained) {
     zones.push_back(zone);
@@ -28,7 +28,7 @@
 {
   std::vector<steer::DrainChange> list;
   for (const auto& [zone, at] : this->drained) {
-    list.push_back({ zone, this->revision, false });
+    list.push_back({ zone, this->Position(), false });
   }
   return list;
 }
@@ -44,7 +44,7 @@
 bool
 SpreadFleet::ApplyDrainsReply(SpreadInstance& aInstance)
 {
-  bool list = aInstance.drainsFrom < this->store.oldestRevision;
+  bool list = aInstance.drainsFrom.revision < this->store.oldestRevision;
   std::vector<steer::DrainChange> changes;
   if (list) {
     ++this->store.calls;
@@ -54,11 +54,11 @@
                  this->store.drainHistory.end(),
                  std::back_inserter(changes),
                  [&aInstance](const steer::DrainChange& aChange) {
-                   return aChange.revision > aInstance.drainsFrom;
+                   return aChange.position > aInstance.drainsFrom;
                  });
   }
   aInstance.spread->OnDrainsResponse(
-    changes, this->store.revision, list, this->Now());
+    changes, this->store.Position(), list, this->Now());
   aInstance.view->PutDrains(aInstance.spread->Drains());
   return !changes.empty();
 }
@@ -91,8 +91,9 @@
   for (const SpreadInstance& instance : this->instances) {
     if (instance.alive && instance.spread->Drains().IsKnown()) {
       const steer::DrainState& drains = instance.spread->Drains();
-      bool same = drains.zones == this->store.DrainedAsOf(drains.revision) &&
-                  drains.zones == instance.view->Drains().zones;
+      bool same =
+        drains.zones == this->store.DrainedAsOf(drains.position.revision) &&
+        drains.zones == instance.view->Drains().zones;
       wrong += same ? 0 : 1;
     }
   }
--- a/tests/support/spread_fleet.cpp
+++ b/tests/support/spread_fleet.cpp
@@ -197,11 +197,11 @@
   instance.view->PutConfig(MakeConfig(this->store.configVersion));
   instance.view->PutServers(list, this->Now());
   instance.spread->OnConfigResponse(
-    this->store.configVersion, this->store.revision, this->Now());
-  instance.spread->OnServersList(this->store.revision, this->Now());
+    this->store.configVersion, this->store.Position(), this->Now());
+  instance.spread->OnServersList(this->store.Position(), this->Now());
   if (this->options.drains) {
     instance.spread->OnDrainsResponse(
-      this->store.ListDrains(), this->store.revision, true, this->Now());
+      this->store.ListDrains(), this->store.Position(), true, this->Now());
     instance.view->PutDrains(instance.spread->Drains());
   }
 }
@@ -235,7 +235,7 @@
     return;
   }
   if (aKind == SpreadKind::Drains) {
-    instance.drainsFrom = instance.spread->Drains().revision;
+    instance.drainsFrom = instance.spread->Drains().position;
   }
   ++this->store.calls;
   Micros startedAt = this->Now();
@@ -251,12 +251,12 @@
     return this->store.configVersion > aInstance.view->Version();
   }
   if (aKind == SpreadKind::Drains) {
-    return aInstance.drainsFrom < this->store.oldestRevision ||
+    return aInstance.drainsFrom.revision < this->store.oldestRevision ||
            (!this->store.drainHistory.empty() &&
-            this->store.drainHistory.back().revision > aInstance.drainsFrom);
+            this->store.drainHistory.back().position > aInstance.drainsFrom);
   }
-  return !this->store.history.empty() && this->store.history.back().revision >
-                                           aInstance.spread->Servers().revision;
+  return !this->store.history.empty() && this->store.history.back().position >
+                                           aInstance.spread->Servers().position;
 }
 
 bool
@@ -270,17 +270,17 @@
     bool isNew =
       aInstance.view->PutConfig(MakeConfig(this->store.configVersion));
     spread.OnConfigResponse(
-      this->store.configVersion, this->store.revision, this->Now());
+      this->store.configVersion, this->store.Position(), this->Now());
     return isNew;
   }
   std::vector<steer::ServerChange> changes;
   for (const steer::ServerChange& change : this->store.history) {
-    if (change.revision > spread.Servers().revision) {
+    if (change.position > spread.Servers().position) {
       changes.push_back(change);
       aInstance.view->PutServer(change, this->Now());
     }
   }
-  spread.OnServersChanges(changes, this->store.revision, this->Now());
+  spread.OnServersChanges(changes, this->store.Position(), this->Now());
   return !changes.empty();
 }
 
@@ -397,15 +397,15 @@
     }
     instance.view->PutConfig(peer.view->CopyConfig());
     instance.spread->OnPeerConfig(instance.view->Version(),
-                                  peer.spread->Config().revision);
+                                  peer.spread->Config().position);
     instance.spread->OnPeerDrains(peer.spread->Drains(), spread::kNever);
     instance.view->PutDrains(instance.spread->Drains());
-    uint64_t revision = peer.spread->Servers().revision;
-    if (!aRequest.servers || revision <= instance.spread->Servers().revision) {
+    StorePosition position = peer.spread->Servers().position;
+    if (!aRequest.servers || position <= instance.spread->Servers().position) {
       return;
     }
     instance.view->PutServers(peer.view->CopyServers(this->Now()), this->Now());
-    instance.spread->OnPeerServers(revision);
+    instance.spread->OnPeerServers(position);
   });
 }
 
@@ -464,14 +464,14 @@
     if (!instance.alive) {
       continue;
     }
-    std::map<std::string, uint64_t> known;
+    std::map<std::string, StorePosition> known;
     for (const steer::ServerChange& change :
          instance.view->CopyServers(this->Now())) {
-      known[change.name] = change.revision;
+      known[change.name] = change.position;
     }
-    std::map<std::string, uint64_t> listed;
+    std::map<std::string, StorePosition> listed;
     for (const auto& [name, change] : this->store.listed) {
-      listed[name] = change.revision;
+      listed[name] = change.position;
     }
     bool same =
       known == listed && instance.view->Version() == this->store.configVersion;
--- a/tests/support/spread_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -34,6 +34,13 @@
   bool down = false;
   uint64_t calls = 0;
 
+  StorePosition Position() const { return { 1, this->revision }; }
+  // Counts a change, and returns its position.
+  StorePosition Next()
+  {
+    ++this->revision;
+    return this->Position();
+  }
   void PutConfig();
   void PutServer(steer::ServerId aId);
   void RemoveServer(steer::ServerId aId);
@@ -93,7 +100,7 @@
   // Number of the latest set of watches, one for each kind. Events of earlier
   // ones are ignored.
   uint64_t latestWatch = 0;
-  uint64_t drainsFrom = 0; // revision from which the drains are watched
+  StorePosition drainsFrom; // position from which the drains are watched
 };
 
 // The simulation: starts and stops instances, injects faults, and measures how
--- a/tests/support/tagged_load_parts.h
+++ b/tests/support/tagged_load_parts.h
@@ -116,7 +116,8 @@
     entry.startedAt = returns && aReturned ? 1 : 0;
     entry.warmupLeft = returns && aReturned ? aOptions.warmup : 0;
     uint64_t revision = i + 1 + (aReturned ? aOptions.servers : 0);
-    list.push_back({ "i-" + std::to_string(i), revision, false, entry });
+    list.push_back(
+      { "i-" + std::to_string(i), StorePosition{ 1, revision }, false, entry });
   }
   steer::Config config;
   config.version = 1;
--- a/tests/support/tagged_view.h
+++ b/tests/support/tagged_view.h
@@ -9,6 +9,13 @@
 constexpr Endpoint kWebTarget{ 0xC6120001, 443 };
 constexpr Endpoint kArchiveTarget{ 0xC6120002, 443 };
 
+// Returns a position of the store's first era.
+constexpr StorePosition
+PositionAt(uint64_t aRevision, uint64_t aEra = 1)
+{
+  return { aEra, aRevision };
+}
+
 inline steer::ServerChange
 MakeServer(steer::ServerId aId,
            const std::string& aService = "web",
@@ -21,13 +28,13 @@
   entry.endpoint = { static_cast<Address>(0x0A800000 + aId), 8080 };
   entry.zone = "a";
   entry.slots = 2;
-  return { "i-" + std::to_string(aId), aRevision, false, entry };
+  return { "i-" + std::to_string(aId), PositionAt(aRevision), false, entry };
 }
 
 inline steer::ServerChange
 MakeRemoved(steer::ServerId aId, uint64_t aRevision)
 {
-  return { "i-" + std::to_string(aId), aRevision, true, {} };
+  return { "i-" + std::to_string(aId), PositionAt(aRevision), true, {} };
 }
 
 inline steer::Config
--- a/tests/tagged/list_watcher_test.cpp
+++ b/tests/tagged/list_watcher_test.cpp
@@ -31,20 +31,20 @@
 
 // The first page of a list at revision 20, which others follow.
 absl::StatusOr<ServersPage>
-ParseFirstPage(std::string_view)
+ParseFirstPage(std::string_view, uint64_t aEra)
 {
   ServersPage page;
   page.more = true;
   page.lastName = "i-1";
-  page.revision = 20;
+  page.position = { aEra, 20 };
   return page;
 }
 
 absl::StatusOr<ServersPage>
-ParseNoChanges(std::string_view)
+ParseNoChanges(std::string_view, uint64_t aEra)
 {
   ServersPage page;
-  page.revision = 20;
+  page.position = { aEra, 20 };
   return page;
 }
 
@@ -75,10 +75,10 @@
   });
   (*server)->Handle("/watch", [] { return HttpReply{ 200, "{}" }; });
   ListWatcherEvents<steer::ServerChange> events;
-  events.onList = [](std::span<const steer::ServerChange>, uint64_t) {
-    FAIL("the list has no end");
-  };
-  events.onChanges = [](std::span<const steer::ServerChange>, uint64_t) {};
+  events.onList = [](std::span<const steer::ServerChange>,
+                     const StorePosition&) { FAIL("the list has no end"); };
+  events.onChanges = [](std::span<const steer::ServerChange>,
+                        const StorePosition&) {};
   events.onStoreLost = [](const std::string&, bool) {};
   events.onStoreBack = [](Micros) {};
   ListWatcher<steer::ServerChange> watcher(
@@ -90,7 +90,7 @@
     1);
   watcher.Start();
   RunUntil(base.get(), [&] { return lists >= 2; });
-  watcher.AdvanceTo(15);
+  watcher.AdvanceTo({ 0, 15 });
   watcher.SetWatching(true);
   RunUntil(base.get(), [] { return watchedRevision.has_value(); });
   REQUIRE(watchedRevision);
--- a/tests/tagged/peer_codec_test.cpp
+++ b/tests/tagged/peer_codec_test.cpp
@@ -52,14 +52,14 @@
 {
   tagged::PeerView view;
   view.config = MakeConfig(5);
-  view.serversRevision = 90;
-  view.servers = { MakeServer(1), { "i-2", 80, false, {} } };
+  view.serversPosition = PositionAt(90, 3);
+  view.servers = { MakeServer(1), { "i-2", PositionAt(80, 3), false, {} } };
   auto decoded = tagged::DecodePeerView(tagged::EncodePeerView(view));
   REQUIRE(decoded.ok());
   REQUIRE(decoded->servers.size() == 2);
   CHECK(decoded->servers[0].entry);
   CHECK(decoded->servers[1].name == "i-2");
-  CHECK(decoded->servers[1].revision == 80);
+  CHECK(decoded->servers[1].position == PositionAt(80, 3));
   CHECK_FALSE(decoded->servers[1].entry);
   CHECK_FALSE(decoded->servers[1].removed);
 }
@@ -79,7 +79,9 @@
 
 TEST_CASE("Views and heartbeats pass on the drained zones")
 {
-  const steer::DrainState drains{ 90, 70, { "a", "b" } };
+  const steer::DrainState drains{ PositionAt(90, 3),
+                                  PositionAt(70, 2),
+                                  { "a", "b" } };
   spread::Heartbeat heartbeat;
   heartbeat.drains = drains;
   heartbeat.drainsAge = 12;
@@ -92,8 +94,8 @@
   REQUIRE(decodedView.ok());
   for (const steer::DrainState& state :
        { decoded->drains, decodedView->drains }) {
-    CHECK(state.revision == 90);
-    CHECK(state.changedRevision == 70);
+    CHECK(state.position == PositionAt(90, 3));
+    CHECK(state.changedPosition == PositionAt(70, 2));
     CHECK(state.zones == drains.zones);
   }
   CHECK(decoded->drainsAge == 12);
@@ -136,7 +138,7 @@
        std::vector<std::pair<uint64_t, uint64_t>>{
          { UINT64_MAX, 0 }, { 5, UINT64_MAX }, { 5, 6 } }) {
     spread::Heartbeat heartbeat;
-    heartbeat.drains = { revision, changed, { "a" } };
+    heartbeat.drains = { PositionAt(revision), PositionAt(changed), { "a" } };
     tagged::PeerView view;
     view.drains = heartbeat.drains;
     CHECK_FALSE(
@@ -144,7 +146,7 @@
     CHECK_FALSE(tagged::DecodePeerView(tagged::EncodePeerView(view)).ok());
   }
   spread::Heartbeat heartbeat;
-  heartbeat.drains = { 5, 5, { "a", "b", "a" } };
+  heartbeat.drains = { PositionAt(5), PositionAt(5), { "a", "b", "a" } };
   auto decoded = tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat));
   REQUIRE(decoded.ok());
   CHECK(decoded->drains.zones == std::vector<std::string>{ "a", "b" });
@@ -159,11 +161,13 @@
   heartbeat.members = { 1, 2, 3 };
   heartbeat.quotaHolders = { 1, 2 };
   heartbeat.readers = { { 4, "b" } };
-  heartbeat.recent = { 1, 9, { MakeServer(1), MakeServer(2) } };
+  heartbeat.recent = { PositionAt(1),
+                       PositionAt(9),
+                       { MakeServer(1), MakeServer(2) } };
   heartbeat.verdicts = { { 7, 1000, 50 } };
   tagged::PeerView view;
   view.config = MakeConfig(5);
-  view.servers = { MakeServer(1), { "i-2", 80, false, {} } };
+  view.servers = { MakeServer(1), { "i-2", PositionAt(80, 3), false, {} } };
   for (const std::string& bytes :
        { tagged::EncodeHeartbeat(heartbeat), tagged::EncodePeerView(view) }) {
     for (size_t bit = 0; bit < bytes.size() * 8; ++bit) {
--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Of the store, in which all responses came.
+constexpr uint64_t kEra = 2;
+
 using platform::ObjectFormat;
 
 std::string
@@ -109,12 +112,12 @@
 TEST_CASE("A list with a server is parsed into its entry and revisions")
 {
   auto page = ObjectFormat::ParseServersList(
-    MakeList(MakeObject("i-75bc4be3cd", MakeServerSpec("ready"))));
+    MakeList(MakeObject("i-75bc4be3cd", MakeServerSpec("ready"))), kEra);
   REQUIRE(page.ok());
-  CHECK(page->revision == 530);
+  CHECK(page->position == StorePosition(kEra, 530));
   REQUIRE(page->changes.size() == 1);
   const steer::ServerChange& change = page->changes[0];
-  CHECK(change.revision == 412);
+  CHECK(change.position == StorePosition(kEra, 412));
   REQUIRE(change.entry);
   CHECK(change.entry->id == 0x75bc4be3cdULL);
   CHECK(change.entry->startedAt == 1700000000123);
@@ -138,7 +141,7 @@
          std::string("17"),
        }) {
     auto page = ObjectFormat::ParseServersList(
-      MakeList(absl::StrCat(validObject, ",", invalidObject)));
+      MakeList(absl::StrCat(validObject, ",", invalidObject)), kEra);
     REQUIRE(page.ok());
     size_t readableCount = 0;
     for (const steer::ServerChange& change : page->changes) {
@@ -167,7 +170,7 @@
     std::string spec = absl::StrCat(
       "{\"", aMember, "\":", aValue, ",", MakeServerSpec("ready").substr(1));
     auto page =
-      ObjectFormat::ParseServersList(MakeList(MakeObject("i-2", spec)));
+      ObjectFormat::ParseServersList(MakeList(MakeObject("i-2", spec)), kEra);
     REQUIRE(page.ok());
     REQUIRE(page->changes.size() == 1);
     return page->changes[0].entry.has_value();
@@ -201,8 +204,8 @@
 {
   std::string spec = MakeServerSpec("ready");
   spec.resize(spec.find(",\"born\""));
-  auto page =
-    ObjectFormat::ParseServersList(MakeList(MakeObject("i-2", spec + "}")));
+  auto page = ObjectFormat::ParseServersList(
+    MakeList(MakeObject("i-2", spec + "}")), kEra);
   REQUIRE(page.ok());
   REQUIRE(page->changes.at(0).entry);
   CHECK(page->changes[0].entry->startedAt == 0);
@@ -220,8 +223,8 @@
   }));
   std::string spec = MakeServerSpec("ready");
   spec.replace(spec.find(member), member.size(), replacement);
-  auto page =
-    ObjectFormat::ParseServersList(MakeList(MakeObject("host-7f3a91c6", spec)));
+  auto page = ObjectFormat::ParseServersList(
+    MakeList(MakeObject("host-7f3a91c6", spec)), kEra);
   REQUIRE(page.ok());
   REQUIRE(page->changes.size() == 1);
   CHECK_FALSE(page->changes[0].entry);
@@ -230,8 +233,8 @@
 TEST_CASE("A body that is not a list is an error, not an empty list")
 {
   for (const char* body : { "", "{", "[]", R"({"items":[]})", "null" }) {
-    CHECK_FALSE(ObjectFormat::ParseServersList(body).ok());
-    CHECK_FALSE(ObjectFormat::ParseServersWatch(body).ok());
+    CHECK_FALSE(ObjectFormat::ParseServersList(body, kEra).ok());
+    CHECK_FALSE(ObjectFormat::ParseServersWatch(body, kEra).ok());
   }
 }
 
@@ -240,9 +243,10 @@
 {
   auto page = ObjectFormat::ParseServersWatch(
     R"({"events":[{"tombstone":true,"object":)" +
-    MakeObject("i-7", MakeServerSpec("ready")) + R"(}],"as_of":533})");
+      MakeObject("i-7", MakeServerSpec("ready")) + R"(}],"as_of":533})",
+    kEra);
   REQUIRE(page.ok());
-  CHECK(page->revision == 533);
+  CHECK(page->position == StorePosition(kEra, 533));
   CHECK(page->changes[0].removed);
 }
 
@@ -257,7 +261,8 @@
     R"([{"service":"s","weight":90},{"service":"t","weight":10}]},)"
     R"({"name":"c","host":"nowhere","path_prefix":"/1/","service":"s"}],)"
     R"("limits":{"idle_timeout_ms":15000}})";
-  auto page = ObjectFormat::ParseConfigList(MakeList(MakeObject("main", spec)));
+  auto page =
+    ObjectFormat::ParseConfigList(MakeList(MakeObject("main", spec)), kEra);
   REQUIRE(page.ok());
   REQUIRE(page->changes[0].config);
   const steer::Config& config = *page->changes[0].config;
@@ -283,7 +288,8 @@
     R"("/5/"},{"allowed_regions":[7],)" + route +
     R"("/6/"}],"services":[{"name":"s","warmup_per_s":2.5},)"
     R"({"name":"t","warmup_per_s":0.0},{"name":"u","warmup_per_s":"9"},7]})";
-  auto page = ObjectFormat::ParseConfigList(MakeList(MakeObject("main", spec)));
+  auto page =
+    ObjectFormat::ParseConfigList(MakeList(MakeObject("main", spec)), kEra);
   REQUIRE(page.ok());
   REQUIRE(page->changes[0].config);
   const steer::Config& config = *page->changes[0].config;
@@ -302,7 +308,7 @@
           "configuration")
 {
   auto page = ObjectFormat::ParseConfigList(
-    MakeList(MakeObject("other", R"({"version":9,"routes":[]})")));
+    MakeList(MakeObject("other", R"({"version":9,"routes":[]})")), kEra);
   REQUIRE(page.ok());
   CHECK_FALSE(page->changes[0].config);
 }
@@ -315,9 +321,9 @@
   for (const std::string& spec : MakeMalformedSpecs()) {
     std::string malformed = MakeObject("i-2", spec);
     auto list = ObjectFormat::ParseServersList(
-      MakeList(absl::StrCat(first, ",", malformed, ",", last)));
-    auto watch =
-      ObjectFormat::ParseServersWatch(MakeEvents({ first, malformed, last }));
+      MakeList(absl::StrCat(first, ",", malformed, ",", last)), kEra);
+    auto watch = ObjectFormat::ParseServersWatch(
+      MakeEvents({ first, malformed, last }), kEra);
     for (const auto* page : { &list, &watch }) {
       INFO(spec.substr(0, 100));
       REQUIRE(page->ok());
@@ -341,7 +347,7 @@
          Nested(2'000'000, "{\"meta\":", "}"),
        }) {
     auto page = ObjectFormat::ParseServersList(
-      MakeList(absl::StrCat(valid, ",", malformed)));
+      MakeList(absl::StrCat(valid, ",", malformed)), kEra);
     INFO(malformed.substr(0, 100));
     REQUIRE(page.ok());
     CHECK(page->changes.size() == 1);
@@ -355,7 +361,7 @@
 {
   std::string longName(100'000, 'x');
   auto page = ObjectFormat::ParseServersList(
-    MakeList(MakeObject(longName, MakeServerSpec("ready"))));
+    MakeList(MakeObject(longName, MakeServerSpec("ready"))), kEra);
   REQUIRE(page.ok());
   CHECK(page->changes.empty());
   CHECK(page->unnamed == 1);
@@ -382,7 +388,7 @@
                    absl::StrJoin({ good, malformed, good }, ","),
                    R"(],"limits":{"idle_timeout_ms":15000}})");
     auto page =
-      ObjectFormat::ParseConfigList(MakeList(MakeObject("main", spec)));
+      ObjectFormat::ParseConfigList(MakeList(MakeObject("main", spec)), kEra);
     INFO(value.substr(0, 100));
     REQUIRE(page.ok());
     REQUIRE(page->changes[0].config);
@@ -396,8 +402,10 @@
 TEST_CASE("A configuration whose version is malformed is unreadable")
 {
   for (const std::string& value : MakeMalformedValues()) {
-    auto page = ObjectFormat::ParseConfigList(MakeList(
-      MakeObject("main", R"({"version":)" + value + R"(,"routes":[]})")));
+    auto page = ObjectFormat::ParseConfigList(
+      MakeList(
+        MakeObject("main", R"({"version":)" + value + R"(,"routes":[]})")),
+      kEra);
     REQUIRE(page.ok());
     CHECK_FALSE(page->changes[0].config);
   }
@@ -407,7 +415,7 @@
 {
   std::string body = MakeList(MakeObject("i-1", MakeServerSpec("ready")));
   for (size_t i = 0; i < body.size(); ++i) {
-    CHECK_FALSE(ObjectFormat::ParseServersList(body.substr(0, i)).ok());
+    CHECK_FALSE(ObjectFormat::ParseServersList(body.substr(0, i), kEra).ok());
   }
 }
 
@@ -420,18 +428,19 @@
                     std::string(R"({"meta":{"revision":9},"spec":{}})"),
                     std::string(R"({"meta":{"name":"smg"}})") },
                   ",");
-  auto list = ObjectFormat::ParseDrainsList(MakeList(items));
+  auto list = ObjectFormat::ParseDrainsList(MakeList(items), kEra);
   REQUIRE(list.ok());
-  CHECK(list->revision == 530);
+  CHECK(list->position == StorePosition(kEra, 530));
   CHECK(list->unnamed == 1);
   REQUIRE(list->changes.size() == 3);
   CHECK(list->changes[0].zone == "jkt");
-  CHECK(list->changes[0].revision == 412);
+  CHECK(list->changes[0].position == StorePosition(kEra, 412));
   CHECK(list->changes[1].zone == "bdg");
   CHECK(list->changes[2].zone == "smg");
   auto watch = ObjectFormat::ParseDrainsWatch(
     R"({"events":[{"object":)" + MakeObject("jkt", "{}") +
-    R"(,"tombstone":true}],"as_of":531})");
+      R"(,"tombstone":true}],"as_of":531})",
+    kEra);
   REQUIRE(watch.ok());
   REQUIRE(watch->changes.size() == 1);
   CHECK(watch->changes[0].removed);
