List a server again whose entry is written again after a return of the store

Cause: View::PutServer ignored an entry with a lower revision than the known one. Revisions were given out again, so the entry that the server wrote 1.15 s after the return was ignored, and the server was gone 3 s after it went missing. Ruled out: the grace period, which began at the return and covered the entry.

Change: entries are compared by position, so any of the new era replaces one of the former.

Test: 'An entry that is written again in the store's next era is listed', 5 of 6 checks failed before, all hold now.

--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -134,15 +134,14 @@
   }
 }
 
-// Applies an equal revision too: a list repeats entries that did not change,
+// Applies an equal position too: a list repeats entries that did not change,
 // and with it a missing server is listed again.
 bool
 View::PutServer(const ServerChange& aChange, Micros aNow)
 {
   auto known = this->byName.find(aChange.name);
   if (known != this->byName.end() &&
-      this->servers[known->second].position.revision >
-        aChange.position.revision) {
+      this->servers[known->second].position > aChange.position) {
     return false;
   }
   if (aChange.entry && !aChange.removed) {
--- a/tests/steer/view_test.cpp
+++ b/tests/steer/view_test.cpp
@@ -109,6 +109,30 @@
   CHECK(At(view, 1).AcceptsNewFlows());
 }
 
+// Guards against resets of a live server's flows after a drill of the store:
+// the entry that is written again has a lower revision than before.
+TEST_CASE("An entry that is written again in the store's next era is listed")
+{
+  View view = MakeView();
+  ServerChange known = MakeServer(3, "web", 18);
+  view.PutServer(known, kStart);
+  // The store comes back from a copy that lacks the entry.
+  view.SetStoreBackAt(kStart);
+  std::vector<ServerChange> list{ MakeServer(1), MakeServer(2) };
+  list[0].position = PositionAt(1, 2);
+  list[1].position = PositionAt(1, 2);
+  view.PutServers(list, kStart);
+  CHECK(At(view, 3).registryState == RegistryState::Missing);
+  known.position = PositionAt(16, 2);
+  CHECK(view.PutServer(known, kStart + kSecond));
+  view.Tick(kStart + kMissingTimeout);
+  CHECK(At(view, 3).registryState == RegistryState::Listed);
+  CHECK(At(view, 3).AcceptsNewFlows());
+  // An answer of the former era that comes late changes nothing.
+  CHECK_FALSE(view.PutServer(MakeRemoved(3, 40), kStart + kSecond));
+  CHECK(At(view, 3).registryState == RegistryState::Listed);
+}
+
 TEST_CASE("A peer's view does not make a server gone whose entry is unreadable")
 {
   View sender = MakeView();
