List again when the store answers in a later era

Cause: the store's revision had passed the old one before the reader asked again, so the watch got no 410 and went on after the change. Ruled out: an unreadable configuration (no such line in the log), the replication (the reader itself had the former version).

Change: an answer of a later era than the former ones starts the list again, for all three kinds; one of an earlier era is discarded. Line store_era, metrics store_era and store_returns_total, reason former_era.

--- a/src/tagged/list_watcher.h
+++ b/src/tagged/list_watcher.h
@@ -52,13 +52,14 @@
   Busy,        // 429: the store refuses requests for the moment
   Away,        // any other status but 200, for example 503
   HistoryGone, // 410: the revision is too old, so a new list is read
+  FormerEra,   // of an earlier era than a former response, so it is discarded
   Unreadable,  // the body is not as expected, so a new list is read
   Count,
 };
 
 constexpr std::array<std::string_view, static_cast<size_t>(StoreFailure::Count)>
-  kStoreFailureNames{ "no_answer", "broken",       "busy",
-                      "away",      "history_gone", "unreadable" };
+  kStoreFailureNames{ "no_answer",    "broken",     "busy",      "away",
+                      "history_gone", "former_era", "unreadable" };
 
 // Requests sent, and failed requests by reason, for the metrics.
 struct ListWatcherCounts
@@ -88,8 +89,12 @@
   // everything is known then.
   std::function<void(std::span<const C>, const StorePosition&)> onList;
   std::function<void(std::span<const C>, const StorePosition&)> onChanges;
+  // Called with the store's era when a response shows a later one than the
+  // former responses and positions did.
+  std::function<void(uint64_t)> onEra;
   // Called for each failed request, with the error and with whether it is the
-  // first failure of an outage. Not called for a revision that is too old.
+  // first failure of an outage. Not called for a revision that is too old, or
+  // for a response of an earlier era.
   std::function<void(const std::string&, bool)> onStoreLost;
   // Called with the duration of an outage at the first valid response after it.
   // Not called if the watches or the list were stopped during the outage.
@@ -154,9 +159,20 @@
   // Records that everything up to aPosition is known, as from a peer. The next
   // watch continues from there, or from the present position if that is later.
   // No list is needed then, so one that is under way is stopped; the position
-  // of its first page is not kept, as the rest of it is not known.
+  // of its first page is not kept, as the rest of it is not known. A position
+  // of an earlier era changes nothing.
   void AdvanceTo(const StorePosition& aPosition)
   {
+    if (aPosition.era < this->position.era) {
+      return;
+    }
+    if (this->listed && aPosition.era > this->position.era) {
+      // The watch that is under way started in the earlier era.
+      this->Stop();
+      this->position = aPosition;
+      this->requestTimer.Start(0);
+      return;
+    }
     if (!this->listed) {
       this->Stop();
       this->ResetList();
@@ -164,9 +180,20 @@
       this->position = aPosition;
       this->requestTimer.Start(0);
     }
-    if (aPosition.revision > this->position.revision) {
-      this->position = aPosition;
+    this->position = std::max(this->position, aPosition);
+  }
+
+  // Requests the list again, as the store came back from an older copy. Does
+  // nothing if it was requested in this era, or if no watches are to follow.
+  void EnterEra(uint64_t aEra)
+  {
+    bool idle = this->listed && !this->watching;
+    if (idle || aEra <= this->position.era) {
+      return;
     }
+    this->Stop();
+    this->StartEra(aEra);
+    this->requestTimer.Start(0);
   }
 
   // Fails the pending request, so that it is sent again on a new connection, as
@@ -209,18 +236,35 @@
                   aResponse.status().ToString());
       return;
     }
+    uint64_t era = EraOf(*aResponse);
+    bool isAnswer = aResponse->status == 200 || aResponse->status == 410;
+    if (isAnswer && era < this->position.era) {
+      this->Retry(StoreFailure::FormerEra, "");
+      return;
+    }
+    bool isLater = isAnswer && era > this->position.era;
+    bool isFirstPage = aList && this->lastName.empty();
+    if (isLater) {
+      this->StartEra(era);
+      this->events.onEra(era);
+    }
     if (aResponse->status == 410) {
       this->ResetList();
       this->Retry(StoreFailure::HistoryGone, "");
       return;
     }
+    if (isLater && !isFirstPage) {
+      // Its content follows on a position of the earlier era.
+      this->OnValidResponse();
+      this->requestTimer.Start(0);
+      return;
+    }
     if (aResponse->status != 200) {
       bool busy = aResponse->status == 429;
       this->Retry(busy ? StoreFailure::Busy : StoreFailure::Away,
                   absl::StrCat("HTTP ", aResponse->status));
       return;
     }
-    uint64_t era = EraOf(*aResponse);
     absl::StatusOr<Page<C>> page =
       aList ? this->format.parseList(aResponse->body, era)
             : this->format.parseWatch(aResponse->body, era);
@@ -289,9 +333,7 @@
 
   void OnWatchPage(const Page<C>& aPage)
   {
-    if (aPage.position.revision > this->position.revision) {
-      this->position = aPage.position;
-    }
+    this->position = std::max(this->position, aPage.position);
     this->events.onChanges(aPage.changes, this->position);
     this->requestTimer.Start(aPage.changes.empty() ? 0 : this->options.pace);
   }
@@ -312,6 +354,13 @@
     this->collected.clear();
   }
 
+  // A revision of the earlier era says nothing in this one.
+  void StartEra(uint64_t aEra)
+  {
+    this->ResetList();
+    this->position = { aEra, 0 };
+  }
+
   // Resets the backoff, and ends an outage.
   void OnValidResponse()
   {
--- a/src/tagged/metrics.h
+++ b/src/tagged/metrics.h
@@ -57,7 +57,9 @@
   PeerCounts peers;
   LogCounts log;
   Micros viewAge = 0;
-  bool reads = false; // this instance reads the store
+  uint64_t storeEra = 0;
+  uint64_t storeReturns = 0; // from an older copy
+  bool reads = false;        // this instance reads the store
   bool ready = false;
   uint64_t reloadsRefused = 0;
 };
--- a/src/tagged/node_impl.h
+++ b/src/tagged/node_impl.h
@@ -409,6 +409,8 @@
                         .peers = this->sync->Counts(),
                         .log = this->log ? this->log->Counts() : LogCounts{},
                         .viewAge = this->sync->ViewAge(SteadyNow()),
+                        .storeEra = this->sync->Era(),
+                        .storeReturns = this->sync->Returns(),
                         .reads = this->sync->Reads(),
                         .ready = this->Ready(),
                         .reloadsRefused = this->reloadsRefused };
--- a/src/tagged/settings_gen.h
+++ b/src/tagged/settings_gen.h
@@ -117,201 +117,392 @@
 inline constexpr std::array<SettingField<TaggedSettings>, 25>
   kTaggedSettingsFields{ {
     {
-      { "instance", "name", SettingType::String,
-      true, "", 0, 0, 0,
-      "", "name of this instance, for the logs" },
+      { "instance",
+        "name",
+        SettingType::String,
+        true,
+        "",
+        0,
+        0,
+        0,
+        "",
+        "name of this instance, for the logs" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.instance.name;
       },
     },
     {
-      { "instance", "address", SettingType::Address,
-      true, "", 0, 0, 0,
-      "", "IPv4 address of this instance" },
+      { "instance",
+        "address",
+        SettingType::Address,
+        true,
+        "",
+        0,
+        0,
+        0,
+        "",
+        "IPv4 address of this instance" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.instance.address;
       },
     },
     {
-      { "instance", "zone", SettingType::String,
-      true, "", 0, 0, 0,
-      "", "availability zone of this instance" },
+      { "instance",
+        "zone",
+        SettingType::String,
+        true,
+        "",
+        0,
+        0,
+        0,
+        "",
+        "availability zone of this instance" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.instance.zone;
       },
     },
     {
-      { "instance", "cores", SettingType::Real,
-      false, "", 1, 0, 1024,
-      "processors", "processors that this instance may use; one of the instances with the most processors in a zone reads the store for the others" },
+      { "instance",
+        "cores",
+        SettingType::Real,
+        false,
+        "",
+        1,
+        0,
+        1024,
+        "processors",
+        "processors that this instance may use; one of the instances with the "
+        "most processors in a zone reads the store for the others" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.instance.cores;
       },
     },
     {
-      { "fabric", "packets", SettingType::Endpoint,
-      true, "", 0, 0, 0,
-      "", "where the fabric hands packets to this instance (UDP)" },
+      { "fabric",
+        "packets",
+        SettingType::Endpoint,
+        true,
+        "",
+        0,
+        0,
+        0,
+        "",
+        "where the fabric hands packets to this instance (UDP)" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.fabric.packets;
       },
     },
     {
-      { "ready", "listen", SettingType::Endpoint,
-      true, "", 0, 0, 0,
-      "", "address:port of the readiness page" },
+      { "ready",
+        "listen",
+        SettingType::Endpoint,
+        true,
+        "",
+        0,
+        0,
+        0,
+        "",
+        "address:port of the readiness page" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.ready.listen;
       },
     },
     {
-      { "store", "address", SettingType::Endpoint,
-      true, "", 0, 0, 0,
-      "", "address:port of the object API (HTTP)" },
+      { "store",
+        "address",
+        SettingType::Endpoint,
+        true,
+        "",
+        0,
+        0,
+        0,
+        "",
+        "address:port of the object API (HTTP)" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.store.address;
       },
     },
     {
-      { "store", "watch_ms", SettingType::Integer,
-      false, "", 1000, 100, 30000,
-      "milliseconds", "how long one watch call waits for a change" },
+      { "store",
+        "watch_ms",
+        SettingType::Integer,
+        false,
+        "",
+        1000,
+        100,
+        30000,
+        "milliseconds",
+        "how long one watch call waits for a change" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.store.watchMs;
       },
     },
     {
-      { "store", "pace_ms", SettingType::Integer,
-      false, "", 500, 0, 5000,
-      "milliseconds", "time between a response with changes of servers and the next watch" },
+      { "store",
+        "pace_ms",
+        SettingType::Integer,
+        false,
+        "",
+        500,
+        0,
+        5000,
+        "milliseconds",
+        "time between a response with changes of servers and the next watch" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.store.paceMs;
       },
     },
     {
-      { "drain", "bound_ms", SettingType::Real,
-      false, "", 0, 0, 86400000,
-      "milliseconds", "time within which a request to drain a zone has to be in force; 0: such requests are not read" },
+      { "drain",
+        "bound_ms",
+        SettingType::Real,
+        false,
+        "",
+        0,
+        0,
+        86400000,
+        "milliseconds",
+        "time within which a request to drain a zone has to be in force; 0: "
+        "such requests are not read" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.drain.boundMs;
       },
     },
     {
-      { "regions", "zones", SettingType::Strings,
-      false, "", 0, 0, 0,
-      "", "zones and the region of each, zone=region; a route that is limited to regions uses no server of another zone" },
+      { "regions",
+        "zones",
+        SettingType::Strings,
+        false,
+        "",
+        0,
+        0,
+        0,
+        "",
+        "zones and the region of each, zone=region; a route that is limited to "
+        "regions uses no server of another zone" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.regions.zones;
       },
     },
     {
-      { "peers", "port", SettingType::Integer,
-      false, "", 0, 0, 65535,
-      "TCP and UDP port", "port for messages between instances; 0 for none" },
+      { "peers",
+        "port",
+        SettingType::Integer,
+        false,
+        "",
+        0,
+        0,
+        65535,
+        "TCP and UDP port",
+        "port for messages between instances; 0 for none" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.peers.port;
       },
     },
     {
-      { "peers", "seeds", SettingType::Endpoints,
-      false, "", 0, 0, 0,
-      "", "some other instances, address:port; peers.port is used in place of their ports" },
+      { "peers",
+        "seeds",
+        SettingType::Endpoints,
+        false,
+        "",
+        0,
+        0,
+        0,
+        "",
+        "some other instances, address:port; peers.port is used in place of "
+        "their ports" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.peers.seeds;
       },
     },
     {
-      { "stop", "grace_ms", SettingType::Real,
-      false, "", 6000, 0, 86400000,
-      "milliseconds", "time from SIGTERM to the end of the process at the latest" },
+      { "stop",
+        "grace_ms",
+        SettingType::Real,
+        false,
+        "",
+        6000,
+        0,
+        86400000,
+        "milliseconds",
+        "time from SIGTERM to the end of the process at the latest" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.stop.graceMs;
       },
     },
     {
-      { "metrics", "port", SettingType::Integer,
-      false, "", 9464, 1, 65535,
-      "TCP port", "port of the metrics page" },
+      { "metrics",
+        "port",
+        SettingType::Integer,
+        false,
+        "",
+        9464,
+        1,
+        65535,
+        "TCP port",
+        "port of the metrics page" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.metrics.port;
       },
     },
     {
-      { "detect", "probes_per_s", SettingType::Real,
-      false, "", 0, 0, 1000,
-      "probes a second", "bound of the TCP connections with which the instance probes servers that leave flows unanswered; 0: silent servers are not detected" },
+      { "detect",
+        "probes_per_s",
+        SettingType::Real,
+        false,
+        "",
+        0,
+        0,
+        1000,
+        "probes a second",
+        "bound of the TCP connections with which the instance probes servers "
+        "that leave flows unanswered; 0: silent servers are not detected" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.detect.probesPerS;
       },
     },
     {
-      { "load", "by_requests", SettingType::Integer,
-      false, "", 0, 0, 2,
-      "", "place new flows by the requests in flight and the learned speed of servers: 0 never, 1 for services with flows of many requests, 2 always" },
+      { "load",
+        "by_requests",
+        SettingType::Integer,
+        false,
+        "",
+        0,
+        0,
+        2,
+        "",
+        "place new flows by the requests in flight and the learned speed of "
+        "servers: 0 never, 1 for services with flows of many requests, 2 "
+        "always" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.load.byRequests;
       },
     },
     {
-      { "load", "remote_penalty_pct", SettingType::Integer,
-      false, "", 40, 0, 10000,
-      "percent", "wait, in parts of a mean request, that a flow placed by requests accepts before it goes to another zone, while this zone's servers have room" },
+      { "load",
+        "remote_penalty_pct",
+        SettingType::Integer,
+        false,
+        "",
+        40,
+        0,
+        10000,
+        "percent",
+        "wait, in parts of a mean request, that a flow placed by requests "
+        "accepts before it goes to another zone, while this zone's servers "
+        "have room" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.load.remotePenaltyPct;
       },
     },
     {
-      { "load", "full_zone_penalty_pct", SettingType::Integer,
-      false, "", 10, 0, 10000,
-      "percent", "the same while they are full" },
+      { "load",
+        "full_zone_penalty_pct",
+        SettingType::Integer,
+        false,
+        "",
+        10,
+        0,
+        10000,
+        "percent",
+        "the same while they are full" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.load.fullZonePenaltyPct;
       },
     },
     {
-      { "admission", "shares", SettingType::Integer,
-      false, "", 0, 0, 2,
-      "", "whether the routes of a service that is at its limit have shares of its room: 0 never, 1 while the routes differ in priority and some flows carry several requests, 2 always" },
+      { "admission",
+        "shares",
+        SettingType::Integer,
+        false,
+        "",
+        0,
+        0,
+        2,
+        "",
+        "whether the routes of a service that is at its limit have shares of "
+        "its room: 0 never, 1 while the routes differ in priority and some "
+        "flows carry several requests, 2 always" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.admission.shares;
       },
     },
     {
-      { "admission", "least_share", SettingType::Real,
-      false, "0.1", 0, 0, 1,
-      "", "part of a service's room that its routes have for certain, in equal parts, also the least urgent" },
+      { "admission",
+        "least_share",
+        SettingType::Real,
+        false,
+        "0.1",
+        0,
+        0,
+        1,
+        "",
+        "part of a service's room that its routes have for certain, in equal "
+        "parts, also the least urgent" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.admission.leastShare;
       },
     },
     {
-      { "log", "lines_per_s", SettingType::Integer,
-      false, "", 200, 0, 100000,
-      "lines a second", "decisions logged in full up to this rate; above it flows are sampled" },
+      { "log",
+        "lines_per_s",
+        SettingType::Integer,
+        false,
+        "",
+        200,
+        0,
+        100000,
+        "lines a second",
+        "decisions logged in full up to this rate; above it flows are "
+        "sampled" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.log.linesPerS;
       },
     },
     {
-      { "warmup", "overage", SettingType::Real,
-      false, "", 1, 0, 1000,
-      "", "factor on the warm-up quota of a service: with it and warmup.slack, the most new flows in any second that all instances together open at one server in its warm-up" },
+      { "warmup",
+        "overage",
+        SettingType::Real,
+        false,
+        "",
+        1,
+        0,
+        1000,
+        "",
+        "factor on the warm-up quota of a service: with it and warmup.slack, "
+        "the most new flows in any second that all instances together open at "
+        "one server in its warm-up" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.warmup.overage;
       },
     },
     {
-      { "warmup", "slack", SettingType::Real,
-      false, "", 0, 0, 1000000,
-      "flows", "added to the warm-up quota times warmup.overage" },
+      { "warmup",
+        "slack",
+        SettingType::Real,
+        false,
+        "",
+        0,
+        0,
+        1000000,
+        "flows",
+        "added to the warm-up quota times warmup.overage" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.warmup.slack;
       },
     },
     {
-      { "race", "budget", SettingType::Real,
-      false, "", 0, 0, 1,
-      "", "only 0: second openings at another server are no longer sent, as they could move an open flow; remove the key" },
+      { "race",
+        "budget",
+        SettingType::Real,
+        false,
+        "",
+        0,
+        0,
+        1,
+        "",
+        "only 0: second openings at another server are no longer sent, as they "
+        "could move an open flow; remove the key" },
       [](TaggedSettings& aSettings) -> SettingSlot {
         return &aSettings.race.budget;
       },
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -134,6 +134,7 @@
                              const StorePosition& aPosition) {
     this->OnStoreResponse(aChanges, aPosition, false);
   };
+  created.onEra = [this](uint64_t aEra) { this->OnEra(aEra, "store"); };
   created.onStoreLost = [this, aKind](const std::string& aError, bool aFirst) {
     this->OnStoreLost(aKind, aError, aFirst);
   };
@@ -143,6 +144,39 @@
   return created;
 }
 
+// A later era than the first one means that the store came back from an older
+// copy. Entries that the copy lacks get the grace period of any outage, and the
+// kinds that have not seen the era yet are listed again.
+void
+Sync::OnEra(uint64_t aEra, const std::string& aSource)
+{
+  if (aEra <= this->era) {
+    return;
+  }
+  uint64_t former = this->era;
+  this->era = aEra;
+  if (former == 0) {
+    return;
+  }
+  ++this->returns;
+  Micros now = SteadyNow();
+  this->spread.OnStoreBack(now);
+  this->view.SetStoreBackAt(now);
+  LogLine line("store_era");
+  line.Number("era", static_cast<int64_t>(aEra))
+    .Number("former_era", static_cast<int64_t>(former))
+    .Number("former_revision",
+            static_cast<int64_t>(this->spread.Servers().position.revision))
+    .Text("source", aSource)
+    .Number("config_version", this->view.Version());
+  this->events.log(line);
+  this->servers.EnterEra(aEra);
+  this->config.EnterEra(aEra);
+  if (this->readsDrains) {
+    this->drains.EnterEra(aEra);
+  }
+}
+
 void
 Sync::OnStoreLost(std::string_view aKind,
                   const std::string& aError,
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -121,6 +121,9 @@
   {
     return this->drains.Counts();
   }
+  // The store's latest known era, and how often it rose since the start.
+  uint64_t Era() const { return this->era; }
+  uint64_t Returns() const { return this->returns; }
   // Counts of entries of the store that cannot be read.
   EntryCounts UnreadableCounts() const;
   // Counts of the messages to and from peers.
@@ -138,6 +141,8 @@
   void StartPeers(event_base* aBase, const TaggedSettings& aSettings);
   template<typename C>
   ListWatcherEvents<C> MakeWatcherEvents(std::string_view aKind);
+  // The store, or a peer, shows this era for the first time.
+  void OnEra(uint64_t aEra, const std::string& aSource);
   void OnStoreLost(std::string_view aKind,
                    const std::string& aError,
                    bool aFirst);
@@ -185,6 +190,8 @@
   bool readsDrains = false; // the drains watcher is used
   ListWatcher<steer::DrainChange> drains;
   std::unique_ptr<Peers> peers;
+  uint64_t era = 0;     // the latest of the store that is known; 0: none
+  uint64_t returns = 0; // later eras since the first one
   Timer firstListTimer;
   bool firstListStarted = false;
   bool peerViewPending = false;   // a first view was requested from a peer
