Take the changes of the store's next era from peers

Cause: the reader's heartbeats had changes from the store's new, lower revision on; the followers dropped all up to the revision that they knew, found themselves not behind, and took the reader's confirmations. Ruled out: the reader, which had the drain at once; lost datagrams, as changes are repeated for 2 s.

Change: the change log, heartbeats, views and ages are compared by position. An instance of an earlier era is behind and requests a view; an earlier era changes and confirms nothing. A peer of a former version of the program, without eras, counts as of the known era.

--- a/src/base/store_position.h
+++ b/src/base/store_position.h
@@ -24,6 +24,12 @@
   // The revisions of a store start above 0.
   constexpr bool IsKnown() const { return this->revision > 0; }
 
+  // Takes aEra for an era that is not known.
+  constexpr void AssumeEra(uint64_t aEra)
+  {
+    this->era = this->era == 0 ? aEra : this->era;
+  }
+
   friend constexpr auto operator<=>(const StorePosition&,
                                     const StorePosition&) = default;
 };
--- a/src/spread/change_log.cpp
+++ b/src/spread/change_log.cpp
@@ -42,16 +42,14 @@
     sorted.begin(),
     sorted.end(),
     [](const steer::ServerChange& aLeft, const steer::ServerChange& aRight) {
-      return aLeft.position.revision < aRight.position.revision;
+      return aLeft.position < aRight.position;
     });
   for (steer::ServerChange& change : sorted) {
-    if (change.position.revision > this->position.revision) {
+    if (change.position > this->position) {
       this->entries.push_back({ std::move(change), aNow });
     }
   }
-  if (aPosition.revision > this->position.revision) {
-    this->position = aPosition;
-  }
+  this->position = std::max(this->position, aPosition);
   while (this->entries.size() > kMaxEntries) {
     this->basePosition = this->entries.front().change.position;
     this->entries.pop_front();
--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -5,12 +5,15 @@
 
 namespace gentianspindle::spread {
 
+// What was confirmed before the store came back from an older copy says nothing
+// of its present state.
 void
 Freshness::Confirm(const StorePosition& aPosition, Micros aAt)
 {
-  if (aPosition.revision > this->position.revision) {
-    this->position = aPosition;
+  if (aPosition.era < this->position.era) {
+    return;
   }
+  this->position = std::max(this->position, aPosition);
   this->confirmedAt = std::max(this->confirmedAt, aAt);
 }
 
@@ -141,9 +144,7 @@
 Replicator::OnPeerConfig(int64_t aVersion, const StorePosition& aPosition)
 {
   this->configVersion = std::max(this->configVersion, aVersion);
-  if (aPosition.revision > this->config.position.revision) {
-    this->config.position = aPosition;
-  }
+  this->config.position = std::max(this->config.position, aPosition);
   this->updatePending = true;
 }
 
@@ -151,7 +152,7 @@
 Replicator::OnPeerServers(const StorePosition& aPosition)
 {
   this->hasServers = true;
-  if (aPosition.revision > this->servers.position.revision) {
+  if (aPosition > this->servers.position) {
     this->servers.position = aPosition;
     this->changeLog.ResetTo(aPosition);
   }
@@ -168,9 +169,40 @@
   }
 }
 
+// Returns whether the sender is of a former version of this program, which
+// knows no eras.
+bool
+Replicator::LacksEras(const Heartbeat& aHeartbeat) const
+{
+  return aHeartbeat.hasView && aHeartbeat.serversPosition.era == 0 &&
+         this->servers.position.era > 0;
+}
+
+// The revisions of such a sender are taken as of the era that is known here, so
+// that changes spread while a fleet is upgraded.
+Heartbeat
+Replicator::WithEras(const Heartbeat& aHeartbeat) const
+{
+  Heartbeat heartbeat = aHeartbeat;
+  uint64_t era = this->servers.position.era;
+  heartbeat.configPosition.AssumeEra(this->config.position.era);
+  heartbeat.serversPosition.AssumeEra(era);
+  heartbeat.recent.from.AssumeEra(era);
+  heartbeat.recent.to.AssumeEra(era);
+  for (steer::ServerChange& change : heartbeat.recent.changes) {
+    change.position.AssumeEra(era);
+  }
+  heartbeat.drains.position.AssumeEra(this->drains.position.era);
+  heartbeat.drains.changedPosition.AssumeEra(this->drains.position.era);
+  return heartbeat;
+}
+
 std::vector<steer::ServerChange>
 Replicator::OnHeartbeat(Address aFrom, const Heartbeat& aHeartbeat, Micros aNow)
 {
+  if (this->LacksEras(aHeartbeat)) {
+    return this->OnHeartbeat(aFrom, this->WithEras(aHeartbeat), aNow);
+  }
   bool knewReader = this->members.KnowsReader(aNow);
   this->members.OnHeartbeat(aFrom, aHeartbeat, aNow);
   this->quotaSharing.OnHeartbeat(aHeartbeat, aNow);
@@ -202,11 +234,11 @@
   std::vector<steer::ServerChange> newChanges;
   const ChangeRange& recent = aHeartbeat.recent;
   bool isContiguous = this->hasServers &&
-                      recent.from.revision <= this->servers.position.revision &&
-                      recent.to.revision > this->servers.position.revision;
+                      recent.from <= this->servers.position &&
+                      recent.to > this->servers.position;
   if (isContiguous) {
     for (const steer::ServerChange& change : recent.changes) {
-      if (change.position.revision > this->servers.position.revision) {
+      if (change.position > this->servers.position) {
         newChanges.push_back(change);
       }
     }
@@ -235,14 +267,14 @@
 {
   bool configBehind = aHeartbeat.configVersion > this->configVersion;
   bool serversBehind =
-    !this->hasServers ||
-    aHeartbeat.serversPosition.revision > this->servers.position.revision;
+    !this->hasServers || aHeartbeat.serversPosition > this->servers.position;
   if (!configBehind && this->configVersion > 0) {
     this->config.Confirm(aHeartbeat.configPosition,
                          aNow - aHeartbeat.configAge);
   }
   if (!serversBehind) {
-    this->servers.Confirm(this->servers.position, aNow - aHeartbeat.serversAge);
+    this->servers.Confirm(aHeartbeat.serversPosition,
+                          aNow - aHeartbeat.serversAge);
   }
   bool drainsBehind =
     this->options.drains && aHeartbeat.drainsLeftOut &&
@@ -264,8 +296,7 @@
 Replicator::IsBehind() const
 {
   return this->aheadConfigVersion > this->configVersion ||
-         this->aheadServersPosition.revision >
-           this->servers.position.revision ||
+         this->aheadServersPosition > this->servers.position ||
          this->aheadDrainsPosition.revision > this->drains.position.revision;
 }
 
@@ -279,8 +310,7 @@
                                                   : kViewRequestDelay;
   bool configBehind = this->aheadConfigVersion > this->configVersion;
   bool serversBehind =
-    !this->hasServers ||
-    this->aheadServersPosition.revision > this->servers.position.revision;
+    !this->hasServers || this->aheadServersPosition > this->servers.position;
   bool urgent = !this->HasView() || (!this->reads && configBehind);
   bool waited = aNow - this->behindSince >= wait;
   if (!urgent && !waited) {
--- a/src/spread/spread.h
+++ b/src/spread/spread.h
@@ -265,6 +265,8 @@
   void StopReading(Micros aNow);
   ReadReason ReasonToRead(const std::optional<ReaderRank>& aBest,
                           Micros aNow) const;
+  bool LacksEras(const Heartbeat& aHeartbeat) const;
+  Heartbeat WithEras(const Heartbeat& aHeartbeat) const;
   void OnHeartbeatDrains(const Heartbeat& aHeartbeat, Micros aNow);
   void CompareWithPeer(Address aFrom, const Heartbeat& aHeartbeat, Micros aNow);
   Heartbeat MakeHeartbeat(Micros aNow);
--- a/src/tagged/metrics.cpp
+++ b/src/tagged/metrics.cpp
@@ -116,15 +116,14 @@
                 "reason",
                 kStoreFailureNames,
                 SumFailures(aSource));
-  Writer::Put(aWriter.Family("store_returns_total",
-                             "Returns of the store from an older copy",
-                             MetricType::Counter),
-              {},
-              static_cast<double>(aSource.storeReturns));
-  Writer::Put(
-    aWriter.Family("store_era", "Latest era of the store", MetricType::Gauge),
-    {},
-    static_cast<double>(aSource.storeEra));
+  aWriter.Number("store_returns_total",
+                 "Returns of the store from an older copy",
+                 MetricType::Counter,
+                 static_cast<double>(aSource.storeReturns));
+  aWriter.Number("store_era",
+                 "Latest era of the store",
+                 MetricType::Gauge,
+                 static_cast<double>(aSource.storeEra));
   aWriter.Table("unreadable_entries_total",
                 "Entries of the store that cannot be read, once a version",
                 "kind",
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -12,6 +12,8 @@
 // A drains watch waits for this fraction of the bound. Even if its connection
 // delivers nothing more, that shows early enough for another watch.
 constexpr double kDrainsWaitFraction = 0.5;
+// The source of a change in the log where it is not a peer.
+constexpr char kStoreSource[] = "store";
 
 spread::ReplicatorOptions
 OptionsOf(const TaggedSettings& aSettings)
@@ -134,7 +136,7 @@
                              const StorePosition& aPosition) {
     this->OnStoreResponse(aChanges, aPosition, false);
   };
-  created.onEra = [this](uint64_t aEra) { this->OnEra(aEra, "store"); };
+  created.onEra = [this](uint64_t aEra) { this->OnStoreEra(aEra); };
   created.onStoreLost = [this, aKind](const std::string& aError, bool aFirst) {
     this->OnStoreLost(aKind, aError, aFirst);
   };
@@ -145,23 +147,19 @@
 }
 
 // A later era than the first one means that the store came back from an older
-// copy. Entries that the copy lacks get the grace period of any outage, and the
-// kinds that have not seen the era yet are listed again.
-void
-Sync::OnEra(uint64_t aEra, const std::string& aSource)
+// copy.
+bool
+Sync::RecordEra(uint64_t aEra, const std::string& aSource)
 {
   if (aEra <= this->era) {
-    return;
+    return false;
   }
   uint64_t former = this->era;
   this->era = aEra;
   if (former == 0) {
-    return;
+    return false;
   }
   ++this->returns;
-  Micros now = SteadyNow();
-  this->spread.OnStoreBack(now);
-  this->view.SetStoreBackAt(now);
   LogLine line("store_era");
   line.Number("era", static_cast<int64_t>(aEra))
     .Number("former_era", static_cast<int64_t>(former))
@@ -170,6 +168,20 @@
     .Text("source", aSource)
     .Number("config_version", this->view.Version());
   this->events.log(line);
+  return true;
+}
+
+// Entries that the copy lacks get the grace period of any outage, and the kinds
+// that have not seen the era yet are listed again.
+void
+Sync::OnStoreEra(uint64_t aEra)
+{
+  if (!this->RecordEra(aEra, kStoreSource)) {
+    return;
+  }
+  Micros now = SteadyNow();
+  this->spread.OnStoreBack(now);
+  this->view.SetStoreBackAt(now);
   this->servers.EnterEra(aEra);
   this->config.EnterEra(aEra);
   if (this->readsDrains) {
@@ -225,7 +237,7 @@
     this->view.PutChanges(aChanges, now);
   }
   this->events.onView();
-  this->LogServers(aChanges, "store");
+  this->LogServers(aChanges, kStoreSource);
   for (const steer::ServerChange& change : aChanges) {
     if (!change.removed && !change.entry) {
       this->ReportUnreadable(EntryKind::Server, change.name, change.position);
@@ -272,7 +284,7 @@
 {
   Micros now = SteadyNow();
   if (this->spread.OnDrainsResponse(aChanges, aPosition, aList, now)) {
-    this->ApplyDrains("store");
+    this->ApplyDrains(kStoreSource);
   }
   this->ExchangeWithPeers(now);
 }
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -141,8 +141,11 @@
   void StartPeers(event_base* aBase, const TaggedSettings& aSettings);
   template<typename C>
   ListWatcherEvents<C> MakeWatcherEvents(std::string_view aKind);
-  // The store, or a peer, shows this era for the first time.
-  void OnEra(uint64_t aEra, const std::string& aSource);
+  // Records an era that the store or a peer shows. Returns whether the store
+  // came back with it, as far as this instance knew until now.
+  bool RecordEra(uint64_t aEra, const std::string& aSource);
+  // A response of the store is of a later era than the former ones.
+  void OnStoreEra(uint64_t aEra);
   void OnStoreLost(std::string_view aKind,
                    const std::string& aError,
                    bool aFirst);
@@ -168,6 +171,7 @@
   std::optional<std::vector<Address>> ZoneFor(Address aAsker) const;
   std::optional<ViewVersion> CurrentViewVersion() const;
   PeerView CopyView(bool aWithServers) const;
+  PeerView WithEras(const PeerView& aView) const;
   void OnPeerView(const PeerView& aView, const std::string& aPeer);
   void ApplyReaderRole();
   void CheckStaleness(Micros aNow);
--- a/src/tagged/sync_peers.cpp
+++ b/src/tagged/sync_peers.cpp
@@ -2,6 +2,7 @@
 // and views.
 #include "tagged/sync.h"
 
+#include <algorithm>
 #include <iostream>
 
 namespace gentianspindle::tagged {
@@ -117,15 +118,39 @@
   return copy;
 }
 
+// As Replicator::WithEras, for a view.
+PeerView
+Sync::WithEras(const PeerView& aView) const
+{
+  PeerView view = aView;
+  uint64_t era = this->spread.Servers().position.era;
+  view.configPosition.AssumeEra(this->spread.Config().position.era);
+  view.drains.position.AssumeEra(this->spread.Drains().position.era);
+  view.drains.changedPosition.AssumeEra(this->spread.Drains().position.era);
+  if (view.serversPosition.IsKnown()) {
+    view.serversPosition.AssumeEra(era);
+  }
+  for (steer::ServerChange& change : view.servers) {
+    change.position.AssumeEra(era);
+  }
+  return view;
+}
+
 void
 Sync::OnPeerView(const PeerView& aView, const std::string& aPeer)
 {
+  if (aView.configPosition.era == 0 && this->spread.Config().position.era > 0) {
+    this->OnPeerView(this->WithEras(aView), aPeer);
+    return;
+  }
   this->peerViewPending = false;
+  // The peer's heartbeats say when the store came back.
+  this->RecordEra(std::max(aView.configPosition.era, aView.serversPosition.era),
+                  aPeer);
   int64_t formerVersion = this->view.Version();
   bool newConfig = this->view.PutConfig(aView.config);
   this->spread.OnPeerConfig(this->view.Version(), aView.configPosition);
-  bool newServers =
-    aView.serversPosition.revision > this->spread.Servers().position.revision;
+  bool newServers = aView.serversPosition > this->spread.Servers().position;
   if (newServers) {
     this->view.PutServers(aView.servers, SteadyNow());
     this->spread.OnPeerServers(aView.serversPosition);
--- a/tests/spread/spread_test.cpp
+++ b/tests/spread/spread_test.cpp
@@ -13,6 +13,7 @@
 
 using spread::Heartbeat;
 using spread::Replicator;
+using steer::ServerChange;
 
 constexpr Address kSelf = 10;
 constexpr Address kPeer = 20;
@@ -131,6 +132,73 @@
   CHECK_FALSE(viewRequest->servers);
 }
 
+// Guards against followers that miss all changes after a drill of the store, as
+// their revisions are below the known one.
+TEST_CASE("A follower takes the changes of the store's next era")
+{
+  Replicator spread = MakeReplicator();
+  spread.OnPeerConfig(3, PositionAt(50));
+  spread.OnPeerServers(PositionAt(50));
+  // The reader has listed again at revision 40 of the next era.
+  Heartbeat heartbeat = MakeHeartbeat("a", true);
+  heartbeat.configPosition = PositionAt(40, 2);
+  heartbeat.serversPosition = PositionAt(41, 2);
+  ServerChange draining = MakeServer(1, "web", 41);
+  draining.position = PositionAt(41, 2);
+  draining.entry->draining = true;
+  heartbeat.recent = { PositionAt(40, 2), PositionAt(41, 2), { draining } };
+  CHECK(spread.OnHeartbeat(kPeer, heartbeat, 9 * kSecond).empty());
+  // The servers that are known are not the store's, so nothing confirms them.
+  CHECK(spread.Stale(9 * kSecond));
+  auto request =
+    spread.NextViewRequest(9 * kSecond + spread::kViewRequestDelay);
+  REQUIRE(request);
+  CHECK(request->servers);
+  spread.OnPeerServers(PositionAt(40, 2));
+  CHECK(spread.Servers().position == PositionAt(40, 2));
+  CHECK(spread.OnHeartbeat(kPeer, heartbeat, 9 * kSecond).size() == 1);
+  CHECK_FALSE(spread.Stale(9 * kSecond));
+  CHECK_FALSE(spread.NextViewRequest(20 * kSecond));
+}
+
+// Guards against a return to the state from before a drill of the store.
+TEST_CASE("A peer that has not heard of the next era changes nothing")
+{
+  Replicator spread = MakeReplicator();
+  spread.OnConfigResponse(3, PositionAt(40, 2), kSecond);
+  spread.OnServersList(PositionAt(40, 2), kSecond);
+  Heartbeat late = MakeHeartbeat("a", true);
+  late.serversPosition = PositionAt(60);
+  late.recent = { PositionAt(30), PositionAt(60), { MakeRemoved(1, 60) } };
+  CHECK(spread.OnHeartbeat(kPeer, late, 9 * kSecond).empty());
+  spread.OnPeerServers(PositionAt(70));
+  spread.OnPeerConfig(3, PositionAt(70));
+  CHECK(spread.Servers().position == PositionAt(40, 2));
+  CHECK(spread.Config().position == PositionAt(40, 2));
+  CHECK(spread.Servers().confirmedAt == kSecond);
+  CHECK(spread.Config().confirmedAt == kSecond);
+  CHECK_FALSE(spread.NextViewRequest(20 * kSecond));
+}
+
+// Guards against a fleet that is upgraded and ignores its instances of the
+// former version, which send no eras.
+TEST_CASE("The changes of a peer that sends no era are those of the known era")
+{
+  Replicator spread = MakeReplicator();
+  spread.OnConfigResponse(3, PositionAt(50, 4), kSecond);
+  spread.OnServersList(PositionAt(50, 4), kSecond);
+  Heartbeat former = MakeHeartbeat("a", true);
+  former.configPosition = { 0, 50 };
+  former.serversPosition = { 0, 60 };
+  former.recent = { { 0, 50 }, { 0, 60 }, { MakeServer(1, "web", 55) } };
+  former.recent.changes[0].position = { 0, 55 };
+  auto changes = spread.OnHeartbeat(kPeer, former, 9 * kSecond);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].position == PositionAt(55, 4));
+  CHECK(spread.Servers().position == PositionAt(60, 4));
+  CHECK_FALSE(spread.Stale(9 * kSecond));
+}
+
 TEST_CASE("A reader stops only for a better reader of its own zone")
 {
   Replicator spread = MakeReplicator(0.1);
