Compare states of drained zones by position

Cause: DrainState::Adopt took only states of a higher revision.

Change: positions are compared; a state of an earlier era neither changes nor confirms the known one.

--- a/src/spread/spread.cpp
+++ b/src/spread/spread.cpp
@@ -87,6 +87,9 @@
                              bool aList,
                              Micros aNow)
 {
+  if (aPosition.era < this->drains.position.era) {
+    return false;
+  }
   this->OnStoreAnswer(aNow);
   bool changed = aList ? this->drains.PutList(aChanges, aPosition)
                        : this->drains.PutChanges(aChanges, aPosition);
@@ -96,11 +99,12 @@
 }
 
 // A state of an earlier position confirms the present one, which was the
-// store's at a later time.
+// store's at a later time, but not one of an earlier era.
 bool
 Replicator::OnPeerDrains(const steer::DrainState& aState, Micros aConfirmedAt)
 {
-  if (!this->options.drains || !aState.IsKnown()) {
+  bool isFormer = aState.position.era < this->drains.position.era;
+  if (!this->options.drains || !aState.IsKnown() || isFormer) {
     return false;
   }
   bool changed = this->drains.Adopt(aState);
@@ -116,7 +120,7 @@
 {
   steer::DrainState state = aHeartbeat.drains;
   if (aHeartbeat.drainsLeftOut) {
-    if (state.changedPosition.revision > this->drains.position.revision) {
+    if (state.changedPosition > this->drains.position) {
       return;
     }
     state.zones = this->drains.zones;
@@ -276,9 +280,8 @@
     this->servers.Confirm(aHeartbeat.serversPosition,
                           aNow - aHeartbeat.serversAge);
   }
-  bool drainsBehind =
-    this->options.drains && aHeartbeat.drainsLeftOut &&
-    aHeartbeat.drains.changedPosition.revision > this->drains.position.revision;
+  bool drainsBehind = this->options.drains && aHeartbeat.drainsLeftOut &&
+                      aHeartbeat.drains.changedPosition > this->drains.position;
   if (!configBehind && !serversBehind && !drainsBehind) {
     return;
   }
@@ -297,7 +300,7 @@
 {
   return this->aheadConfigVersion > this->configVersion ||
          this->aheadServersPosition > this->servers.position ||
-         this->aheadDrainsPosition.revision > this->drains.position.revision;
+         this->aheadDrainsPosition > this->drains.position;
 }
 
 std::optional<ViewRequest>
--- a/src/steer/drains.cpp
+++ b/src/steer/drains.cpp
@@ -46,12 +46,12 @@
 bool
 DrainState::Adopt(const DrainState& aState)
 {
-  if (aState.position.revision <= this->position.revision) {
+  if (aState.position <= this->position) {
     return false;
   }
   bool isNew = !this->IsKnown() || aState.zones != this->zones;
   // A zone may have changed and changed back.
-  if (isNew || aState.changedPosition.revision > this->position.revision) {
+  if (isNew || aState.changedPosition > this->position) {
     this->changedPosition =
       std::max(this->changedPosition, aState.changedPosition);
   }
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -211,7 +211,7 @@
 bool
 View::PutDrains(const DrainState& aState)
 {
-  if (aState.position.revision < this->drains.position.revision) {
+  if (aState.position < this->drains.position) {
     return false;
   }
   this->drains = aState;
--- a/tests/spread/drains_test.cpp
+++ b/tests/spread/drains_test.cpp
@@ -107,6 +107,56 @@
   CHECK(spread.Drains().zones == Zones{ "z3" });
 }
 
+// Guards against a drain that no instance ever heeds, or never lifts, after a
+// drill of the store: its revision is below the known one.
+TEST_CASE(
+  "A drain of the store's next era replaces the state of the former one")
+{
+  Replicator reader = MakeReplicator();
+  reader.OnDrainsResponse({}, PositionAt(90), true, kSecond);
+  Replicator follower = MakeReplicator();
+  follower.OnPeerDrains(reader.Drains(), kSecond);
+  std::vector<steer::DrainChange> list{ { "z1", PositionAt(20, 2), false } };
+  CHECK(reader.OnDrainsResponse(list, PositionAt(40, 2), true, 2 * kSecond));
+  CHECK(follower.OnPeerDrains(reader.Drains(), 2 * kSecond));
+  CHECK(follower.Drains().zones == Zones{ "z1" });
+  CHECK(follower.Drains().changedPosition == PositionAt(40, 2));
+  // What was sent in the former era and comes late neither changes nor
+  // confirms.
+  CHECK_FALSE(
+    follower.OnPeerDrains({ PositionAt(95), PositionAt(95), {} }, 3 * kSecond));
+  CHECK(follower.Drains().zones == Zones{ "z1" });
+  CHECK(follower.DrainsConfirmedAt() == 2 * kSecond);
+  CHECK_FALSE(reader.OnDrainsResponse({}, PositionAt(95), false, 3 * kSecond));
+  CHECK(reader.Drains().zones == Zones{ "z1" });
+  CHECK(reader.DrainsConfirmedAt() == 2 * kSecond);
+  // The end of the drain, and a second return soon after.
+  std::vector<steer::DrainChange> ended{ { "z1", PositionAt(41, 2), true } };
+  CHECK(reader.OnDrainsResponse(ended, PositionAt(41, 2), false, 4 * kSecond));
+  CHECK(reader.OnDrainsResponse(list, PositionAt(30, 3), true, 5 * kSecond));
+  CHECK(follower.OnPeerDrains(reader.Drains(), 5 * kSecond) == false);
+  CHECK(follower.Drains().position == PositionAt(30, 3));
+}
+
+// Guards against a view that keeps the drains of the former era.
+TEST_CASE("Drains that a heartbeat of the next era leaves out are requested")
+{
+  Replicator spread = MakeReplicator();
+  spread.OnConfigResponse(3, PositionAt(50), kSecond);
+  spread.OnServersList(PositionAt(50), kSecond);
+  spread.OnDrainsResponse({}, PositionAt(50), true, kSecond);
+  Heartbeat heartbeat = MakeHeartbeat(0, 0, {});
+  heartbeat.hasView = true;
+  heartbeat.configVersion = 3;
+  heartbeat.configPosition = PositionAt(50);
+  heartbeat.serversPosition = PositionAt(50);
+  heartbeat.drains = { PositionAt(40, 2), PositionAt(40, 2), {} };
+  heartbeat.drainsLeftOut = true;
+  spread.OnHeartbeat(kPeer, heartbeat, 2 * kSecond);
+  CHECK(spread.Drains().position == PositionAt(50));
+  CHECK(spread.NextViewRequest(2 * kSecond + spread::kViewRequestDelay));
+}
+
 TEST_CASE("Without the setting drains are neither taken over nor passed on")
 {
   Replicator spread = MakeReplicator(false);
