Hold the drains that the store lost when it came back from an older copy

Cause, found by reading: since positions are compared, the entry of an older copy replaces the known one. If the copy lacks an acknowledged drain of a server or a zone, new flows would go there until it is written again; and an ended process could come back. Ruled out as a solution: keeping a drain for good, as an operator may have withdrawn it or an entry been another writer's.

Change: such a drain is held for 5 s, or until the new era has had it. An entry of a former process changes nothing in the new era until it changes there. The log line zone_drain says 'held'. Each response about drains is applied, so that a view learns of the era even if no zone changed.

--- a/src/steer/candidates.cpp
+++ b/src/steer/candidates.cpp
@@ -12,7 +12,7 @@
   if (!server.IsAvailable()) {
     return Exclusion::Unlisted;
   }
-  if (server.entry.draining) {
+  if (server.IsDraining()) {
     return Exclusion::Draining;
   }
   if (server.tagConflict) {
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -134,6 +134,16 @@
   }
 }
 
+// Returns whether the store, which came back from an older copy, has an entry
+// of a process that ended before the known one started. The entry of that one
+// is written again, or the one of the copy is removed.
+bool
+View::IsFormerProcess(const ServerChange& aChange, const Server& aServer)
+{
+  return aChange.position.era > aServer.position.era &&
+         aChange.entry->startedAt < aServer.entry.startedAt;
+}
+
 // Applies an equal position too: a list repeats entries that did not change,
 // and with it a missing server is listed again.
 bool
@@ -145,6 +155,11 @@
     return false;
   }
   if (aChange.entry && !aChange.removed) {
+    if (known != this->byName.end() &&
+        IsFormerProcess(aChange, this->servers[known->second])) {
+      this->servers[known->second].position = aChange.position;
+      return false;
+    }
     this->PutEntry(aChange, aNow);
     return true;
   }
@@ -191,6 +206,11 @@
   if (isNew || server.entry.startedAt != entry.startedAt) {
     ++server.generation;
     ++this->processCount;
+    server.drainHeld = false;
+  } else if (aChange.position.era > server.position.era &&
+             server.IsDraining()) {
+    server.drainHeld = true;
+    server.drainHeldUntil = aNow + kDrainHoldTime;
   }
   server.entry = entry;
   server.tag = TagOf(entry.id);
@@ -209,23 +229,56 @@
 }
 
 bool
-View::PutDrains(const DrainState& aState)
+View::PutDrains(const DrainState& aState, Micros aNow)
 {
   if (aState.position < this->drains.position) {
     return false;
   }
+  this->HoldDrains(aState, aNow);
   this->drains = aState;
+  this->UpdateZoneDrains();
+  return true;
+}
+
+void
+View::HoldDrains(const DrainState& aState, Micros aNow)
+{
+  if (aState.position.era > this->drains.position.era) {
+    for (const std::string& zone : this->drains.zones) {
+      this->heldZones[zone] = aNow + kDrainHoldTime;
+    }
+  }
+  for (const std::string& zone : aState.zones) {
+    this->heldZones.erase(zone);
+  }
+}
+
+void
+View::UpdateZoneDrains()
+{
   for (Server& server : this->servers) {
     server.zoneDrained = this->IsZoneDrained(server.entry.zone);
   }
-  return true;
 }
 
 bool
 View::IsZoneDrained(const std::string& aZone) const
 {
-  return std::binary_search(
-    this->drains.zones.begin(), this->drains.zones.end(), aZone);
+  return this->heldZones.contains(aZone) ||
+         std::binary_search(
+           this->drains.zones.begin(), this->drains.zones.end(), aZone);
+}
+
+// Ends the drains that were not written again in time.
+void
+View::EndHeldDrains(Micros aNow)
+{
+  size_t ended = absl::erase_if(this->heldZones, [aNow](const auto& aHeld) {
+    return aNow >= aHeld.second;
+  });
+  if (ended > 0) {
+    this->UpdateZoneDrains();
+  }
 }
 
 bool
@@ -299,7 +352,7 @@
     return;
   }
   aServer.registryState =
-    aServer.entry.draining ? RegistryState::Gone : RegistryState::Missing;
+    aServer.IsDraining() ? RegistryState::Gone : RegistryState::Missing;
   aServer.inGracePeriod = aNow - this->storeBackAt < kGracePeriod;
   aServer.changedAt = aNow;
 }
@@ -307,9 +360,11 @@
 void
 View::Tick(Micros aNow)
 {
+  this->EndHeldDrains(aNow);
   for (size_t i = 0; i < this->servers.size(); ++i) {
     Server& server = this->servers[i];
     Micros age = aNow - server.changedAt;
+    server.drainHeld = server.drainHeld && aNow < server.drainHeldUntil;
     if (server.registryState == RegistryState::Missing) {
       server.inGracePeriod = server.inGracePeriod && age < kGracePeriod;
       server.registryState =
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -23,6 +23,10 @@
 // After this time a missing server counts as gone, and its flows are reset. It
 // is longer than the grace period, as a reset cannot be undone.
 constexpr Micros kMissingTimeout = 3 * kSecond;
+// A drain that the store lacks after it came back from an older copy stays in
+// force for this time: a server or an operator that still wants it has written
+// it again by then.
+constexpr Micros kDrainHoldTime = 5 * kSecond;
 // Servers stay in the view for this time after they went missing, so that late
 // packets of their flows are reset, and not dropped for an unknown tag.
 constexpr Micros kGoneRetention = 60 * kSecond;
@@ -48,13 +52,19 @@
   // Set if the server went missing within kGracePeriod of the end of a store
   // outage. Cleared kGracePeriod later, or when the server is listed again.
   bool inGracePeriod = false;
+  // The store lost the server's drain in a return from an older copy; cleared
+  // after kDrainHoldTime.
+  bool drainHeld = false;
   bool tagConflict = false; // another server has the tag
   bool zoneDrained = false; // its zone is drained
   StorePosition position;   // of the entry, or of its removal
   uint32_t generation = 0;  // number of server processes seen at this index
   Micros changedAt = 0;     // when a change or list last set the state
   Micros warmupUntil = 0;
+  Micros drainHeldUntil = 0;
 
+  // Returns whether the server drains, as far as this instance knows.
+  bool IsDraining() const { return this->entry.draining || this->drainHeld; }
   // Returns whether the server is listed, or may have lost its entry only in an
   // outage.
   bool IsAvailable() const
@@ -67,7 +77,7 @@
   // See ExclusionOf for what else may exclude it.
   bool AcceptsNewFlows() const
   {
-    return this->IsAvailable() && !this->entry.draining && !this->tagConflict &&
+    return this->IsAvailable() && !this->IsDraining() && !this->tagConflict &&
            !this->zoneDrained;
   }
 };
@@ -123,9 +133,14 @@
   bool PutServer(const ServerChange& aChange, Micros aNow);
 
   // Applies the drained zones, to servers that appear later, too. Returns false
-  // if the state is of an earlier position than the one in force.
-  bool PutDrains(const DrainState& aState);
+  // if the state is of an earlier position than the one in force. Drains that
+  // the state of a later era lacks stay in force for kDrainHoldTime, or until
+  // that era has had them.
+  bool PutDrains(const DrainState& aState, Micros aNow);
   const DrainState& Drains() const { return this->drains; }
+  // Returns whether the servers of a zone get no new flow, also as its drain is
+  // held.
+  bool IsZoneDrained(const std::string& aZone) const;
 
   // Sets the region of each zone, which the routes' regions refer to.
   void SetRegions(absl::flat_hash_map<std::string, std::string> aRegionOfZone)
@@ -174,11 +189,15 @@
   std::span<const ServerIndex> ServersOf(std::string_view aService) const;
 
 private:
+  static bool IsFormerProcess(const ServerChange& aChange,
+                              const Server& aServer);
   // Applies the readable entry of a change that is not a removal.
   void PutEntry(const ServerChange& aChange, Micros aNow);
   ServerIndex AllocateIndex(const std::string& aName);
   void Evict(ServerIndex aServer);
-  bool IsZoneDrained(const std::string& aZone) const;
+  void HoldDrains(const DrainState& aState, Micros aNow);
+  void UpdateZoneDrains();
+  void EndHeldDrains(Micros aNow);
   static void MarkUnreadable(Server& aServer, Micros aNow);
   void MarkMissing(Server& aServer, Micros aNow);
   void AddTag(ServerIndex aIndex);
@@ -195,6 +214,9 @@
   absl::flat_hash_map<std::string, std::vector<ServerIndex>> byService;
   absl::flat_hash_map<std::string, std::string> regionOfZone;
   DrainState drains;
+  // Zones whose drains the store lost in a return from an older copy, and until
+  // when they stay in force.
+  absl::flat_hash_map<std::string, Micros> heldZones;
   uint64_t processCount = 0;
   bool hasServers = false;
   // End of the last store outage. The default is so long before any time in use
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -283,9 +283,8 @@
                       bool aList)
 {
   Micros now = SteadyNow();
-  if (this->spread.OnDrainsResponse(aChanges, aPosition, aList, now)) {
-    this->ApplyDrains(kStoreSource);
-  }
+  this->spread.OnDrainsResponse(aChanges, aPosition, aList, now);
+  this->ApplyDrains(kStoreSource);
   this->ExchangeWithPeers(now);
 }
 
@@ -296,7 +295,7 @@
 {
   const steer::DrainState& next = this->spread.Drains();
   steer::DrainState former = this->view.Drains();
-  this->view.PutDrains(next);
+  this->view.PutDrains(next, SteadyNow());
   if (!former.IsKnown()) {
     this->drains.AdvanceTo(next.position);
     this->events.onView();
@@ -306,12 +305,13 @@
   };
   for (const std::string& zone : next.zones) {
     if (!hasZone(former, zone)) {
-      this->LogDrain(zone, true, aSource);
+      this->LogDrain(zone, "in_force", aSource);
     }
   }
   for (const std::string& zone : former.zones) {
     if (!hasZone(next, zone)) {
-      this->LogDrain(zone, false, aSource);
+      bool isHeld = this->view.IsZoneDrained(zone);
+      this->LogDrain(zone, isHeld ? "held" : "lifted", aSource);
     }
   }
 }
--- a/src/tagged/sync.h
+++ b/src/tagged/sync.h
@@ -162,7 +162,7 @@
   // Puts the replicator's drained zones in force, and logs those that changed.
   void ApplyDrains(const std::string& aSource);
   void LogDrain(std::string_view aZone,
-                bool aDrained,
+                std::string_view aState,
                 const std::string& aSource);
   void OnHeartbeat(Address aFrom, const spread::Heartbeat& aHeartbeat);
   void OnOpening(Address aFrom, const OpeningMessage& aMessage);
--- a/src/tagged/sync_log.cpp
+++ b/src/tagged/sync_log.cpp
@@ -26,12 +26,12 @@
 
 void
 Sync::LogDrain(std::string_view aZone,
-               bool aDrained,
+               std::string_view aState,
                const std::string& aSource)
 {
   LogLine line("zone_drain");
   line.Text("drained_zone", aZone)
-    .Text("state", aDrained ? "in_force" : "lifted")
+    .Text("state", aState)
     .Text("source", aSource)
     .Number("age_ms", this->DrainsAge(SteadyNow()) / kMillisecond)
     .Number("revision",
--- a/tests/steer/drains_test.cpp
+++ b/tests/steer/drains_test.cpp
@@ -36,7 +36,8 @@
   {
     ++this->revision;
     this->steer.CurrentView().PutDrains(
-      { PositionAt(this->revision), PositionAt(this->revision), aZones });
+      { PositionAt(this->revision), PositionAt(this->revision), aZones },
+      this->now);
   }
 
   // Returns how many of aCount new flows each server gets, by its id.
@@ -79,10 +80,38 @@
   ZonesFixture fixture;
   fixture.Drain({ "a" });
   CHECK_FALSE(fixture.steer.CurrentView().PutDrains(
-    { PositionAt(5), PositionAt(5), {} }));
+    { PositionAt(5), PositionAt(5), {} }, fixture.now));
   CHECK_FALSE(fixture.CountOpenings().contains(1));
 }
 
+// Guards against openings in a zone whose drain is acknowledged, but missing in
+// the copy from which the store came back, until operators write it again.
+TEST_CASE("A drain that the store's next era lacks stays in force for a while")
+{
+  ZonesFixture fixture;
+  View& view = fixture.steer.CurrentView();
+  fixture.Drain({ "a", "b" });
+  view.PutDrains({ PositionAt(5, 2), PositionAt(5, 2), { "b" } }, fixture.now);
+  Micros returnedAt = fixture.now;
+  CHECK_FALSE(fixture.CountOpenings().contains(1));
+  SECTION("until it ends")
+  {
+    view.Tick(returnedAt + kDrainHoldTime - 1);
+    CHECK_FALSE(fixture.CountOpenings().contains(1));
+    view.Tick(returnedAt + kDrainHoldTime);
+  }
+  SECTION("or until it is written again and then withdrawn")
+  {
+    view.PutDrains({ PositionAt(6, 2), PositionAt(6, 2), { "a", "b" } },
+                   fixture.now);
+    CHECK_FALSE(fixture.CountOpenings().contains(1));
+    view.PutDrains({ PositionAt(7, 2), PositionAt(7, 2), { "b" } },
+                   fixture.now);
+  }
+  CHECK(fixture.CountOpenings().contains(1));
+  CHECK_FALSE(fixture.CountOpenings().contains(2));
+}
+
 TEST_CASE("A flow that is open in a drained zone stays there")
 {
   ZonesFixture fixture;
--- a/tests/steer/opening_test.cpp
+++ b/tests/steer/opening_test.cpp
@@ -64,7 +64,8 @@
     fixture.now += 400 * kMillisecond;
   } else if (event == "zone drained") {
     view.PutDrains(
-      { PositionAt(3), PositionAt(3), { view.At(first.server).entry.zone } });
+      { PositionAt(3), PositionAt(3), { view.At(first.server).entry.zone } },
+      fixture.now);
   } else {
     change.entry->draining = event == "draining";
     change.entry->startedAt += event == "restarted" ? 1 : 0;
@@ -78,7 +79,7 @@
   // The reset may be lost, and the server usable again.
   change = MakeServer(id, "web", 3);
   view.PutServer(change, fixture.now);
-  view.PutDrains({ PositionAt(4), PositionAt(4), {} });
+  view.PutDrains({ PositionAt(4), PositionAt(4), {} }, fixture.now);
   fixture.now += 100 * kMillisecond;
   CHECK(fixture.Open(7000, 0, 2).reason == Reason::RefusedBefore);
   for (ServerIndex server : { 0, 1, 2 }) {
--- a/tests/steer/view_test.cpp
+++ b/tests/steer/view_test.cpp
@@ -133,6 +133,71 @@
   CHECK(At(view, 3).registryState == RegistryState::Listed);
 }
 
+// Guards against openings at a server whose acknowledged drain is missing in
+// the copy from which the store came back, until the server reports it again.
+TEST_CASE("A server's drain that the next era lacks stays in force for a while")
+{
+  View view = MakeView();
+  ServerChange draining = MakeServer(1, "web", 7);
+  draining.entry->draining = true;
+  view.PutServer(draining, kStart);
+  ServerChange copy = MakeServer(1, "web", 1);
+  copy.position = PositionAt(1, 2);
+  SECTION("for the process that reported it")
+  {
+    view.PutServer(copy, kStart);
+    CHECK_FALSE(At(view, 1).AcceptsNewFlows());
+    // It writes its entry for another reason, and the store comes back again.
+    copy.position = PositionAt(4, 2);
+    view.PutServer(copy, kStart + kSecond);
+    copy.position = PositionAt(1, 3);
+    view.PutServer(copy, kStart + 2 * kSecond);
+    view.Tick(kStart + kDrainHoldTime - 1);
+    CHECK_FALSE(At(view, 1).AcceptsNewFlows());
+    view.Tick(kStart + 2 * kSecond + kDrainHoldTime);
+    CHECK(At(view, 1).AcceptsNewFlows());
+  }
+  SECTION("also if it had left")
+  {
+    view.PutServer(MakeRemoved(1, 8), kStart);
+    view.PutServer(copy, kStart);
+    CHECK_FALSE(At(view, 1).AcceptsNewFlows());
+    view.PutServer(copy, kStart + kSecond);
+    CHECK_FALSE(At(view, 1).AcceptsNewFlows());
+    ServerChange removed = MakeRemoved(1, 2);
+    removed.position = PositionAt(2, 2);
+    view.PutServer(removed, kStart + kSecond);
+    CHECK(At(view, 1).registryState == RegistryState::Gone);
+  }
+  SECTION("but not for a process that started later")
+  {
+    ++copy.entry->startedAt;
+    view.PutServer(copy, kStart);
+    CHECK(At(view, 1).AcceptsNewFlows());
+  }
+}
+
+// Guards against a process that has ended and comes back with an older copy of
+// the store.
+TEST_CASE("The next era does not bring back a server's former process")
+{
+  View view = MakeView();
+  ServerChange restarted = MakeServer(1, "web", 7);
+  restarted.entry->startedAt += 500;
+  view.PutServer(restarted, kStart);
+  uint64_t processCount = view.ProcessCount();
+  ServerChange copy = MakeServer(1, "web", 1);
+  copy.position = PositionAt(1, 2);
+  view.PutServer(copy, kStart);
+  CHECK(At(view, 1).entry.startedAt == restarted.entry->startedAt);
+  CHECK(At(view, 1).AcceptsNewFlows());
+  CHECK(view.ProcessCount() == processCount);
+  // The first change in the new era counts, whatever its start is.
+  copy.position = PositionAt(5, 2);
+  view.PutServer(copy, kStart);
+  CHECK(At(view, 1).entry.startedAt == copy.entry->startedAt);
+}
+
 TEST_CASE("A peer's view does not make a server gone whose entry is unreadable")
 {
   View sender = MakeView();
--- a/tests/support/spread_drains.cpp
+++ b/tests/support/spread_drains.cpp
@@ -59,7 +59,7 @@
   }
   aInstance.spread->OnDrainsResponse(
     changes, this->store.Position(), list, this->Now());
-  aInstance.view->PutDrains(aInstance.spread->Drains());
+  aInstance.view->PutDrains(aInstance.spread->Drains(), this->Now());
   return !changes.empty();
 }
 
--- a/tests/support/spread_fleet.cpp
+++ b/tests/support/spread_fleet.cpp
@@ -202,7 +202,7 @@
   if (this->options.drains) {
     instance.spread->OnDrainsResponse(
       this->store.ListDrains(), this->store.Position(), true, this->Now());
-    instance.view->PutDrains(instance.spread->Drains());
+    instance.view->PutDrains(instance.spread->Drains(), this->Now());
   }
 }
 
@@ -375,7 +375,7 @@
         instance.spread->OnHeartbeat(
           this->instances[aFrom].address, received, this->Now()),
         this->Now());
-      instance.view->PutDrains(instance.spread->Drains());
+      instance.view->PutDrains(instance.spread->Drains(), this->Now());
       this->Exchange(to);
     });
 }
@@ -399,7 +399,7 @@
     instance.spread->OnPeerConfig(instance.view->Version(),
                                   peer.spread->Config().position);
     instance.spread->OnPeerDrains(peer.spread->Drains(), spread::kNever);
-    instance.view->PutDrains(instance.spread->Drains());
+    instance.view->PutDrains(instance.spread->Drains(), this->Now());
     StorePosition position = peer.spread->Servers().position;
     if (!aRequest.servers || position <= instance.spread->Servers().position) {
       return;
