Let an entry of a service without a route say nothing of other servers

Cause: IsEndpointReused took any listed entry with the same address and a later start as the proof that a server has left. Ruled out: unanswered opening packets alone, which reset nothing without the entries.

Change: only an entry of a service that a route leads or led to counts. On the same ground such an entry no longer takes a live server's tag, which dropped that server's flows, and brings no zone that holds slots of warm-up quotas.

--- a/src/base/store_position.h
+++ b/src/base/store_position.h
@@ -30,8 +30,14 @@
     this->era = this->era == 0 ? aEra : this->era;
   }
 
-  friend constexpr auto operator<=>(const StorePosition&,
-                                    const StorePosition&) = default;
+  friend constexpr bool operator==(const StorePosition&,
+                                   const StorePosition&) = default;
+  friend constexpr std::strong_ordering operator<=>(const StorePosition& aLeft,
+                                                    const StorePosition& aRight)
+  {
+    return aLeft.era == aRight.era ? aLeft.revision <=> aRight.revision
+                                   : aLeft.era <=> aRight.era;
+  }
 };
 
 }
--- a/src/steer/silence.cpp
+++ b/src/steer/silence.cpp
@@ -131,6 +131,9 @@
   return probes;
 }
 
+// Only an entry of a routed service can be a server that took the endpoint
+// over: any other may be another writer's, and its address the live server's
+// own.
 bool
 FlowSteering::IsEndpointReused(ServerIndex aServer) const
 {
@@ -138,6 +141,7 @@
   for (size_t i = 0; i < this->view.Size(); ++i) {
     const Server& other = this->view.At(static_cast<ServerIndex>(i));
     if (i != aServer && other.registryState == RegistryState::Listed &&
+        this->view.IsRouted(other.entry.service) &&
         other.entry.endpoint == entry.endpoint &&
         other.entry.startedAt > entry.startedAt) {
       return true;
--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -42,9 +42,29 @@
   this->routes = std::move(next);
   this->config = aConfig;
   this->config.routes.clear();
+  this->UpdateRoutedServices();
   return true;
 }
 
+void
+View::UpdateRoutedServices()
+{
+  absl::flat_hash_set<std::string> routed;
+  for (const auto& [endpoint, route] : this->routes) {
+    routed.insert(route.allowedServices.begin(), route.allowedServices.end());
+  }
+  if (routed != this->routedServices) {
+    this->routedServices = std::move(routed);
+    this->RebuildTags();
+  }
+}
+
+bool
+View::IsRouted(std::string_view aService) const
+{
+  return this->routedServices.contains(ToAbsl(aService));
+}
+
 Config
 View::CopyConfig() const
 {
@@ -294,11 +314,25 @@
                    region->second) != aRoute.regions.end();
 }
 
+// An entry of a service that no route leads to loses the tag to any other, a
+// gone server to one that is not gone; else the smaller id gets it.
+bool
+View::HasTagPriority(const Server& aServer, const Server& aOther) const
+{
+  bool isRouted = this->IsRouted(aServer.entry.service);
+  if (isRouted != this->IsRouted(aOther.entry.service)) {
+    return isRouted;
+  }
+  return aOther.registryState == RegistryState::Gone ||
+         (aServer.registryState != RegistryState::Gone &&
+          aServer.entry.id < aOther.entry.id);
+}
+
 // Of two servers with the same tag one gets it, and with it all packets that
-// carry the tag; the other takes no new flows. A gone server loses the tag to
-// the other, else the smaller id gets it. This is decided when a server is
-// first seen and after an eviction, not when a server becomes gone or is listed
-// again, so instances that saw another order of changes can differ.
+// carry the tag; the other takes no new flows. This is decided when a server is
+// first seen, after an eviction and when a configuration names other services,
+// not when a server becomes gone or is listed again, so instances that saw
+// another order of changes can differ.
 void
 View::AddTag(ServerIndex aIndex)
 {
@@ -309,15 +343,13 @@
     return;
   }
   Server& other = this->servers[holder->second];
-  bool wins = other.registryState == RegistryState::Gone ||
-              (server.registryState != RegistryState::Gone &&
-               server.entry.id < other.entry.id);
+  bool wins = this->HasTagPriority(server, other);
   (wins ? other : server).tagConflict = true;
   holder->second = wins ? aIndex : holder->second;
 }
 
-// Assigns all tags anew after an eviction, as another server may have the
-// evicted server's tag.
+// Assigns all tags anew, as another server may have the tag of one that was
+// evicted, or whose service is no longer routed.
 void
 View::RebuildTags()
 {
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -162,6 +162,10 @@
   bool Ready() const { return this->hasServers && this->config.version > 0; }
   bool HasServers() const { return this->hasServers; }
   int64_t Version() const { return this->config.version; }
+  // Returns whether a route leads to the service, or led to it since the route
+  // last appeared. An entry of any other service is another writer's, or of a
+  // service that is not in use: it says nothing of other servers.
+  bool IsRouted(std::string_view aService) const;
   // New flows a second for a server of aService in its warm-up; 0: no bound.
   double WarmupQuotaOf(std::string_view aService) const;
 
@@ -200,11 +204,14 @@
   void EndHeldDrains(Micros aNow);
   static void MarkUnreadable(Server& aServer, Micros aNow);
   void MarkMissing(Server& aServer, Micros aNow);
+  void UpdateRoutedServices();
+  bool HasTagPriority(const Server& aServer, const Server& aOther) const;
   void AddTag(ServerIndex aIndex);
   void RebuildTags();
 
   Config config;
   absl::flat_hash_map<Endpoint, Route> routes;
+  absl::flat_hash_set<std::string> routedServices;
   // Targets of removed routes. They stay until a configuration has them again.
   absl::flat_hash_set<Endpoint> formerRoutes;
   std::vector<Server> servers;
--- a/src/steer/warmup_quota.cpp
+++ b/src/steer/warmup_quota.cpp
@@ -59,18 +59,31 @@
 }
 
 // A zone stays known without servers or instances: its instances may be cut
-// off, and still use their slots.
+// off, and still use their slots. An entry of a service that no route leads to
+// may be another writer's, and its zone none.
 void
-WarmupQuota::Tick(const View& aView, Micros aNow)
+WarmupQuota::UpdateZones(const View& aView)
 {
-  if (this->knownProcesses != aView.ProcessCount()) {
-    this->knownProcesses = aView.ProcessCount();
-    size_t known = this->zones.size();
-    for (ServerIndex i = 0; i < aView.Size(); ++i) {
-      this->zones.insert(aView.At(i).entry.zone);
+  if (this->knownProcesses == aView.ProcessCount() &&
+      this->knownVersion == aView.Version()) {
+    return;
+  }
+  this->knownProcesses = aView.ProcessCount();
+  this->knownVersion = aView.Version();
+  size_t known = this->zones.size();
+  for (ServerIndex i = 0; i < aView.Size(); ++i) {
+    const ServerEntry& entry = aView.At(i).entry;
+    if (aView.IsRouted(entry.service)) {
+      this->zones.insert(entry.zone);
     }
-    this->holdersVersion += this->zones.size() == known ? 0 : 1;
   }
+  this->holdersVersion += this->zones.size() == known ? 0 : 1;
+}
+
+void
+WarmupQuota::Tick(const View& aView, Micros aNow)
+{
+  this->UpdateZones(aView);
   absl::erase_if(this->accounts, [&](const auto& aEntry) {
     const std::deque<Micros>& openings = aEntry.second.openings;
     bool cold = aNow < aView.At(aEntry.first).warmupUntil;
--- a/src/steer/warmup_quota.h
+++ b/src/steer/warmup_quota.h
@@ -74,13 +74,16 @@
   Account* FindAccount(const View& aView, ServerIndex aServer, Micros aNow);
   uint32_t CountAllowed(ServerId aServer, double aQuota) const;
   bool HoldsSlot(uint64_t aSlotHash) const;
+  void UpdateZones(const View& aView);
 
   WarmupQuotaOptions options;
   Micros validUntil = 0; // of the holders
   QuotaHolders holders;
   uint64_t holdersVersion = 1; // changes with the holders and the zones
   std::set<std::string> zones; // all that were ever known
-  uint64_t knownProcesses = 0; // View::ProcessCount at the last Tick
+  // View::ProcessCount and View::Version at the last Tick.
+  uint64_t knownProcesses = 0;
+  int64_t knownVersion = 0;
   absl::flat_hash_map<ServerIndex, Account> accounts;
 };
 
--- a/tests/steer/view_test.cpp
+++ b/tests/steer/view_test.cpp
@@ -236,6 +236,35 @@
   CHECK(accepting == 2);
 }
 
+// Guards against flows that are dropped, as another writer's entry of a service
+// that no route names has the tag of a live server.
+TEST_CASE("An entry of a service without a route takes no server's tag")
+{
+  ServerId sameTag = (uint64_t{ 3 } << 32) | 2U;
+  REQUIRE(TagOf(sameTag) == TagOf(1));
+  View view;
+  ServerChange other = MakeServer(1, "metrics", 5);
+  SECTION("also where it was there first")
+  {
+    view.PutServer(other, kStart);
+    view.PutServer(MakeServer(sameTag, "web", 6), kStart);
+    view.PutConfig(MakeConfig(5));
+  }
+  SECTION("or where it comes last")
+  {
+    view.PutConfig(MakeConfig(5));
+    view.PutServer(MakeServer(sameTag, "web", 4), kStart);
+    view.PutServer(other, kStart);
+  }
+  CHECK(At(view, 1).entry.id == sameTag);
+  CHECK(At(view, 1).AcceptsNewFlows());
+  // A configuration that names the service makes it a server.
+  Config config = MakeConfig(6);
+  config.routes[1].services = { { "metrics", 1 } };
+  view.PutConfig(config);
+  CHECK(At(view, 1).entry.id == 1);
+}
+
 TEST_CASE("Servers gone for long are evicted and their indexes reused")
 {
   View view = MakeView();
--- a/tests/steer/warmup_quota_test.cpp
+++ b/tests/steer/warmup_quota_test.cpp
@@ -63,6 +63,23 @@
   CHECK(OpeningsInASecond(steering, 12 * kSecond) == 1000);
 }
 
+// Guards against slots that nobody uses, as another writer's entry has a zone
+// of its own.
+TEST_CASE("An entry of a service without a route brings no zone of holders")
+{
+  FlowSteering steering = MakeSteering(5);
+  for (ServerId id = 100; id < 120; ++id) {
+    ServerChange other = MakeServer(id, "metrics", id);
+    other.entry->zone = "zone-" + std::to_string(id);
+    steering.CurrentView().PutServer(other, kSecond);
+  }
+  steering.Tick(kSecond);
+  steering.SetQuotaHolders(
+    { .self = kSelf, .zone = "a", .zones = { "a" }, .lists = { { kSelf } } },
+    9 * kSecond);
+  CHECK(OpeningsInASecond(steering, 2 * kSecond) == 5);
+}
+
 TEST_CASE("Overage and slack raise what a small quota gives in a second")
 {
   FlowSteering plain = MakeSteering(0.5);
