Refuse entries without a start, and texts that are no UTF-8

Cause: born could be missing, and the parser didn't check encodings. Ruled out: the other members, which must all be there.

Change: both make the entry unreadable.

--- a/tests/translation/objects_test.cpp
+++ b/tests/translation/objects_test.cpp
@@ -200,15 +200,45 @@
   CHECK(isRead("born", "1700000000124"));
 }
 
-TEST_CASE("An entry may lack the start of its server's process")
+// Guards against requests that run at another service's server: an entry of
+// another writer, without the start or with bytes that are no text, was used.
+TEST_CASE(
+  "An entry without a start or with bytes that are no UTF-8 is unreadable")
 {
-  std::string spec = MakeServerSpec("ready");
-  spec.resize(spec.find(",\"born\""));
-  auto page = ObjectFormat::ParseServersList(
-    MakeList(MakeObject("i-2", spec + "}")), kEra);
-  REQUIRE(page.ok());
-  REQUIRE(page->changes.at(0).entry);
-  CHECK(page->changes[0].entry->startedAt == 0);
+  auto isRead = [](const std::string& aSpec) {
+    auto page = ObjectFormat::ParseServersList(
+      MakeList(MakeObject("i-2", aSpec) + "," +
+               MakeObject("i-3", MakeServerSpec("ready"))),
+      kEra);
+    REQUIRE(page.ok());
+    REQUIRE(page->changes.size() == 2);
+    CHECK(page->changes[1].entry);
+    return page->changes[0].entry.has_value();
+  };
+  const std::string whole = MakeServerSpec("ready");
+  REQUIRE(isRead(whole));
+  std::string withoutStart = whole;
+  withoutStart.resize(whole.find(",\"born\""));
+  CHECK_FALSE(isRead(withoutStart + "}"));
+  // A lone start or continuation, an overlong form, a surrogate, too large.
+  for (std::string_view bytes : { "\xFF\xFE",
+                                  "\xC3",
+                                  "\x80",
+                                  "\xC0\xAF",
+                                  "\xED\xA0\x80",
+                                  "\xF5\x80\x80\x80" }) {
+    for (const std::string member : { "service", "version", "zone" }) {
+      std::string spec = whole;
+      size_t at = spec.find("\"" + member + "\":\"");
+      REQUIRE(at != std::string::npos);
+      spec.insert(at + member.size() + 4, bytes);
+      INFO(member);
+      CHECK_FALSE(isRead(spec));
+    }
+  }
+  std::string withText = whole;
+  withText.insert(withText.find("\"version\":\"") + 11, "\xC3\xA9\xE2\x82\xAC");
+  CHECK(isRead(withText));
 }
 
 TEST_CASE("An entry without a version or a sequence number gives no server")
