--- a/tests/spread/drains_test.cpp
+++ b/tests/spread/drains_test.cpp
@@ -51,6 +51,7 @@
   aOptions.drains = true;
   auto fleet = std::make_unique<SpreadFleet>(aOptions);
   fleet->store.PutServer(1);
+  fleet->store.Copy();
   for (size_t i = 0; i < fleet->Size(); ++i) {
     fleet->Start(i);
   }
@@ -312,6 +313,8 @@
   StoreUp,
   ForgetHistory,
   Server,
+  Copy,
+  Return, // the store comes back from the copy
   Count,
 };
 
@@ -346,6 +349,10 @@
     aFleet.SetStoreDown(aStep == Step::StoreDown);
   } else if (aStep == Step::ForgetHistory) {
     aFleet.store.ForgetHistory();
+  } else if (aStep == Step::Copy) {
+    aFleet.store.Copy();
+  } else if (aStep == Step::Return) {
+    aFleet.store.ReturnToCopy(aFleet.Now());
   } else if (aStep == Step::Server) {
     aFleet.store.PutServer(1 + aSelector % 40);
   }
--- a/tests/spread/history_test.cpp
+++ b/tests/spread/history_test.cpp
@@ -1,7 +1,8 @@
 // Randomised schedules of faults and changes in virtual time: instances die and
 // start, the store denies access to some, zones are isolated from each other,
-// and datagrams are lost or overtake others. They guard against an instance
-// that falls back to an older configuration or stays behind the store.
+// the store comes back from an older copy, and datagrams are lost or overtake
+// others. They guard against an instance that falls back to an older
+// configuration or stays behind the store.
 #include "support/spread_fleet.h"
 
 #include <catch2/catch.hpp>
@@ -23,6 +24,8 @@
   Config,
   Server,
   Remove,
+  Copy,
+  Return, // the store comes back from the copy
   Count,
 };
 
@@ -65,6 +68,12 @@
     case Step::Server:
       aFleet.store.PutServer(1 + aSelector % 40);
       break;
+    case Step::Copy:
+      aFleet.store.Copy();
+      break;
+    case Step::Return:
+      aFleet.store.ReturnToCopy(aFleet.Now());
+      break;
     default:
       aFleet.store.RemoveServer(1 + aSelector % 40);
       break;
@@ -85,6 +94,7 @@
     for (steer::ServerId id = 1; id <= 20; ++id) {
       fleet.store.PutServer(id);
     }
+    fleet.store.Copy();
     for (size_t i = 0; i < fleet.Size(); ++i) {
       fleet.Start(i);
     }
--- a/tests/support/spread_drains.cpp
+++ b/tests/support/spread_drains.cpp
@@ -17,7 +17,13 @@
     this->drained.erase(aZone);
   }
   this->drainHistory.push_back({ aZone, this->Next(), !aDrained });
-  std::vector<std::string>& zones = this->drainedAsOf[this->revision];
+  this->RecordDrained();
+}
+
+void
+SpreadStore::RecordDrained()
+{
+  std::vector<std::string>& zones = this->drainedAsOf[this->Position()];
   for (const auto& [zone, at] : this->drained) {
     zones.push_back(zone);
   }
@@ -40,11 +46,11 @@
   this->storeUpSince = this->Now();
 }
 
-// Without the history since the watch's revision a list replaces the state.
+// Without the history since the watch's position a list replaces the state.
 bool
 SpreadFleet::ApplyDrainsReply(SpreadInstance& aInstance)
 {
-  bool list = aInstance.drainsFrom.revision < this->store.oldestRevision;
+  bool list = this->NeedsList(aInstance.drainsFrom);
   std::vector<steer::DrainChange> changes;
   if (list) {
     ++this->store.calls;
@@ -91,9 +97,8 @@
   for (const SpreadInstance& instance : this->instances) {
     if (instance.alive && instance.spread->Drains().IsKnown()) {
       const steer::DrainState& drains = instance.spread->Drains();
-      bool same =
-        drains.zones == this->store.DrainedAsOf(drains.position.revision) &&
-        drains.zones == instance.view->Drains().zones;
+      bool same = drains.zones == this->store.DrainedAsOf(drains.position) &&
+                  drains.zones == instance.view->Drains().zones;
       wrong += same ? 0 : 1;
     }
   }
@@ -105,8 +110,9 @@
 {
   size_t outdated = 0;
   for (const SpreadInstance& instance : this->instances) {
-    bool same = instance.view && instance.view->Drains().zones ==
-                                   this->store.DrainedAsOf(UINT64_MAX);
+    bool same =
+      instance.view && instance.view->Drains().zones ==
+                         this->store.DrainedAsOf(this->store.Position());
     outdated += !instance.alive || same ? 0 : 1;
   }
   return outdated;
--- a/tests/support/spread_fleet.cpp
+++ b/tests/support/spread_fleet.cpp
@@ -33,7 +33,8 @@
 void
 SpreadStore::PutServer(steer::ServerId aId)
 {
-  steer::ServerChange change = MakeServer(aId, "web", ++this->revision);
+  steer::ServerChange change = MakeServer(aId);
+  change.position = this->Next();
   this->listed[change.name] = change;
   this->history.push_back(std::move(change));
 }
@@ -41,13 +42,34 @@
 void
 SpreadStore::RemoveServer(steer::ServerId aId)
 {
-  steer::ServerChange change = MakeRemoved(aId, this->revision + 1);
+  steer::ServerChange change = MakeRemoved(aId, 0);
   if (this->listed.erase(change.name) > 0) {
-    ++this->revision;
+    change.position = this->Next();
     this->history.push_back(std::move(change));
   }
 }
 
+void
+SpreadStore::ReturnToCopy(Micros aNow)
+{
+  static_cast<SpreadContent&>(*this) = this->copy;
+  ++this->era;
+  for (auto& [name, change] : this->listed) {
+    change.position.era = this->era;
+  }
+  for (steer::ServerChange& change : this->history) {
+    change.position.era = this->era;
+  }
+  for (steer::DrainChange& change : this->drainHistory) {
+    change.position.era = this->era;
+  }
+  for (auto& [zone, drainedAt] : this->drained) {
+    drainedAt = aNow;
+  }
+  this->RecordDrained();
+  this->configRevision = ++this->revision;
+}
+
 SpreadFleet::SpreadFleet(const SpreadFleetOptions& aOptions)
   : options(aOptions)
   , random(aOptions.seed)
@@ -190,15 +212,10 @@
                       [=, this] { this->ListStore(aInstance, aIncarnation); });
     return;
   }
-  std::vector<steer::ServerChange> list;
-  for (const auto& [name, change] : this->store.listed) {
-    list.push_back(change);
-  }
   instance.view->PutConfig(MakeConfig(this->store.configVersion));
-  instance.view->PutServers(list, this->Now());
   instance.spread->OnConfigResponse(
     this->store.configVersion, this->store.Position(), this->Now());
-  instance.spread->OnServersList(this->store.Position(), this->Now());
+  this->ApplyServersList(instance);
   if (this->options.drains) {
     instance.spread->OnDrainsResponse(
       this->store.ListDrains(), this->store.Position(), true, this->Now());
@@ -206,6 +223,26 @@
   }
 }
 
+void
+SpreadFleet::ApplyServersList(SpreadInstance& aInstance)
+{
+  std::vector<steer::ServerChange> list;
+  for (const auto& [name, change] : this->store.listed) {
+    list.push_back(change);
+  }
+  aInstance.view->PutServers(list, this->Now());
+  aInstance.spread->OnServersList(this->store.Position(), this->Now());
+}
+
+// As ListWatcher: a watch from another era, or from before the store's history,
+// leads to a list.
+bool
+SpreadFleet::NeedsList(const StorePosition& aFrom) const
+{
+  return aFrom.era != this->store.era ||
+         aFrom.revision < this->store.oldestRevision;
+}
+
 void
 SpreadFleet::UpdateWatches(size_t aInstance)
 {
@@ -251,10 +288,13 @@
     return this->store.configVersion > aInstance.view->Version();
   }
   if (aKind == SpreadKind::Drains) {
-    return aInstance.drainsFrom.revision < this->store.oldestRevision ||
+    return this->NeedsList(aInstance.drainsFrom) ||
            (!this->store.drainHistory.empty() &&
             this->store.drainHistory.back().position > aInstance.drainsFrom);
   }
+  if (this->NeedsList(aInstance.spread->Servers().position)) {
+    return true;
+  }
   return !this->store.history.empty() && this->store.history.back().position >
                                            aInstance.spread->Servers().position;
 }
@@ -273,6 +313,11 @@
       this->store.configVersion, this->store.Position(), this->Now());
     return isNew;
   }
+  if (this->NeedsList(spread.Servers().position)) {
+    ++this->store.calls;
+    this->ApplyServersList(aInstance);
+    return true;
+  }
   std::vector<steer::ServerChange> changes;
   for (const steer::ServerChange& change : this->store.history) {
     if (change.position > spread.Servers().position) {
--- a/tests/support/spread_fleet.h
+++ b/tests/support/spread_fleet.h
@@ -15,26 +15,35 @@
 // last change of its access to the store.
 constexpr Micros kFaultFreePeriod = 4 * kSecond;
 
-// The store with all its entries and the history of the changes of servers.
-struct SpreadStore
+// What a copy of the store holds: all its entries but the configuration, and
+// the history of the changes of servers and drains.
+struct SpreadContent
 {
   uint64_t revision = 100;
-  int64_t configVersion = 1;
-  uint64_t configRevision = 100;
   std::map<std::string, steer::ServerChange> listed;
   std::vector<steer::ServerChange> history;
   // Drained zones, with the time at which the store accepted that; the history
-  // of their changes, and the zones as of each of these revisions.
+  // of their changes.
   std::map<std::string, Micros> drained;
   std::vector<steer::DrainChange> drainHistory;
-  std::map<uint64_t, std::vector<std::string>> drainedAsOf{ { 0, {} } };
   uint64_t oldestRevision = 0; // a watch from before gets no changes
+};
+
+// The store, which can come back from a copy.
+struct SpreadStore : SpreadContent
+{
+  uint64_t era = 1;
+  SpreadContent copy;
+  int64_t configVersion = 1;
+  uint64_t configRevision = 100;
+  // The drained zones as of each position at which they changed.
+  std::map<StorePosition, std::vector<std::string>> drainedAsOf{ { {}, {} } };
   // Instances that get no response.
   std::set<size_t> deniedInstances;
   bool down = false;
   uint64_t calls = 0;
 
-  StorePosition Position() const { return { 1, this->revision }; }
+  StorePosition Position() const { return { this->era, this->revision }; }
   // Counts a change, and returns its position.
   StorePosition Next()
   {
@@ -45,12 +54,18 @@
   void PutServer(steer::ServerId aId);
   void RemoveServer(steer::ServerId aId);
   void SetDrain(const std::string& aZone, bool aDrained, Micros aNow);
+  void Copy() { this->copy = *this; }
+  // The changes since the copy are lost; the operator writes the configuration
+  // again at once.
+  void ReturnToCopy(Micros aNow);
+  void RecordDrained();
   void ForgetHistory() { this->oldestRevision = ++this->revision; }
   std::vector<steer::DrainChange> ListDrains() const;
-  // Returns the zones that were drained at a revision.
-  const std::vector<std::string>& DrainedAsOf(uint64_t aRevision) const
+  // Returns the zones that were drained at a position.
+  const std::vector<std::string>& DrainedAsOf(
+    const StorePosition& aPosition) const
   {
-    return std::prev(this->drainedAsOf.upper_bound(aRevision))->second;
+    return std::prev(this->drainedAsOf.upper_bound(aPosition))->second;
   }
 };
 
@@ -186,6 +201,8 @@
   bool HasUpdate(const SpreadInstance& aInstance, SpreadKind aKind) const;
   // Applies the store's response to a watch. Returns whether it has changes.
   bool ApplyReply(SpreadInstance& aInstance, SpreadKind aKind);
+  void ApplyServersList(SpreadInstance& aInstance);
+  bool NeedsList(const StorePosition& aFrom) const;
   bool ApplyDrainsReply(SpreadInstance& aInstance);
   // Sends the heartbeats and the view request that are due.
   void Exchange(size_t aInstance);
--- a/tests/tagged/peer_codec_test.cpp
+++ b/tests/tagged/peer_codec_test.cpp
@@ -104,6 +104,28 @@
   CHECK_FALSE(tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat)).ok());
 }
 
+// Guards against positions that reach a peer in another era of the store.
+TEST_CASE("A heartbeat passes on the eras of what its sender knows")
+{
+  spread::Heartbeat heartbeat;
+  heartbeat.configPosition = PositionAt(70, 4);
+  heartbeat.serversPosition = PositionAt(60, 5);
+  heartbeat.recent = { PositionAt(50, 5),
+                       PositionAt(60, 5),
+                       { MakeServer(1) } };
+  heartbeat.recent.changes[0].position = PositionAt(55, 5);
+  auto decoded = tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->configPosition == heartbeat.configPosition);
+  CHECK(decoded->serversPosition == heartbeat.serversPosition);
+  CHECK(decoded->recent.from == heartbeat.recent.from);
+  CHECK(decoded->recent.to == heartbeat.recent.to);
+  REQUIRE(decoded->recent.changes.size() == 1);
+  CHECK(decoded->recent.changes[0].position == PositionAt(55, 5));
+  heartbeat.serversPosition.era = UINT64_MAX;
+  CHECK_FALSE(tagged::DecodeHeartbeat(tagged::EncodeHeartbeat(heartbeat)).ok());
+}
+
 TEST_CASE("A heartbeat passes on verdicts, and none from the future")
 {
   spread::Heartbeat heartbeat;
