Split the check of a response's era from its handling

OnResponse had grown by a step that has a name of its own; no behaviour changes. The tests of the watcher and of the daemon after returns of the store pass.

--- a/src/tagged/list_watcher.h
+++ b/src/tagged/list_watcher.h
@@ -236,35 +236,22 @@
                   aResponse.status().ToString());
       return;
     }
-    uint64_t era = EraOf(*aResponse);
     bool isAnswer = aResponse->status == 200 || aResponse->status == 410;
-    if (isAnswer && era < this->position.era) {
-      this->Retry(StoreFailure::FormerEra, "");
+    if (isAnswer && !this->AcceptEra(aList, *aResponse)) {
       return;
     }
-    bool isLater = isAnswer && era > this->position.era;
-    bool isFirstPage = aList && this->lastName.empty();
-    if (isLater) {
-      this->StartEra(era);
-      this->events.onEra(era);
-    }
     if (aResponse->status == 410) {
       this->ResetList();
       this->Retry(StoreFailure::HistoryGone, "");
       return;
     }
-    if (isLater && !isFirstPage) {
-      // Its content follows on a position of the earlier era.
-      this->OnValidResponse();
-      this->requestTimer.Start(0);
-      return;
-    }
     if (aResponse->status != 200) {
       bool busy = aResponse->status == 429;
       this->Retry(busy ? StoreFailure::Busy : StoreFailure::Away,
                   absl::StrCat("HTTP ", aResponse->status));
       return;
     }
+    uint64_t era = this->position.era;
     absl::StatusOr<Page<C>> page =
       aList ? this->format.parseList(aResponse->body, era)
             : this->format.parseWatch(aResponse->body, era);
@@ -295,6 +282,30 @@
     return absl::SimpleAtoi(aResponse.header, &era) ? era : 0;
   }
 
+  // Compares the era of a response with the present one. If the response is of
+  // no use, schedules the next request and returns false.
+  bool AcceptEra(bool aList, const HttpResponse& aResponse)
+  {
+    uint64_t era = EraOf(aResponse);
+    if (era < this->position.era) {
+      this->Retry(StoreFailure::FormerEra, "");
+      return false;
+    }
+    if (era == this->position.era) {
+      return true;
+    }
+    bool isFirstPage = aList && this->lastName.empty();
+    this->StartEra(era);
+    this->events.onEra(era);
+    if (isFirstPage || aResponse.status == 410) {
+      return true;
+    }
+    // Its content follows on a position of the earlier era.
+    this->OnValidResponse();
+    this->requestTimer.Start(0);
+    return false;
+  }
+
   // Returns whether the list can end: a page that others follow has to bring a
   // new name, after which the next one starts.
   bool Advances(const Page<C>& aPage) const
