Give the fuzz target's good entries a start

Input 0x85 0xFF, in the check that a malformed entry leaves its neighbours readable.

Ruled out: the malformed value, as the good entries fail alone. Change: they have born; the check stays as it is.

--- a/tests/fuzz/translation_fuzz.cpp
+++ b/tests/fuzz/translation_fuzz.cpp
@@ -25,7 +25,7 @@
   const std::string good =
     R"({"meta":{"name":"i-1","revision":4},"spec":{"service":"s",)"
     R"("address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready",)"
-    R"("version":"v1","warmup_left_ms":0,"seq":1}})";
+    R"("version":"v1","warmup_left_ms":0,"seq":1,"born":1}})";
   for (const std::string& malformed :
        { value,
          R"({"meta":{"name":"i-2","revision":5},"spec":)" + value + "}",
